--- /dev/null
+++ b/src/consensus/acceptor.cpp
@@ -0,0 +1,58 @@
+#include "consensus/acceptor.hpp"
+
+namespace mosskeel {
+
+bool Acceptor::current(const Envelope& e, Epoch epoch) {
+  if (epoch <= led_.epoch()) {
+    auto [c, v] = led_.since(Epoch{epoch.v - 1});
+    out_.send(e.from, CatchupReply{led_.epoch(), c, v});
+    return false;
+  }
+  if (epoch != next(led_.epoch())) {
+    out_.send(e.from, Catchup{led_.epoch()});
+    return false;
+  }
+  auto& m = *led_.view();
+  return m.cluster == 0 ? out_.id().self.role == Role::marker : m.member(out_.id().self.inc);
+}
+
+void Acceptor::on(const Envelope& e, const Prepare& p) {
+  if (!current(e, p.epoch)) return;
+  bool yes = p.ballot >= promised_;
+  if (p.ballot > promised_) {
+    promised_ = p.ballot;
+    out_.write(codec::pack(MarkerRecord{PromiseRecord{p.epoch, p.ballot}}));
+  }
+  out_.send_synced(e.from, Promise{p.epoch, p.ballot, yes, promised_, accepted_}, e.from_inc);
+}
+
+void Acceptor::on(const Envelope& e, const Accept& a) {
+  if (!current(e, a.entry.epoch)) return;
+  bool yes = a.ballot >= promised_;
+  if (yes) {
+    promised_ = a.ballot;
+    accepted_ = {a.ballot, a.entry};
+    out_.write(codec::pack(MarkerRecord{AcceptRecord{a.ballot, a.entry}}));
+  }
+  out_.send_synced(e.from, Accepted{a.entry.epoch, a.ballot, yes, promised_}, e.from_inc);
+}
+
+void Acceptor::recover(const MarkerCheckpoint& c) {
+  promised_ = c.promised;
+  accepted_ = c.accepted;
+}
+void Acceptor::recover(const PromiseRecord& r) {
+  if (r.epoch == next(led_.epoch()) && r.ballot > promised_) promised_ = r.ballot;
+}
+void Acceptor::recover(const AcceptRecord& r) {
+  if (r.entry.epoch != next(led_.epoch()) || r.ballot < promised_) return;
+  promised_ = r.ballot;
+  accepted_ = {r.ballot, r.entry};
+}
+void Acceptor::save(MarkerCheckpoint& c) const {
+  c.open = next(led_.epoch());
+  c.promised = promised_;
+  c.accepted = accepted_;
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/acceptor.hpp
@@ -0,0 +1,49 @@
+#pragma once
+// The Paxos acceptor of the one open instance: the epoch after the last decided one.
+#include "follow/ledger.hpp"
+
+namespace mosskeel {
+
+/// What a marker keeps on disk between checkpoints.
+struct PromiseRecord {
+  BOOST_HANA_DEFINE_STRUCT(PromiseRecord, (Epoch, epoch), (Ballot, ballot));
+};
+struct AcceptRecord {
+  BOOST_HANA_DEFINE_STRUCT(AcceptRecord, (Ballot, ballot), (Entry, entry));
+};
+struct DecidedRecord {
+  BOOST_HANA_DEFINE_STRUCT(DecidedRecord, (Entry, entry));
+};
+struct JumpRecord {
+  BOOST_HANA_DEFINE_STRUCT(JumpRecord, (Metadata, metadata));
+};
+using MarkerRecord = std::variant<PromiseRecord, AcceptRecord, DecidedRecord, JumpRecord>;
+
+struct MarkerCheckpoint {
+  BOOST_HANA_DEFINE_STRUCT(MarkerCheckpoint, (Metadata, metadata), (Entries, recent), (Epoch, open), (Ballot, promised),
+                           (std::optional<Accept_>, accepted));
+};
+
+class Acceptor {
+ public:
+  Acceptor(Outbox& out, Ledger& led) : out_(out), led_(led) {}
+  void on(const Envelope& e, const Prepare& p);
+  void on(const Envelope& e, const Accept& a);
+  /// Whether something is accepted in the open instance, decided or not.
+  bool open() const { return accepted_.has_value(); }
+  Ballot promised() const { return promised_; }
+  void moved_on() { promised_ = {}, accepted_.reset(); }
+  void recover(const MarkerCheckpoint& c);
+  void recover(const PromiseRecord& r);
+  void recover(const AcceptRecord& r);
+  void save(MarkerCheckpoint& c) const;
+
+ private:
+  bool current(const Envelope& e, Epoch epoch);
+  Outbox& out_;
+  Ledger& led_;
+  Ballot promised_{};
+  std::optional<Accept_> accepted_;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/duty.cpp
@@ -0,0 +1,47 @@
+#include "consensus/duty.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+
+void Duty::on(const Envelope& e, const DutyAsk& a, Millis now) {
+  auto& m = *led_.view();
+  if (!m.member(e.from_inc) || !m.member(out_.id().self.inc)) return;
+  bool yes = now >= granted_until_ || granted_to_ == e.from_inc;
+  if (yes) {
+    granted_to_ = e.from_inc;
+    granted_until_ = now + limits::duty_lease;
+  }
+  out_.send(e.from, DutyGrant{a.number, yes, hear_.silences(m, now)}, e.from_inc);
+}
+
+void Duty::on(const Envelope& e, const DutyGrant& g, Millis now) {
+  auto& m = *led_.view();
+  if (g.number != number_ || !m.member(e.from_inc)) return;
+  seen_[e.from_inc] = {now, g.silences};
+  if (!g.granted) return;
+  grants_.insert(e.from_inc);
+  if (grants_.size() >= majority_of(m.members.size())) until_ = asked_ + limits::duty_lease - limits::duty_margin;
+}
+
+void Duty::tick(Millis now) {
+  auto& m = *led_.view();
+  auto me = out_.id().self.inc;
+  if (held(now) != was_) {
+    was_ = !was_;
+    out_.note(was_ ? Event::duty_taken : Event::duty_lost, "number " + std::to_string(number_));
+  }
+  if (!m.member(me) || now < next_ask_) return;
+  if (now < granted_until_ && granted_to_ != me) {
+    auto rank = std::find_if(m.members.begin(), m.members.end(), [&](auto id) { return m.find(id)->self.inc == me; });
+    next_ask_ = granted_until_ + 1 + (rank - m.members.begin()) * limits::duty_margin / 2;
+    return;
+  }
+  next_ask_ = now + limits::duty_renew;
+  asked_ = now;
+  number_ = out_.roll();
+  grants_.clear();
+  for (auto id : m.members) out_.send(m.find(id)->self.addr, DutyAsk{number_}, m.find(id)->self.inc);
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/duty.hpp
@@ -0,0 +1,32 @@
+#pragma once
+// The supervisor's lease: a majority of the core grants it, its holder stops before it ends.
+#include "consensus/hearing.hpp"
+
+namespace mosskeel {
+
+class Duty {
+ public:
+  Duty(Outbox& out, Ledger& led, const Hearing& hear, Millis start)
+      : out_(out), led_(led), hear_(hear), granted_until_(start + limits::duty_lease) {}
+  void on(const Envelope& e, const DutyAsk& a, Millis now);
+  void on(const Envelope& e, const DutyGrant& g, Millis now);
+  void tick(Millis now);
+  bool held(Millis now) const { return now < until_; }
+  Incarnation holder() const { return granted_to_; }
+  /// Each observer's silences, as told within the lease.
+  const std::map<Incarnation, std::pair<Millis, Silences>>& observers() const { return seen_; }
+
+ private:
+  Outbox& out_;
+  Ledger& led_;
+  const Hearing& hear_;
+  Millis granted_until_;
+  Incarnation granted_to_{};
+  uint64_t number_ = 0;
+  Millis asked_ = 0, next_ask_ = 0, until_ = 0;
+  std::set<Incarnation> grants_;
+  std::map<Incarnation, std::pair<Millis, Silences>> seen_;
+  bool was_ = false;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/hearing.hpp
@@ -0,0 +1,43 @@
+#pragma once
+// Who was heard when, and what they knew: the observations of one marker.
+#include "follow/ledger.hpp"
+
+namespace mosskeel {
+
+struct Heard {
+  Millis last = 0;
+  Epoch known{};
+  uint32_t pressure = 0;
+  Epoch streamed{};
+  uint32_t running = 0;
+  Candidate self{};
+};
+
+class Hearing {
+ public:
+  explicit Hearing(Millis start) : start_(start) {}
+  void hear(const Heartbeat& h, Millis now) {
+    auto& x = heard_[h.self.inc];
+    x = {now, std::max(x.known, h.known), h.pressure, h.streamed, h.running, h.self};
+  }
+  const Heard* of(Incarnation inc) const {
+    auto i = heard_.find(inc);
+    return i == heard_.end() ? nullptr : &i->second;
+  }
+  Millis silence(const Daemon& d, Millis now) const {
+    auto* h = of(d.self.inc);
+    return now - (h ? h->last : start_);
+  }
+  Silences silences(const Metadata& m, Millis now) const {
+    Silences s;
+    for (auto& [id, d] : m.directory)
+      if (d.state != DaemonState::left) s[id] = silence(d, now);
+    return s;
+  }
+
+ private:
+  Millis start_;
+  std::map<Incarnation, Heard> heard_;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/marker_machine.cpp
@@ -0,0 +1,214 @@
+#include "consensus/marker_machine.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+
+MarkerMachine::MarkerMachine(const Identity& id, const Recovered& r, Millis now)
+    : out_(id), acc_(out_, led_), hear_(now), duty_(out_, led_, hear_, now), sup_(out_, led_, hear_, duty_),
+      prop_(out_, led_, acc_, [this](const Entry& e) { enact(e); }), born_(now) {
+  if (r.checkpoint)
+    if (auto c = codec::unpack<MarkerCheckpoint>(*r.checkpoint)) {
+      led_.jump(c->metadata);
+      acc_.recover(*c);
+    }
+  for (auto& s : r.journal) {
+    auto x = codec::unpack<MarkerRecord>(s);
+    if (!x) continue;
+    std::visit(overload{[&](const PromiseRecord& p) { acc_.recover(p); }, [&](const AcceptRecord& a) { acc_.recover(a); },
+                        [&](const DecidedRecord& d) {
+                          if (!led_.add(d.entry).empty()) acc_.moved_on();
+                        },
+                        [&](const JumpRecord& j) {
+                          if (led_.jump(j.metadata)) acc_.moved_on();
+                        }},
+               *x);
+  }
+  out_.cluster = led_.view()->cluster;
+  out_.epoch = led_.epoch();
+  prop_.stores = [this] {
+    Addresses v;
+    for (auto& [i, d] : led_.view()->directory)
+      if (d.self.role == Role::recorder && d.state == DaemonState::up && v.size() < 2) v.push_back(d.self.addr);
+    return v;
+  };
+}
+
+std::string MarkerMachine::checkpoint() const {
+  MarkerCheckpoint c{};
+  c.metadata = *led_.view();
+  acc_.save(c);
+  return codec::pack(c);
+}
+
+Actions MarkerMachine::done() {
+  for (auto& s : out_.act.journal) grown_ += s.size();
+  if (grown_ > limits::checkpoint_bytes) {
+    out_.act.checkpoint = checkpoint();
+    grown_ = 0;
+  }
+  return out_.take();
+}
+
+void MarkerMachine::enact(const Entry& e) {
+  for (auto& x : led_.add(e)) {
+    acc_.moved_on();
+    out_.write(codec::pack(MarkerRecord{DecidedRecord{x}}));
+    out_.cluster = led_.view()->cluster;
+    out_.epoch = led_.epoch();
+    out_.note(x.epoch.v == 1 ? Event::founded : Event::decided, std::to_string(x.epoch.v) + ": " + describe(x.change));
+    for (auto& [id, d] : led_.view()->directory)
+      if (d.state != DaemonState::left && d.self.inc != out_.id().self.inc)
+        out_.send(d.self.agent.empty() ? d.self.addr : d.self.agent, Decided{x});
+  }
+}
+
+void MarkerMachine::learn(const Entries& v, const std::optional<Metadata>& c) {
+  if (c && led_.jump(*c)) {
+    acc_.moved_on();
+    out_.write(codec::pack(MarkerRecord{JumpRecord{*c}}));
+    out_.note(Event::caught_up, "checkpoint at " + std::to_string(c->epoch.v));
+  }
+  for (auto& e : v)
+    for (auto& x : led_.add(e)) {
+      acc_.moved_on();
+      out_.write(codec::pack(MarkerRecord{DecidedRecord{x}}));
+    }
+  out_.cluster = led_.view()->cluster;
+  out_.epoch = led_.epoch();
+}
+
+bool MarkerMachine::known_sender(const Envelope& e) const {
+  if (e.to_inc.v && e.to_inc != out_.id().self.inc) return false;
+  return e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster;
+}
+
+HeartbeatReply MarkerMachine::reply_to(const Heartbeat& h) const {
+  auto [c, v] = led_.since(h.known);
+  return {led_.epoch(), c, v, 0, led_.view()->cluster != 0, h.sent};
+}
+
+Actions MarkerMachine::step(const Envelope& e, Millis now) {
+  if (!known_sender(e)) {
+    out_.note(Event::foreign, "from " + e.from);
+    return done();
+  }
+  auto before = led_.epoch();
+  handle(e, now);
+  moved(before, now);
+  return done();
+}
+
+void MarkerMachine::moved(Epoch before, Millis now) {
+  if (led_.epoch() == before) return;
+  prop_.tick(now);
+  beat(now);
+}
+
+void MarkerMachine::handle(const Envelope& e, Millis now) {
+  auto& self = out_.id().self;
+  if (e.epoch > led_.epoch() && e.cluster == out_.cluster && out_.cluster && !std::holds_alternative<Decided>(e.body) &&
+      !std::holds_alternative<CatchupReply>(e.body) && !std::holds_alternative<HeartbeatReply>(e.body))
+    out_.send(e.from, Catchup{led_.epoch()});
+  std::visit(
+      overload{
+          [&](const Discover& d) {
+            DiscoverReply r{self, out_.cluster, led_.epoch(), {}, {}};
+            if (out_.cluster)
+              for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
+            else
+              for (auto& [i, f] : fellows_) r.candidates.push_back(f.first);
+            if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+            out_.send(e.from, r);
+          },
+          [&](const DiscoverReply& d) {
+            if (out_.cluster) return;
+            if (d.cluster) return out_.send(e.from, Catchup{led_.epoch()});
+            if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+            for (auto& c : d.candidates)
+              if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
+          },
+          [&](const Prepare& p) { acc_.on(e, p); }, [&](const Accept& a) { acc_.on(e, a); },
+          [&](const Promise& p) { prop_.on(e, p, now); }, [&](const Accepted& a) { prop_.on(e, a, now); },
+          [&](const Decided& d) {
+            learn({d.entry}, std::nullopt);
+            if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
+          },
+          [&](const Catchup& c) {
+            auto [m, v] = led_.since(c.known);
+            out_.send(e.from, CatchupReply{led_.epoch(), m, v});
+          },
+          [&](const CatchupReply& c) { learn(c.entries, c.checkpoint); },
+          [&](const QuorumRead& q) {
+            if (led_.view()->member(self.inc)) out_.send_synced(e.from, QuorumReadReply{q.id, led_.epoch(), acc_.open()}, e.from_inc);
+          },
+          [&](const QuorumReadReply& q) { prop_.on(e, q, now); }, [&](const Commit& c) { prop_.on(e, c, now); },
+          [&](const CommitReply& c) {
+            sup_.on(c);
+            learn(c.entries, c.checkpoint);
+          },
+          [&](const Heartbeat& h) {
+            hear_.hear(h, now);
+            if (e.from_inc != self.inc) out_.send(e.from, reply_to(h));
+          },
+          [&](const HeartbeatReply& h) { learn(h.entries, h.checkpoint); },
+          [&](const DutyAsk& a) { duty_.on(e, a, now); }, [&](const DutyGrant& g) { duty_.on(e, g, now); },
+          [&](const StoreManifestReply& r) { prop_.stored(r.epoch, now); }, [&](const auto&) {}},
+      e.body);
+}
+
+void MarkerMachine::discover(Millis now) {
+  next_discover_ = now + limits::discover;
+  std::erase_if(fellows_, [&](auto& f) { return now - f.second.second > limits::discover * 8; });
+  auto& self = out_.id().self;
+  for (auto& a : out_.id().seeds)
+    if (a != self.addr) out_.send(a, Discover{self});
+  for (auto& [inc, f] : fellows_) out_.send(f.first.addr, Discover{self});
+  size_t n = fellows_.size() + 1, core = out_.id().core_size;
+  bool lowest = fellows_.empty() || self.inc < fellows_.begin()->first;
+  Millis age = now - born_;
+  bool all = n >= core && age > limits::discover * 2, some = n >= majority_of(core) && age > limits::found_patience;
+  if (!(lowest && (all || some)) && !(some && age > limits::found_patience * 3)) return;
+  Candidates v{self};
+  for (auto& [inc, f] : fellows_) v.push_back(f.first);
+  std::sort(v.begin(), v.end(), [](auto& a, auto& b) { return a.inc < b.inc; });
+  if (v.size() > core) v.resize(core);
+  if (!prop_.idle()) return;
+  out_.note(Event::founding, std::to_string(v.size()) + " of " + std::to_string(core) + " markers");
+  prop_.found({digest(hex(self.inc.v)), static_cast<uint32_t>(core), v}, v, now);
+}
+
+void MarkerMachine::beat(Millis now) {
+  next_beat_ = now + limits::heartbeat;
+  beaten_ = led_.epoch();
+  auto& self = out_.id().self;
+  Heartbeat h{self, led_.epoch(), 0, {}, 0, now, false};
+  hear_.hear(h, now);
+  for (auto id : led_.view()->members)
+    if (auto* d = led_.view()->find(id); d->self.inc != self.inc) out_.send(d->self.addr, h);
+  auto* me = led_.view()->find(self.inc);
+  if ((!me || me->state == DaemonState::left) && now >= next_register_) {
+    next_register_ = now + limits::tcm_rpc;
+    for (auto id : led_.view()->members)
+      if (auto* d = led_.view()->find(id); d->state != DaemonState::down)
+        return out_.send(d->self.addr, Commit{"register-" + hex(self.inc.v), Register{self}, led_.epoch()});
+  }
+}
+
+Actions MarkerMachine::tick(Millis now) {
+  auto before = led_.epoch();
+  if (!out_.cluster && now >= next_discover_) discover(now);
+  if (out_.cluster && now >= next_beat_) beat(now);
+  duty_.tick(now);
+  sup_.tick(now);
+  if (!acc_.open() || open_at_ != led_.epoch()) open_since_ = now, open_at_ = led_.epoch();
+  if (out_.cluster && now - open_since_ > limits::heartbeat * 2 && prop_.idle()) {
+    open_since_ = now + out_.jitter(limits::paxos_jitter);
+    prop_.finish(now);
+  }
+  prop_.tick(now);
+  moved(before, now);
+  return done();
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/marker_machine.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// A marker: acceptor, proposer, founder, observer and, with the lease, supervisor.
+#include "consensus/proposer.hpp"
+#include "consensus/supervisor.hpp"
+
+namespace mosskeel {
+
+class MarkerMachine : public Machine {
+ public:
+  /// Throws nothing; damaged records were already refused by the disk layer.
+  MarkerMachine(const Identity& id, const Recovered& r, Millis now);
+  Actions step(const Envelope& e, Millis now) override;
+  Actions tick(Millis now) override;
+  View view() const override { return led_.view(); }
+  const std::deque<Entry>& recent() const { return led_.recent(); }
+  const Hearing& hearing() const { return hear_; }
+  bool on_duty(Millis now) const { return duty_.held(now); }
+  std::string checkpoint() const;
+
+ private:
+  void handle(const Envelope& e, Millis now);
+  void enact(const Entry& e);
+  void learn(const Entries& v, const std::optional<Metadata>& c);
+  void discover(Millis now);
+  void beat(Millis now);
+  void moved(Epoch before, Millis now);
+  bool known_sender(const Envelope& e) const;
+  HeartbeatReply reply_to(const Heartbeat& h) const;
+  Actions done();
+
+  Outbox out_;
+  Ledger led_;
+  Acceptor acc_;
+  Hearing hear_;
+  Duty duty_;
+  Supervisor sup_;
+  Proposer prop_;
+  std::map<Incarnation, std::pair<Candidate, Millis>> fellows_;
+  Millis born_, open_since_ = 0, next_discover_ = 0, next_beat_ = 0, next_register_ = 0;
+  Epoch beaten_{}, open_at_{};
+  size_t grown_ = 0;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/proposer.cpp
@@ -0,0 +1,181 @@
+#include "consensus/proposer.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+
+std::map<Incarnation, Address> Proposer::members() const {
+  std::map<Incarnation, Address> v;
+  auto& m = *led_.view();
+  for (auto id : m.members)
+    if (auto* d = m.find(id)) v[d->self.inc] = d->self.addr;
+  if (m.cluster == 0 && founding_)
+    for (auto& c : founding_->second) v[c.inc] = c.addr;
+  return v;
+}
+
+void Proposer::on(const Envelope& e, const Commit& c, Millis now) {
+  for (auto& w : queue_)
+    if (w.id == c.id) {
+      if (std::none_of(w.askers.begin(), w.askers.end(), [&](auto& a) { return a.first == e.from; }))
+        w.askers.push_back({e.from, c.known});
+      return;
+    }
+  queue_.push_back({c.id, c.change, {{e.from, c.known}}, now + limits::tcm_rpc});
+  run(now);
+}
+
+void Proposer::answer(const Waiting& w, Outcome o, const std::string& reason) {
+  auto at = led_.view()->outcome(w.id).value_or(led_.epoch());
+  for (auto& [to, known] : w.askers) {
+    auto [c, v] = led_.since(known);
+    out_.send_synced(to, CommitReply{w.id, o, reason, at, c, v});
+  }
+  if (o == Outcome::no) out_.note(Event::rejected, describe(w.change) + ": " + reason);
+  if (o == Outcome::unknown) out_.note(Event::unknown_outcome, describe(w.change) + " id " + w.id);
+}
+
+void Proposer::run(Millis now) {
+  while (!round_ && now >= pause_) {
+    if (founding_ && led_.view()->cluster == 0) return start(founding_->first, now, false);
+    founding_.reset();
+    if (queue_.empty() || led_.view()->cluster == 0) return;
+    auto& w = queue_.front();
+    if (led_.view()->outcome(w.id)) {
+      auto x = std::move(w);
+      queue_.erase(queue_.begin());
+      auto to = std::holds_alternative<ApplyManifest>(x.change) && stores ? stores() : Addresses{};
+      auto at = *led_.view()->outcome(x.id);
+      auto i = std::find_if(led_.recent().begin(), led_.recent().end(), [&](auto& n) { return n.epoch == at; });
+      if (to.empty() || i == led_.recent().end()) {
+        answer(x, Outcome::yes, "");
+      } else {
+        for (auto& a : to) out_.send(a, StoreManifest{*i});
+        held_[at] = {std::move(x), now + limits::heartbeat * 2};
+      }
+      continue;
+    }
+    Entry e{next(led_.epoch()), w.id, w.change};
+    auto r = apply(*led_.view(), e);
+    if (!ok(r)) return read(render(findings(r)), now);
+    w.proposed = true;
+    start(std::move(e), now, false);
+  }
+}
+
+void Proposer::start(Entry e, Millis now, bool finish_only) {
+  Round r{};
+  r.stage = Stage::preparing;
+  r.epoch = e.epoch;
+  top_ = std::max(top_, acc_.promised().round) + 1;
+  r.ballot = {top_, out_.id().self.inc.v};
+  r.entry = std::move(e);
+  if (finish_only) r.entry.epoch = Epoch{0};
+  r.peers = members();
+  r.need = majority_of(led_.view()->cluster ? r.peers.size() : out_.id().core_size);
+  r.until = now + limits::paxos_round + out_.jitter(limits::paxos_jitter);
+  for (auto& [inc, a] : r.peers) out_.send(a, Prepare{r.epoch, r.ballot}, inc);
+  round_ = std::move(r);
+}
+
+void Proposer::read(std::string reason, Millis now) {
+  Round r{};
+  r.stage = Stage::reading;
+  r.epoch = led_.epoch();
+  r.read = out_.roll();
+  r.reason = std::move(reason);
+  r.peers = members();
+  r.need = majority_of(r.peers.size());
+  r.until = now + limits::paxos_round;
+  for (auto& [inc, a] : r.peers) out_.send(a, QuorumRead{r.read}, inc);
+  round_ = std::move(r);
+}
+
+void Proposer::on(const Envelope& e, const QuorumReadReply& q, Millis now) {
+  if (!round_ || round_->stage != Stage::reading || q.id != round_->read || !round_->peers.count(e.from_inc)) return;
+  if (q.epoch > led_.epoch()) {
+    out_.send(e.from, Catchup{led_.epoch()});
+    return;
+  }
+  if (q.epoch == led_.epoch()) round_->open |= q.open;
+  round_->votes.insert(e.from_inc);
+  if (round_->votes.size() < round_->need) return;
+  auto r = std::move(*round_);
+  round_.reset();
+  if (led_.epoch() != r.epoch) return run(now);
+  if (r.open) return start(Entry{next(r.epoch), "", std::monostate{}}, now, true);
+  if (queue_.empty()) return;
+  auto w = std::move(queue_.front());
+  queue_.erase(queue_.begin());
+  answer(w, Outcome::no, r.reason);
+  run(now);
+}
+
+void Proposer::on(const Envelope& e, const Promise& p, Millis now) {
+  if (!round_ || round_->stage != Stage::preparing || p.epoch != round_->epoch || p.ballot != round_->ballot) return;
+  if (!round_->peers.count(e.from_inc)) return;
+  if (!p.granted) return again(now, p.promised);
+  if (p.accepted && (!round_->best || round_->best->first < p.accepted->first)) round_->best = p.accepted;
+  round_->votes.insert(e.from_inc);
+  if (round_->votes.size() < round_->need) return;
+  if (round_->best) round_->entry = round_->best->second;
+  if (round_->entry.epoch.v == 0) {
+    round_.reset();
+    return run(now);
+  }
+  round_->stage = Stage::accepting;
+  round_->votes.clear();
+  for (auto& [inc, a] : round_->peers) out_.send(a, Accept{round_->ballot, round_->entry}, inc);
+}
+
+void Proposer::on(const Envelope& e, const Accepted& a, Millis now) {
+  if (!round_ || round_->stage != Stage::accepting || a.epoch != round_->epoch || a.ballot != round_->ballot) return;
+  if (!round_->peers.count(e.from_inc)) return;
+  if (!a.granted) return again(now, a.promised);
+  round_->votes.insert(e.from_inc);
+  if (round_->votes.size() >= round_->need) decided(now);
+}
+
+void Proposer::decided(Millis now) {
+  auto x = round_->entry;
+  round_.reset();
+  enact_(x);
+  run(now);
+}
+
+void Proposer::again(Millis now, Ballot seen) {
+  top_ = std::max(top_, seen.round);
+  round_.reset();
+  pause_ = now + 1 + out_.jitter(limits::paxos_jitter);
+}
+
+void Proposer::stored(Epoch e, Millis) {
+  auto i = held_.find(e);
+  if (i == held_.end()) return;
+  answer(i->second.w, Outcome::yes, "");
+  held_.erase(i);
+}
+
+void Proposer::found(const Found& f, const Candidates& electors, Millis now) {
+  founding_ = {Entry{Epoch{1}, "found", f}, electors};
+  run(now);
+}
+
+void Proposer::tick(Millis now) {
+  if (round_ && round_->epoch < (round_->stage == Stage::reading ? led_.epoch() : next(led_.epoch()))) round_.reset();
+  if (round_ && now >= round_->until) again(now, {});
+  for (auto i = held_.begin(); i != held_.end();) {
+    auto j = i++;
+    if (now >= j->second.until) stored(j->first, now);
+  }
+  std::vector<Waiting> late;
+  std::erase_if(queue_, [&](auto& w) {
+    if (now < w.horizon || led_.view()->outcome(w.id)) return false;
+    late.push_back(w);
+    return true;
+  });
+  for (auto& w : late) answer(w, Outcome::unknown, "no majority of the core answered in time");
+  run(now);
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/proposer.hpp
@@ -0,0 +1,77 @@
+#pragma once
+// Commits: run the transformation, append by Paxos compare-and-set at the strictly next epoch.
+#include "consensus/acceptor.hpp"
+
+namespace mosskeel {
+
+class Proposer {
+ public:
+  /// Called for every entry that this marker comes to know as decided.
+  using Enact = std::function<void(const Entry&)>;
+  Proposer(Outbox& out, Ledger& led, Acceptor& acc, Enact enact)
+      : out_(out), led_(led), acc_(acc), enact_(std::move(enact)) {}
+
+  void on(const Envelope& e, const Commit& c, Millis now);
+  void on(const Envelope& e, const Promise& p, Millis now);
+  void on(const Envelope& e, const Accepted& a, Millis now);
+  void on(const Envelope& e, const QuorumReadReply& r, Millis now);
+  void tick(Millis now);
+  /// Proposes the founding entry to these candidates.
+  void found(const Found& f, const Candidates& electors, Millis now);
+  /// Brings an instance to its end that its proposer left open.
+  void finish(Millis now) {
+    if (!round_) start(Entry{next(led_.epoch()), "", std::monostate{}}, now, true);
+  }
+  bool idle() const { return !round_; }
+  /// Where a manifest must lie besides the core before it is acknowledged.
+  std::function<Addresses()> stores;
+  void stored(Epoch e, Millis now);
+
+ private:
+  enum class Stage { reading, preparing, accepting };
+  struct Waiting {
+    std::string id;
+    Transformation change;
+    std::vector<std::pair<Address, Epoch>> askers;
+    Millis horizon;
+    bool proposed = false;
+  };
+  struct Round {
+    Stage stage;
+    Epoch epoch;
+    Ballot ballot;
+    Entry entry;
+    std::optional<Accept_> best;
+    std::map<Incarnation, Address> peers;
+    std::set<Incarnation> votes;
+    Millis until;
+    uint64_t read = 0;
+    bool open = false;
+    std::string reason;
+    size_t need = 0;
+  };
+  struct Held {
+    Waiting w;
+    Millis until;
+  };
+  void run(Millis now);
+  void start(Entry e, Millis now, bool finish_only);
+  void read(std::string reason, Millis now);
+  void answer(const Waiting& w, Outcome o, const std::string& reason);
+  void decided(Millis now);
+  void again(Millis now, Ballot seen);
+  std::map<Incarnation, Address> members() const;
+
+  Outbox& out_;
+  Ledger& led_;
+  Acceptor& acc_;
+  Enact enact_;
+  std::vector<Waiting> queue_;
+  std::optional<Round> round_;
+  std::optional<std::pair<Entry, Candidates>> founding_;
+  std::map<Epoch, Held> held_;
+  uint64_t top_ = 0;
+  Millis pause_ = 0;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/supervisor.cpp
@@ -0,0 +1,127 @@
+#include "consensus/supervisor.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+
+void Supervisor::tick(Millis now) {
+  if (!duty_.held(now)) {
+    busy_.clear();
+    barrier_.clear();
+    return;
+  }
+  if (now < next_ || (!busy_.empty() && now < busy_until_)) return;
+  auto t = decide(now);
+  if (!t) return;
+  busy_ = "duty-" + hex(out_.roll());
+  busy_until_ = now + limits::tcm_rpc;
+  out_.send(out_.id().self.addr, Commit{busy_, *t, led_.epoch()});
+}
+
+bool Supervisor::silent(const Daemon& d, Millis now) const {
+  size_t n = 0;
+  for (auto& [inc, s] : duty_.observers()) {
+    auto i = s.second.find(d.id);
+    if (now - s.first < limits::duty_lease && led_.view()->member(inc) && i != s.second.end() &&
+        i->second + (now - s.first) >= limits::silence && i->second >= limits::silence)
+      ++n;
+  }
+  return n >= majority_of(led_.view()->members.size());
+}
+
+bool Supervisor::heard(const Daemon& d, Millis now) const {
+  size_t n = 0;
+  for (auto& [inc, s] : duty_.observers()) {
+    auto i = s.second.find(d.id);
+    if (now - s.first < limits::duty_lease && led_.view()->member(inc) && i != s.second.end() &&
+        i->second < limits::heartbeat * 3)
+      ++n;
+  }
+  return n >= majority_of(led_.view()->members.size());
+}
+
+std::optional<Transformation> Supervisor::core(Millis now) {
+  auto& m = *led_.view();
+  const Daemon* spare = nullptr;
+  for (auto& [id, d] : m.directory)
+    if (d.self.role == Role::marker && d.state == DaemonState::up && !m.member(d.self.inc) && heard(d, now)) spare = &d;
+  if (!spare) return std::nullopt;
+  if (m.members.size() < m.core_size) return AdmitCore{spare->id};
+  for (auto id : m.members)
+    if (auto* d = m.find(id); d->state == DaemonState::down && hear_.silence(*d, now) > limits::replace_after)
+      return ReplaceCore{id, spare->id};
+  return std::nullopt;
+}
+
+bool Supervisor::passed(const Sequence& q, Millis now) const {
+  auto& m = *led_.view();
+  std::set<DaemonId> affected{q.node}, fresh;
+  for (auto& x : q.moves) {
+    auto& s = m.slots[x.slot.v];
+    affected.insert(s.owner);
+    affected.insert(x.owner);
+    affected.insert(s.recorders.begin(), s.recorders.end());
+    affected.insert(x.recorders.begin(), x.recorders.end());
+    for (auto r : x.recorders)
+      if (std::find(s.recorders.begin(), s.recorders.end(), r) == s.recorders.end()) fresh.insert(r);
+  }
+  size_t all = 0, know = 0;
+  for (auto id : affected) {
+    auto* d = m.find(id);
+    if (!d || d->state == DaemonState::down || d->state == DaemonState::left) continue;
+    ++all;
+    auto* h = hear_.of(d->self.inc);
+    know += h && h->known >= q.last && now - h->last < limits::silence;
+  }
+  if (know < majority_of(all)) return false;
+  if (q.due == Step::mid)
+    for (auto id : fresh) {
+      auto* d = m.find(id);
+      auto* h = d ? hear_.of(d->self.inc) : nullptr;
+      if (!h || h->streamed < q.last) return false;
+    }
+  return true;
+}
+
+std::optional<Transformation> Supervisor::sequences(Millis now) {
+  auto& m = *led_.view();
+  for (auto& [id, q] : m.sequences) {
+    auto& b = barrier_[id];
+    if (b.first != q.last) b = {q.last, now};
+    if (passed(q, now)) {
+      out_.note(Event::sequence_step, std::string(name(q.due)) + " of the " + name(q.kind) + " of daemon " + std::to_string(id.v));
+      return Advance{id, q.due};
+    }
+    auto* d = m.find(id);
+    bool dead = q.kind == SequenceKind::join && d && d->state == DaemonState::down;
+    if (dead || now - b.second > limits::barrier_horizon) {
+      later_[id] = now + limits::barrier_horizon;
+      out_.note(Event::sequence_blocked, "of daemon " + std::to_string(id.v) + " at step " + name(q.due));
+      return CancelSequence{id, dead ? "its node is down" : std::string("barrier blocked before ") + name(q.due)};
+    }
+  }
+  std::erase_if(barrier_, [&](auto& b) { return !m.sequences.count(b.first); });
+  if (!m.sequences.empty()) return std::nullopt;
+  for (auto& [id, d] : m.directory) {
+    if (d.self.role == Role::marker || d.state != DaemonState::registered || !heard(d, now)) continue;
+    if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
+    return PrepareJoin{id};
+  }
+  return std::nullopt;
+}
+
+std::optional<Transformation> Supervisor::decide(Millis now) {
+  auto& m = *led_.view();
+  for (auto& [id, d] : m.directory) {
+    if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::marker)) continue;
+    if (d.state != DaemonState::down && silent(d, now)) {
+      out_.note(Event::node_silent, std::string(name(d.self.role)) + " daemon " + std::to_string(id.v));
+      return MarkDown{id};
+    }
+    if (d.state == DaemonState::down && heard(d, now)) return MarkUp{id};
+  }
+  if (auto t = core(now)) return t;
+  return sequences(now);
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/consensus/supervisor.hpp
@@ -0,0 +1,34 @@
+#pragma once
+// What the holder of the duty decides: failures, joins, steps, replacements. All by commits.
+#include "consensus/duty.hpp"
+
+namespace mosskeel {
+
+class Supervisor {
+ public:
+  Supervisor(Outbox& out, Ledger& led, const Hearing& hear, const Duty& duty)
+      : out_(out), led_(led), hear_(hear), duty_(duty) {}
+  void tick(Millis now);
+  void on(const CommitReply& r) {
+    if (r.id == busy_) busy_.clear();
+  }
+
+ private:
+  std::optional<Transformation> decide(Millis now);
+  std::optional<Transformation> core(Millis now);
+  std::optional<Transformation> sequences(Millis now);
+  /// How many members agree that a daemon was silent this long, or heard this lately.
+  bool silent(const Daemon& d, Millis now) const;
+  bool heard(const Daemon& d, Millis now) const;
+  bool passed(const Sequence& q, Millis now) const;
+  Outbox& out_;
+  Ledger& led_;
+  const Hearing& hear_;
+  const Duty& duty_;
+  std::string busy_;
+  Millis busy_until_ = 0, next_ = 0;
+  std::map<DaemonId, std::pair<Epoch, Millis>> barrier_;
+  std::map<DaemonId, Millis> later_;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/errand/dispatch.cpp
@@ -0,0 +1,165 @@
+// The queue for replicas, the single dispatch, and what comes back.
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "errand/replica_json.hpp"
+#include "errand/switchboard_machine.hpp"
+
+namespace mosskeel {
+
+void SwitchboardMachine::enqueue(Ref w) {
+  w.stage = Stage::queued;
+  if (w.asked == 0) w.asked = w.born;
+  queue_.push({w.e.urgent, w.seq, w.e.attempt});
+}
+
+void SwitchboardMachine::drain_queue(Millis now) {
+  std::vector<Key> back;
+  auto* d = me();
+  while (!queue_.empty() && d) {
+    auto k = queue_.top();
+    queue_.pop();
+    auto i = works_.find(k.attempt);
+    if (i == works_.end() || i->second.stage != Stage::queued) continue;
+    auto& w = i->second;
+    bool any = false;
+    auto* r = now - touched_ <= limits::isolation ? nom_.nominate(w.e, *led_.view(), *d, now, any) : nullptr;
+    if (!r) {
+      if (any) back.push_back(k);
+      else refuse(w, 503, "no replica serves this route now", limits::retry_ms * 2, now);
+      continue;
+    }
+    if (!w.direct) {
+      if (keep_.open(w.line, now) != Keeper::State::open || keep_.term(w.line) != w.term) {
+        route(w, now);
+        continue;
+      }
+      if (!examine(w, now)) continue;
+    }
+    w.replica = r->name;
+    nom_.took(r->name, w.e);
+    if (w.direct) dispatch(w, now);
+    else intend(w, now);
+  }
+  for (auto& k : back) queue_.push(k);
+}
+
+void SwitchboardMachine::free_replica(Ref w) {
+  if (!w.replica.empty()) nom_.gave(w.replica, w.e);
+  w.replica.clear();
+}
+
+void SwitchboardMachine::dispatch(Ref w, Millis now) {
+  auto& m = *led_.view();
+  auto i = m.replicas.find(w.replica);
+  bool fit = i != m.replicas.end() && me() && nom_.places(i->second, m, *me(), now) > 0;
+  if (!fit || now - touched_ > limits::isolation || now >= w.horizon)
+    return settle(w, 0, Outcome::no, "the replica left before the errand reached it", 0, now);
+  w.stage = Stage::running;
+  w.last = now;
+  ReplicaAsk a{w.e.attempt, w.e.kind, i->second.url, w.e.method, w.e.body, w.horizon - now, w.e.repeatable};
+  if (w.e.kind == "model") {
+    std::vector<ChainLink> chain;
+    std::map<std::string, std::string> input;
+    for (auto& r : keep_.records(w.line)) {
+      if (r.thread != w.e.thread) continue;
+      if (r.kind == RecordKind::intent) input[r.key] = r.input;
+      else if (r.status == 200) chain.push_back({input[r.key], r.output});
+    }
+    a.method = "POST";
+    a.url += "/turn";
+    a.body = model_body(w.e, chain, w.reservation);
+  } else {
+    a.url += w.e.path;
+  }
+  ++tallies_["dispatches"];
+  out_.send("replica:" + w.replica, std::move(a));
+}
+
+void SwitchboardMachine::on(const ReplicaPiece& p, Millis now) {
+  auto i = works_.find(p.attempt);
+  if (i == works_.end() || i->second.stage != Stage::running) return;
+  auto& w = i->second;
+  w.last = now;
+  auto fail = [&](const std::string& why) {
+    out_.note(Event::replica_fault, w.replica + ": " + why);
+    ++tallies_["replica_faults"];
+    out_.send("replica:" + w.replica, ReplicaStop{p.attempt});
+    settle(w, 502, Outcome::unknown, why, w.reservation, now);
+  };
+  if (p.n != w.pieces) return fail("the replica's stream skipped or repeated a piece");
+  if (w.tokens + p.tokens > w.reservation) return fail("the replica's answer exceeds the turn's tokens");
+  w.tokens += p.tokens;
+  w.text += p.text;
+  ++w.pieces;
+  out_.send(w.reply, ErrandPiece{p.attempt, p.n, p.text}, w.reply_inc);
+}
+
+void SwitchboardMachine::on(const ReplicaEnd& r, Millis now) {
+  auto i = works_.find(r.attempt);
+  if (i == works_.end() || i->second.stage != Stage::running) return;
+  auto& w = i->second;
+  if (w.e.kind == "app") w.text = r.body;
+  bool whole = r.sealed && r.status == 200 && r.seal == digest(w.text);
+  if (w.e.kind == "model") whole = whole && r.pieces == w.pieces && r.tokens == w.tokens;
+  if (whole) {
+    retries_ = std::min(retries_ + limits::retry_share, 10.0);
+    return settle(w, 200, Outcome::yes, "", w.tokens, now);
+  }
+  ++tallies_["replica_faults"];
+  out_.note(Event::replica_fault, w.replica + ": " + (r.reason.empty() ? "status " + std::to_string(r.status) : r.reason));
+  if (!r.sent || w.e.repeatable) {
+    nom_.shun(w.replica, now);
+    if (retries_ >= 1 && w.pieces == 0 && now < w.horizon) {
+      retries_ -= 1;
+      ++tallies_["retries"];
+      if (w.direct) {
+        free_replica(w);
+        w.asked = now;
+        return enqueue(w);
+      }
+      bool any = false;
+      auto* n = me() ? nom_.nominate(w.e, *led_.view(), *me(), now, any) : nullptr;
+      if (n) {
+        free_replica(w);
+        w.replica = n->name;
+        nom_.took(n->name, w.e);
+        return dispatch(w, now);
+      }
+    }
+    if (!r.sent) return settle(w, 0, Outcome::no, "no replica could be reached", 0, now);
+  }
+  if (r.sealed && r.status >= 400 && r.status < 500)
+    return settle(w, r.status, Outcome::yes, "the replica refused: " + r.body, 0, now);
+  settle(w, 502, Outcome::unknown, "the replica's answer was not whole and sealed" + (r.reason.empty() ? "" : ": " + r.reason), w.reservation, now);
+}
+
+void SwitchboardMachine::history(Ref w, Millis now) {
+  auto& v = keep_.records(w.line);
+  auto* c = led_.view()->manifest.cell(w.e.cell);
+  if (v.empty() || (c && v.back().at_ms + c->retention_ms < now))
+    return refuse(w, 404, "the conversation is missing: a majority of its stores keeps no such turns", 0, now);
+  nlohmann::json j{{"program", w.e.program}, {"turns", nlohmann::json::array()}};
+  std::map<std::string, const Record*> intents;
+  std::map<std::string, bool> open;
+  uint64_t spent = 0;
+  for (auto& r : v) {
+    open[r.key] = r.kind == RecordKind::intent;
+    if (r.kind == RecordKind::intent) {
+      intents[r.key] = &r;
+      continue;
+    }
+    spent += r.tokens;
+    j["turns"].push_back({{"thread", r.thread}, {"turn", r.turn}, {"key", r.key}, {"status", r.status}, {"tokens", r.tokens},
+                          {"input", intents.count(r.key) ? intents[r.key]->input : ""}, {"output", r.output}});
+  }
+  uint64_t reserved = 0;
+  for (auto& [k, o] : open)
+    if (o) reserved += intents[k]->tokens;
+  j["tokens"] = {{"spent", spent}, {"reserved", reserved}, {"budget", c ? c->budget : 0}};
+  w.end = {w.e.attempt, 200, Outcome::yes, "", j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), 0, 0, 0, false, 0};
+  end(w, now);
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/errand/nominate.cpp
@@ -0,0 +1,67 @@
+#include <algorithm>
+
+#include "errand/policy.hpp"
+
+namespace mosskeel {
+
+uint32_t Nominator::places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const {
+  if (r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) return 0;
+  if (r.fitness == Fitness::ready) return limits::replica_pressure;
+  std::vector<std::pair<uint64_t, DaemonId>> v;
+  for (auto& [id, d] : m.directory)
+    if (d.self.role == Role::front && d.state == DaemonState::up && !m.evacuated.count(d.self.zone))
+      v.push_back({digest(r.name, id.v + 1), id});
+  std::sort(v.begin(), v.end());
+  for (size_t i = 0; i < v.size() && i < limits::cold_fronts; ++i)
+    if (v[i].second == me.id) {
+      auto& c = cold_since_[r.name];
+      if (c.first != r.since) c = {r.since, now};
+      auto grown = (now - c.second) * limits::replica_pressure / limits::cold_ramp;
+      return static_cast<uint32_t>(std::clamp<Millis>(grown, 1, limits::replica_pressure));
+    }
+  return 0;
+}
+
+const Replica* Nominator::nominate(const Errand& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
+  any = false;
+  auto* c = m.manifest.cell(e.cell);
+  if (!c) return nullptr;
+  const Route* route = nullptr;
+  for (auto& r : c->routes)
+    if (r.name == e.route && r.kind == e.kind) route = &r;
+  if (!route) return nullptr;
+  const Replica* best = nullptr;
+  std::tuple<int, int, int, uint64_t> top;
+  for (auto& [n, r] : m.replicas) {
+    if (r.kind != e.kind) continue;
+    if (!route->replicas.empty() && std::find(route->replicas.begin(), route->replicas.end(), n) == route->replicas.end()) continue;
+    auto room = places(r, m, me, now);
+    if (room == 0) continue;
+    any = true;
+    auto i = pressure_.find(n);
+    uint32_t p = i == pressure_.end() ? 0 : i->second;
+    auto b = bulk_.find(n);
+    if (e.bulk && (b == bulk_.end() ? 0 : b->second) >= std::min(room, limits::bulk_pressure)) continue;
+    if (p >= room) continue;
+    auto s = shunned_.find(n);
+    int shun = s != shunned_.end() && now < s->second;
+    int high = p * 2 >= room;
+    int far = r.zone != me.self.zone;
+    auto affinity = digest(n, digest(e.prefix.empty() ? e.program : e.prefix));
+    auto key = e.kind == "model" ? std::make_tuple(shun, high, 0, affinity) : std::make_tuple(shun, high, far, affinity);
+    if (!best || key < top) best = &r, top = key;
+  }
+  return best;
+}
+
+void Nominator::took(const std::string& n, const Errand& e) {
+  ++pressure_[n];
+  if (e.bulk) ++bulk_[n];
+}
+void Nominator::gave(const std::string& n, const Errand& e) {
+  if (auto& p = pressure_[n]; p) --p;
+  if (auto& b = bulk_[n]; e.bulk && b) --b;
+}
+void Nominator::shun(const std::string& n, Millis now) { shunned_[n] = now + limits::replica_shun; }
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/errand/owner.cpp
@@ -0,0 +1,215 @@
+// The owner's turn: line, key, budget, intent, settlement.
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+#include "errand/replica_json.hpp"
+#include "errand/switchboard_machine.hpp"
+
+namespace mosskeel {
+
+void SwitchboardMachine::advance(Ref w, Millis now) {
+  auto* o = w.direct ? nullptr : owner(w.slot);
+  bool mine = o && o->self.inc == out_.id().self.inc;
+  bool line_held = mine && keep_.term(w.line) == w.term && w.term.v;
+  switch (w.stage) {
+    case Stage::opening:
+      if (!mine) return route(w, now);
+      switch (keep_.open(w.line, now)) {
+        case Keeper::State::open: return opened(w, now);
+        case Keeper::State::unavailable: return refuse(w, 503, "too few stores answer", limits::retry_ms * 2, now);
+        default: return;
+      }
+    case Stage::waiting:
+      if (!mine) return route(w, now);
+      if (now - w.born > limits::queue_patience * 2) return refuse(w, 503, "the turn before this one is still running", limits::retry_ms * 2, now);
+      w.stage = Stage::opening;
+      return advance(w, now);
+    case Stage::queued:
+      if (!w.direct && !mine) return route(w, now);
+      if (now >= w.horizon || now - w.asked > limits::queue_patience) return refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
+      return;
+    case Stage::intending:
+      if (!line_held) {
+        free_replica(w);
+        w.again = true;
+        w.settled.kind = RecordKind::settled;
+        w.settled.status = 0;
+        return hand_over(w, now);
+      }
+      if (keep_.committed(w.line) >= w.mark) return dispatch(w, now);
+      return;
+    case Stage::running:
+      if (now >= w.horizon || now - w.last > limits::replica_stall) {
+        auto why = now >= w.horizon ? "the horizon passed while the turn was running" : "the replica fell silent";
+        out_.send("replica:" + w.replica, ReplicaStop{w.e.attempt});
+        nom_.shun(w.replica, now);
+        settle(w, 504, Outcome::unknown, why, w.reservation, now);
+      }
+      return;
+    case Stage::settling:
+      if (!line_held) return hand_over(w, now);
+      if (keep_.committed(w.line) >= w.mark) return end(w, now);
+      return;
+    case Stage::handing:
+      if (now - w.asked > limits::handover_patience) return refuse(w, 502, "the outcome could not be kept", 0, now, Outcome::unknown);
+      if (now - w.last >= limits::line_retry) hand_over(w, now);
+      return;
+    case Stage::proxying: {
+      if (now >= w.horizon) return refuse(w, 504, "the horizon passed", limits::retry_ms, now, w.anew || w.seen ? Outcome::unknown : Outcome::unknown);
+      auto* t = led_.view()->find(w.target);
+      bool gone = !t || t->state == DaemonState::down || t->state == DaemonState::left;
+      if (o && o->id != w.target && (gone || !w.seen)) return route(w, now);
+      if (!w.seen && now - w.asked > limits::proxy_patience + limits::line_patience)
+        return refuse(w, 503, "the program's owner does not answer", limits::retry_ms, now, t ? Outcome::unknown : Outcome::no);
+      if (now - w.last >= limits::line_retry * (w.seen ? 4 : 1)) proxy(w, now);
+      return;
+    }
+  }
+}
+
+bool SwitchboardMachine::running_elsewhere(const Record& r, Millis now) const {
+  auto* d = led_.view()->find(r.runner);
+  if (!d || d->self.inc == out_.id().self.inc) return false;
+  if (now - r.at_ms > limits::errand_horizon + limits::handover_patience * 2) return false;
+  return d->state != DaemonState::down && d->state != DaemonState::left;
+}
+
+bool SwitchboardMachine::running_here(const LineName& n, const std::string& key) const {
+  return std::any_of(works_.begin(), works_.end(), [&](auto& x) {
+    auto& w = x.second;
+    return w.line == n && w.e.key == key && w.stage >= Stage::intending && w.stage <= Stage::handing;
+  });
+}
+
+void SwitchboardMachine::opened(Ref w, Millis now) {
+  if (w.e.kind == "history") return history(w, now);
+  if (examine(w, now)) enqueue(w);
+}
+
+/// Whether the turn may go on; otherwise it was answered, or waits.
+bool SwitchboardMachine::examine(Ref w, Millis now) {
+  auto& v = keep_.records(w.line);
+  auto* c = led_.view()->manifest.cell(w.e.cell);
+  if (!c) return refuse(w, 404, "cell '" + w.e.cell + "' is unknown", 0, now), false;
+  std::map<std::string, const Record*> last, intents;
+  for (auto& r : v) {
+    last[r.key] = &r;
+    if (r.kind == RecordKind::intent) intents[r.key] = &r;
+  }
+  if (auto i = last.find(w.e.key); i != last.end() && !(i->second->kind == RecordKind::settled && i->second->status == 0)) {
+    auto& r = *i->second;
+    if (intents[w.e.key]->body_digest != digest(w.e.body + '\0' + w.e.path))
+      return refuse(w, 409, "key: was used with another body", 0, now), false;
+    if (r.kind == RecordKind::settled) {
+      w.end = {w.e.attempt, r.status, r.status == 200 ? Outcome::yes : Outcome::unknown,
+               r.status == 200 ? "" : "kept outcome: " + r.output, r.status == 200 ? r.output : "", r.turn, r.tokens, 0, false, 0};
+      w.end.pieces = w.pieces;
+      return end(w, now), false;
+    }
+    if (running_here(w.line, w.e.key) || running_elsewhere(r, now))
+      return refuse(w, 409, "key: this turn is running now", limits::retry_ms * 2, now, Outcome::yes), false;
+    out_.note(Event::in_doubt, w.line.program + " key " + w.e.key);
+    return refuse(w, 502, "the outcome of this turn is unknown; it will not be run again", 0, now, Outcome::unknown), false;
+  }
+  uint64_t spent = 0;
+  uint32_t turns = 0;
+  bool busy = false;
+  for (auto& [k, r] : last) {
+    bool open = r->kind == RecordKind::intent;
+    if (open || r->status != 0) spent += r->tokens;
+    if (r->thread != w.e.thread) continue;
+    if (!open && r->status == 200) ++turns;
+    if (open && (running_here(w.line, k) || running_elsewhere(*r, now))) busy = true;
+  }
+  bool stale = !v.empty() && v.back().at_ms + c->retention_ms < now;
+  if (w.e.kind == "model" && w.e.after && *w.e.after > 0 && (turns == 0 || stale))
+    return refuse(w, 404, "the conversation is missing: a majority of its stores keeps no such turns", 0, now), false;
+  if (busy) {
+    auto waiting = std::count_if(works_.begin(), works_.end(), [&](auto& x) { return x.second.line == w.line && x.second.stage == Stage::waiting; });
+    if (static_cast<uint32_t>(waiting) >= limits::thread_queue) return refuse(w, 503, "too many turns wait for the one before them", limits::retry_ms * 2, now), false;
+    w.stage = Stage::waiting;
+    return false;
+  }
+  if (w.e.kind == "model" && w.e.after && *w.e.after != turns)
+    return refuse(w, 409, "after: the thread has " + std::to_string(turns) + " settled turns", 0, now), false;
+  if (w.e.kind == "model" && spent >= c->budget)
+    return refuse(w, 429, "the program's budget of " + std::to_string(c->budget) + " tokens is spent", 0, now), false;
+  w.reservation = w.e.kind == "model" ? w.e.max_tokens : 0;
+  w.turn = turns + 1;
+  w.term = keep_.term(w.line);
+  return true;
+}
+
+void SwitchboardMachine::intend(Ref w, Millis now) {
+  Record r{};
+  r.kind = RecordKind::intent;
+  r.key = w.e.key;
+  r.thread = w.e.thread;
+  r.body_digest = digest(w.e.body + '\0' + w.e.path);
+  r.tokens = w.reservation;
+  r.turn = w.turn;
+  r.runner = me()->id;
+  r.at_ms = now;
+  r.input = w.e.body;
+  w.settled = r;
+  w.stage = Stage::intending;
+  w.mark = keep_.append(w.line, r, now);
+}
+
+void SwitchboardMachine::settle(Ref w, uint32_t status, Outcome ran, std::string reason, uint64_t tokens, Millis now) {
+  free_replica(w);
+  w.end = {w.e.attempt, status ? status : 503, ran, reason, status == 200 ? w.text : "", w.turn, tokens, status ? 0 : limits::retry_ms, false, w.pieces};
+  if (w.direct) return end(w, now);
+  auto& r = w.settled;
+  r.kind = RecordKind::settled;
+  r.status = status;
+  r.tokens = tokens;
+  r.at_ms = now;
+  r.output = status == 200 ? w.text : reason;
+  r.input.clear();
+  if (keep_.term(w.line) != w.term) {
+    w.asked = now;
+    return hand_over(w, now);
+  }
+  w.stage = Stage::settling;
+  w.mark = keep_.append(w.line, r, now);
+}
+
+void SwitchboardMachine::hand_over(Ref w, Millis now) {
+  if (w.stage != Stage::handing) w.asked = now;
+  w.stage = Stage::handing;
+  w.last = now;
+  auto* o = owner(w.slot);
+  if (o) out_.send(o->self.addr, LateSettle{w.e.attempt, w.line, w.settled}, o->self.inc);
+}
+
+void SwitchboardMachine::on(const Envelope& e, const LateSettle& x, Millis now) {
+  for (auto& l : lates_)
+    if (std::get<LateSettle>(l.from.body).attempt == x.attempt) return;
+  Late l{e, 0, now, {}};
+  if (!late(l, now)) lates_.push_back(std::move(l));
+}
+
+bool SwitchboardMachine::late(Late& l, Millis now) {
+  auto& x = std::get<LateSettle>(l.from.body);
+  auto say = [&](Outcome o) { return out_.send(l.from.from, LateSettled{x.attempt, o}, l.from.from_inc), true; };
+  auto s = keep_.open(x.line, now);
+  if (s == Keeper::State::fenced || now - l.born > limits::handover_patience) return true;
+  if (s != Keeper::State::open) return false;
+  if (l.mark && l.term == keep_.term(x.line)) return keep_.committed(x.line) >= l.mark ? say(Outcome::yes) : false;
+  const Record *last = nullptr, *after = nullptr;
+  for (auto& r : keep_.records(x.line)) {
+    if (r.key == x.record.key) last = &r, after = nullptr;
+    else if (last && r.thread == x.record.thread) after = &r;
+  }
+  if (!last) return say(x.record.status == 0 ? Outcome::yes : Outcome::no);
+  if (last->kind == RecordKind::settled)
+    return say(last->status == x.record.status && last->output == x.record.output ? Outcome::yes : Outcome::no);
+  if (last->runner != x.record.runner || after) return say(Outcome::no);
+  l.term = keep_.term(x.line);
+  l.mark = keep_.append(x.line, x.record, now);
+  return false;
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/errand/policy.hpp
@@ -0,0 +1,58 @@
+#pragma once
+// The way of an errand: policies as plug-ins that register themselves, behind one interface.
+#include "kernel/machine.hpp"
+
+namespace mosskeel {
+
+/// What a policy may look at besides the errand.
+struct Situation {
+  const Metadata& m;
+  const Daemon* me;
+  Millis now, touched;
+  bool confirmed, stopping;
+  size_t queued, running;
+  bool proxied;
+};
+
+/// Why an errand is refused; it has not run.
+struct Refusal {
+  uint32_t status;
+  std::string reason;
+  uint32_t retry_ms = 0;
+};
+
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  virtual int order() const = 0;
+  virtual const char* name() const = 0;
+  virtual std::optional<Refusal> judge(Errand& e, const Situation& s) const = 0;
+};
+
+/// All registered policies in their order.
+const std::vector<const Policy*>& policies();
+
+/// A static object of this type puts a policy into the registry.
+struct Enrolled {
+  explicit Enrolled(std::unique_ptr<Policy> p);
+};
+
+/// Which replica an errand goes to.
+class Nominator {
+ public:
+  /// The replica with a free place that suits best, or nothing; `busy` tells whether any would do later.
+  const Replica* nominate(const Errand& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const;
+  void took(const std::string& replica, const Errand& e);
+  void gave(const std::string& replica, const Errand& e);
+  void shun(const std::string& replica, Millis now);
+  /// The share of a cold replica's places that may be used now.
+  uint32_t places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const;
+  const std::map<std::string, uint32_t>& pressure() const { return pressure_; }
+
+ private:
+  std::map<std::string, uint32_t> pressure_, bulk_;
+  std::map<std::string, Millis> shunned_;
+  mutable std::map<std::string, std::pair<Epoch, Millis>> cold_since_;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/errand/switchboard_machine.cpp
@@ -0,0 +1,204 @@
+#include "errand/switchboard_machine.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+
+SwitchboardMachine::SwitchboardMachine(const Identity& id, Millis now)
+    : out_(id), fol_(out_, led_, now), keep_(out_, led_) {}
+
+bool SwitchboardMachine::ready(Millis now) const {
+  auto* d = me();
+  return confirmed_ && !stopping_ && d && d->state == DaemonState::up && now - touched_ <= limits::isolation &&
+         !led_.view()->evacuated.count(d->self.zone);
+}
+
+Situation SwitchboardMachine::situation(Millis now, bool proxied) const {
+  return {*led_.view(), me(), now, touched_, confirmed_, stopping_, count(Stage::queued) + count(Stage::waiting),
+          count(Stage::running) + count(Stage::intending), proxied};
+}
+
+size_t SwitchboardMachine::count(Stage s) const {
+  return static_cast<size_t>(std::count_if(works_.begin(), works_.end(), [&](auto& w) { return w.second.stage == s; }));
+}
+
+void SwitchboardMachine::on(const Envelope& e, const HeartbeatReply& h) {
+  if (e.from != out_.id().self.agent) return;
+  fol_.learn(h.entries, h.checkpoint);
+  if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+  touched_ = std::max(touched_, h.sent - h.touched_ms);
+  confirmed_ = confirmed_ || (h.confirmed && h.epoch <= led_.epoch());
+}
+
+void SwitchboardMachine::handle(const Envelope& e, Millis now) {
+  if (auto* h = std::get_if<HeartbeatReply>(&e.body)) return on(e, *h);
+  if (fol_.handle(e, now) || fol_.park(e)) return;
+  if (keep_.on(e, now)) return;
+  std::visit(overload{[&](const Errand& x) { on(e, x, now); },
+                      [&](const ErrandSeen& x) {
+                        auto i = works_.find(x.attempt);
+                        if (i == works_.end() || i->second.stage != Stage::proxying) return;
+                        auto* d = led_.view()->find(i->second.target);
+                        if (d && d->self.inc == e.from_inc) i->second.seen = true;
+                      },
+                      [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
+                      [&](const ErrandGone& x) { gone_.insert(x.attempt); },
+                      [&](const LateSettle& x) { on(e, x, now); },
+                      [&](const LateSettled& x) {
+                        auto i = works_.find(x.attempt);
+                        if (i == works_.end() || i->second.stage != Stage::handing) return;
+                        auto& w = i->second;
+                        if (w.again && x.outcome == Outcome::yes) {
+                          w.again = false;
+                          return route(w, now);
+                        }
+                        if (x.outcome == Outcome::yes) out_.note(Event::handed_over, x.attempt);
+                        else w.end = {x.attempt, 502, Outcome::unknown, "the outcome came too late to be kept", "", 0, 0, 0, false, w.pieces};
+                        end(w, now);
+                      },
+                      [&](const ReplicaPiece& x) { on(x, now); }, [&](const ReplicaEnd& x) { on(x, now); },
+                      [&](const auto&) {}},
+             e.body);
+}
+
+Actions SwitchboardMachine::step(const Envelope& e, Millis now) {
+  bool local = e.from.starts_with("local:") || e.from.starts_with("replica:");
+  if (!local && fol_.foreign(e)) {
+    out_.note(Event::foreign, "from " + e.from);
+    return out_.take();
+  }
+  auto before = led_.epoch();
+  handle(e, now);
+  if (led_.epoch() != before) {
+    for (auto& p : fol_.unpark()) handle(p, now);
+    keep_.tick(now);
+    beat(now);
+    sweep(now);
+  }
+  for (auto& n : keep_.changed()) {
+    std::vector<std::string> v;
+    for (auto& [a, w] : works_)
+      if (w.line == n && w.stage != Stage::proxying) v.push_back(a);
+    for (auto& a : v)
+      if (auto i = works_.find(a); i != works_.end()) advance(i->second, now);
+    std::erase_if(lates_, [&](auto& l) { return late(l, now); });
+  }
+  drain_queue(now);
+  return out_.take();
+}
+
+void SwitchboardMachine::beat(Millis now) {
+  next_beat_ = now + limits::agent_beat;
+  beaten_ = led_.epoch();
+  Heartbeat h{out_.id().self, led_.epoch(), static_cast<uint32_t>(works_.size()), {},
+              static_cast<uint32_t>(works_.size()), now, stopping_};
+  out_.send(out_.id().self.agent, h);
+}
+
+void SwitchboardMachine::sweep(Millis now) {
+  next_sweep_ = now + limits::agent_beat;
+  std::vector<std::string> v;
+  for (auto& [a, w] : works_) v.push_back(a);
+  for (auto& a : v)
+    if (auto i = works_.find(a); i != works_.end()) advance(i->second, now);
+  std::erase_if(lates_, [&](auto& l) { return late(l, now); });
+  for (auto i = ended_.begin(); i != ended_.end();) {
+    auto age = now - i->second.first;
+    if (age > limits::end_memory) i->second.second.reset();
+    i = age > limits::attempt_memory ? ended_.erase(i) : std::next(i);
+  }
+}
+
+Actions SwitchboardMachine::tick(Millis now) {
+  if (now >= next_beat_) beat(now);
+  keep_.tick(now);
+  if (now >= next_sweep_) sweep(now);
+  bool in = now - touched_ <= limits::isolation;
+  if (in != was_in_touch_) out_.note(in ? Event::in_touch : Event::isolated, "epoch " + std::to_string(led_.epoch().v));
+  was_in_touch_ = in;
+  drain_queue(now);
+  auto* d = me();
+  if (stopping_ && works_.empty() && lates_.empty() && (!d || d->state == DaemonState::left || d->state == DaemonState::down)) out_.act.stop = true;
+  return out_.take();
+}
+
+void SwitchboardMachine::on(const Envelope& e, const Errand& x, Millis now) {
+  bool local = e.from.starts_with("local:");
+  if (works_.count(x.attempt)) return out_.send(e.from, ErrandSeen{x.attempt}, e.from_inc);
+  if (auto i = ended_.find(x.attempt); i != ended_.end()) {
+    if (i->second.second) out_.send(e.from, *i->second.second, e.from_inc);
+    return;
+  }
+  Work w;
+  w.e = x;
+  w.reply = e.from;
+  w.reply_inc = local ? Incarnation{} : e.from_inc;
+  w.born = now;
+  w.seq = ++seq_;
+  w.end.attempt = x.attempt;
+  ++tallies_[local ? "errands_asked" : "errands_proxied_here"];
+  auto& r = works_.emplace(x.attempt, std::move(w)).first->second;
+  if (!local && e.epoch < led_.epoch() && r.e.kind != "history") {
+    auto s = slot_of(x.cell, x.program);
+    if (e.epoch < led_.view()->slots[s.v].term) {
+      out_.note(Event::behind, x.attempt + " placed at " + std::to_string(e.epoch.v));
+      r.end.elsewhere = true;
+      return refuse(r, 503, "placed at an epoch too old for its slot", 0, now);
+    }
+  }
+  if (!local) out_.send(e.from, ErrandSeen{x.attempt}, e.from_inc);
+  auto s = situation(now, !local);
+  for (auto* p : policies()) {
+    if (r.e.kind == "history" && p->order() > 10) break;
+    if (auto f = p->judge(r.e, s)) return refuse(r, f->status, f->reason, f->retry_ms, now);
+  }
+  r.horizon = now + (r.e.horizon_ms > 0 ? r.e.horizon_ms : limits::errand_horizon);
+  r.direct = r.e.kind == "app" && (r.e.repeatable || r.e.key == r.e.attempt);
+  if (r.e.kind == "app" && !r.direct) r.e.program = "app:" + r.e.key, r.e.thread = r.e.key;
+  if (r.direct) return enqueue(r);
+  r.line = {r.e.cell, r.e.program};
+  r.slot = slot_of(r.e.cell, r.e.program);
+  route(r, now);
+}
+
+void SwitchboardMachine::route(Ref w, Millis now) {
+  auto* o = owner(w.slot);
+  if (o && o->self.inc == out_.id().self.inc) {
+    w.stage = Stage::opening;
+    w.last = now;
+    return advance(w, now);
+  }
+  if (!w.reply.starts_with("local:")) {
+    w.end.elsewhere = true;
+    return refuse(w, 503, "this worker does not own the program", 0, now);
+  }
+  w.stage = Stage::proxying;
+  w.seen = false;
+  w.target = o ? o->id : DaemonId{};
+  w.asked = now;
+  proxy(w, now);
+}
+
+void SwitchboardMachine::refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran) {
+  w.end.status = status;
+  w.end.ran = ran;
+  w.end.reason = std::move(reason);
+  w.end.retry_ms = retry;
+  w.end.pieces = w.pieces;
+  ++tallies_[ran == Outcome::unknown ? "errands_unknown" : "errands_refused"];
+  end(w, now);
+}
+
+void SwitchboardMachine::end(Ref w, Millis now) {
+  free_replica(w);
+  w.end.attempt = w.e.attempt;
+  if (w.end.status == 200) ++tallies_["errands_done"];
+  out_.send(w.reply, w.end, w.reply_inc);
+  auto a = w.e.attempt;
+  auto x = w.end;
+  bool keep = !w.reply.starts_with("local:") && !w.end.elsewhere;
+  works_.erase(a);
+  if (keep) ended_[a] = {now, std::move(x)};
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/errand/switchboard_machine.hpp
@@ -0,0 +1,108 @@
+#pragma once
+// A switchboard: owner of its slots' programs, proxy to the owners of all others.
+#include <boost/heap/priority_queue.hpp>
+
+#include "errand/policy.hpp"
+#include "follow/follower.hpp"
+#include "line/keeper.hpp"
+
+namespace mosskeel {
+
+class SwitchboardMachine : public Machine {
+ public:
+  /// `agent` is where the lineman listens.
+  SwitchboardMachine(const Identity& id, Millis now);
+  Actions step(const Envelope& e, Millis now) override;
+  Actions tick(Millis now) override;
+  View view() const override { return led_.view(); }
+  /// Begins an orderly leave: hands slots over, lets running turns end, then stops.
+  void leave() { stopping_ = true; }
+  bool ready(Millis now) const;
+  const std::map<std::string, uint64_t>& tallies() const { return tallies_; }
+  size_t errands() const { return works_.size(); }
+
+ private:
+  enum class Stage { opening, waiting, queued, intending, running, settling, handing, proxying };
+  struct Work {
+    Errand e;
+    Address reply;
+    Incarnation reply_inc;
+    Stage stage = Stage::opening;
+    LineName line;
+    SlotId slot{};
+    Epoch term{};
+    uint64_t mark = 0, tokens = 0, reservation = 0, seq = 0;
+    std::string replica, text;
+    uint32_t pieces = 0, turn = 0;
+    Millis born = 0, horizon = 0, last = 0, asked = 0;
+    bool direct = false, seen = false, again = false, anew = false;
+    DaemonId target{};
+    ErrandEnd end;
+    Record settled;
+  };
+  struct Late {
+    Envelope from;
+    uint64_t mark = 0;
+    Millis born = 0;
+    Epoch term{};
+  };
+  struct Key {
+    bool urgent;
+    uint64_t seq;
+    std::string attempt;
+    bool operator<(const Key& o) const { return std::tie(urgent, o.seq) < std::tie(o.urgent, seq); }
+  };
+  using Ref = Work&;
+
+  void handle(const Envelope& e, Millis now);
+  void on(const Envelope& e, const Errand& x, Millis now);
+  void on(const Envelope& e, const HeartbeatReply& h);
+  void on(const Envelope& e, const ErrandEnd& x, Millis now);
+  void on(const Envelope& e, const ErrandPiece& x, Millis now);
+  void on(const Envelope& e, const LateSettle& x, Millis now);
+  void on(const ReplicaPiece& p, Millis now);
+  void on(const ReplicaEnd& r, Millis now);
+  void route(Ref w, Millis now);
+  void proxy(Ref w, Millis now);
+  void advance(Ref w, Millis now);
+  void opened(Ref w, Millis now);
+  bool examine(Ref w, Millis now);
+  void history(Ref w, Millis now);
+  void enqueue(Ref w);
+  void drain_queue(Millis now);
+  void intend(Ref w, Millis now);
+  void dispatch(Ref w, Millis now);
+  void settle(Ref w, uint32_t status, Outcome ran, std::string reason, uint64_t tokens, Millis now);
+  void hand_over(Ref w, Millis now);
+  void end(Ref w, Millis now);
+  void refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran = Outcome::no);
+  bool late(Late& l, Millis now);
+  void beat(Millis now);
+  void sweep(Millis now);
+  bool running_elsewhere(const Record& intent, Millis now) const;
+  bool running_here(const LineName& n, const std::string& key) const;
+  const Daemon* me() const { return led_.view()->find(out_.id().self.inc); }
+  const Daemon* owner(SlotId s) const { return led_.view()->find(led_.view()->slots[s.v].owner); }
+  Situation situation(Millis now, bool proxied) const;
+  void free_replica(Ref w);
+  size_t count(Stage s) const;
+
+  Outbox out_;
+  Ledger led_;
+  Follower fol_;
+  Keeper keep_;
+  Nominator nom_;
+  std::map<std::string, Work> works_;
+  std::map<std::string, std::pair<Millis, std::optional<ErrandEnd>>> ended_;
+  std::vector<Late> lates_;
+  boost::heap::priority_queue<Key> queue_;
+  std::map<std::string, uint64_t> tallies_;
+  std::set<std::string> gone_;
+  Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0;
+  Epoch beaten_{};
+  uint64_t seq_ = 0;
+  double retries_ = 10;
+  bool confirmed_ = false, stopping_ = false, was_in_touch_ = false;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/follow/follower.cpp
@@ -0,0 +1,157 @@
+#include "follow/follower.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+namespace {
+
+const Address& ear(const Daemon& d) { return d.self.agent.empty() ? d.self.addr : d.self.agent; }
+
+/// The time by which a majority of these addresses had been heard.
+Millis majority_time(const std::vector<Address>& v, const std::map<Address, Millis>& heard) {
+  std::vector<Millis> t;
+  for (auto& a : v) {
+    auto i = heard.find(a);
+    t.push_back(i == heard.end() ? INT64_MIN / 2 : i->second);
+  }
+  if (t.empty()) return INT64_MIN / 2;
+  std::sort(t.rbegin(), t.rend());
+  return t[majority_of(t.size()) - 1];
+}
+
+}  // namespace
+
+bool Follower::foreign(const Envelope& e) const {
+  if (e.to_inc.v && e.to_inc != out_.id().self.inc) return true;
+  return e.cluster && out_.cluster && e.cluster != out_.cluster;
+}
+
+void Follower::learn(const Entries& v, const std::optional<Metadata>& c) {
+  if (c && (out_.cluster == 0 || c->cluster == out_.cluster) && led_.jump(*c)) {
+    out_.note(Event::caught_up, "checkpoint at " + std::to_string(c->epoch.v));
+    if (on_jump) on_jump(*c);
+  }
+  for (auto& e : v)
+    for (auto& x : led_.add(e))
+      if (on_entry) on_entry(x);
+  out_.cluster = led_.view()->cluster;
+  out_.epoch = led_.epoch();
+}
+
+bool Follower::handle(const Envelope& e, Millis now) {
+  return std::visit(
+      overload{[&](const Discover&) {
+                 DiscoverReply r{out_.id().self, out_.cluster, led_.epoch(), {}, {}};
+                 for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
+                 out_.send(e.from, r);
+                 return true;
+               },
+               [&](const DiscoverReply& d) {
+                 if (out_.cluster || !d.cluster) return true;
+                 out_.send(e.from, Catchup{led_.epoch()});
+                 for (auto& a : d.core)
+                   if (a != e.from) out_.send(a, Catchup{led_.epoch()});
+                 return true;
+               },
+               [&](const Decided& d) {
+                 learn({d.entry}, std::nullopt);
+                 if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
+                 return true;
+               },
+               [&](const Catchup& c) {
+                 auto [m, v] = led_.since(c.known);
+                 if (m || !v.empty()) out_.send(e.from, CatchupReply{led_.epoch(), m, v});
+                 return true;
+               },
+               [&](const CatchupReply& c) { return learn(c.entries, c.checkpoint), true; },
+               [&](const CommitReply& c) { return learn(c.entries, c.checkpoint), true; },
+               [&](const Heartbeat& h) {
+                 auto [c, v] = led_.since(h.known);
+                 out_.send(e.from, HeartbeatReply{led_.epoch(), c, v, now - touched(now), confirmed_, h.sent});
+                 if (h.known > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+                 return true;
+               },
+               [&](const HeartbeatReply& h) {
+                 learn(h.entries, h.checkpoint);
+                 if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+                 heard_[e.from] = std::max(heard_[e.from], h.sent);
+                 if (h.epoch <= led_.epoch()) confirmed_by_[e.from] = h.sent;
+                 if (!confirmed_ && led_.view()->cluster) {
+                   std::vector<Address> core;
+                   for (auto id : led_.view()->members) core.push_back(led_.view()->find(id)->self.addr);
+                   confirmed_ = majority_time(core, confirmed_by_) >= born_;
+                 }
+                 return true;
+               },
+               [&](const auto&) { return false; }},
+      e.body);
+}
+
+Millis Follower::touched(Millis) const {
+  auto& m = *led_.view();
+  if (!m.cluster) return INT64_MIN / 2;
+  std::vector<Address> core, all;
+  for (auto id : m.members) core.push_back(m.find(id)->self.addr);
+  for (auto& [id, d] : m.directory)
+    if (d.state != DaemonState::left && d.state != DaemonState::down && d.self.inc != out_.id().self.inc && ear(d) != out_.id().self.addr) all.push_back(ear(d));
+  return std::max(majority_time(core, heard_), majority_time(all, heard_));
+}
+
+bool Follower::park(const Envelope& e) {
+  if (e.epoch <= led_.epoch() || !out_.cluster) return false;
+  if (parked_.size() < limits::log_keep) parked_.push_back(e);
+  out_.send(e.from, Catchup{led_.epoch()});
+  return true;
+}
+
+std::vector<Envelope> Follower::unpark() {
+  std::vector<Envelope> v;
+  std::erase_if(parked_, [&](auto& e) {
+    if (e.epoch > led_.epoch()) return false;
+    v.push_back(e);
+    return true;
+  });
+  return v;
+}
+
+void Follower::discover(Millis now) {
+  next_discover_ = now + limits::discover;
+  for (auto& a : out_.id().seeds)
+    if (a != out_.id().self.addr) out_.send(a, Discover{out_.id().self});
+}
+
+void Follower::enroll(Millis now, const Candidate& c) {
+  auto& m = *led_.view();
+  auto* d = m.find(c.inc);
+  if ((d && d->state != DaemonState::left) || now < next_enroll_ || m.members.empty()) return;
+  if (d) return;
+  next_enroll_ = now + limits::tcm_rpc / 2;
+  for (size_t i = 0; i < m.members.size(); ++i) {
+    auto* x = m.find(m.members[turn_++ % m.members.size()]);
+    if (x->state == DaemonState::down) continue;
+    return out_.send(x->self.addr, Commit{"register-" + hex(c.inc.v), Register{c}, led_.epoch()});
+  }
+}
+
+void Follower::tick(Millis now, const Heartbeat* mine) {
+  auto& m = *led_.view();
+  if (now >= next_discover_ && (!m.cluster || now - touched(now) > limits::isolation)) discover(now);
+  if (!m.cluster) return;
+  if (mine) enroll(now, mine->self);
+  if (now < next_beat_ && beaten_ == led_.epoch()) return;
+  next_beat_ = now + limits::heartbeat;
+  beaten_ = led_.epoch();
+  Heartbeat h{};
+  if (mine) h = *mine;
+  else h.self = out_.id().self;
+  h.known = led_.epoch();
+  h.sent = now;
+  for (auto id : m.members) out_.send(m.find(id)->self.addr, h);
+  if (now < next_peers_) return;
+  next_peers_ = now + limits::heartbeat * 2;
+  for (auto& [id, d] : m.directory)
+    if (d.self.role != Role::marker && d.state != DaemonState::left && d.state != DaemonState::down && ear(d) != out_.id().self.addr)
+      out_.send(ear(d), h);
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/follow/follower.hpp
@@ -0,0 +1,44 @@
+#pragma once
+// How a daemon outside the core finds it, registers, keeps in touch and catches up.
+#include "follow/ledger.hpp"
+
+namespace mosskeel {
+
+class Follower {
+ public:
+  Follower(Outbox& out, Ledger& led, Millis now) : out_(out), led_(led), born_(now) {}
+
+  /// Handles what concerns following; false leaves the message to the caller.
+  bool handle(const Envelope& e, Millis now);
+  /// Speaks for this candidate, itself or the switchboard beside it.
+  void tick(Millis now, const Heartbeat* mine);
+  /// Asks that everybody be told at once, because something they wait for is done.
+  void hurry() { next_beat_ = 0; }
+  /// The latest time at which we are sure to have been in touch with a majority.
+  Millis touched(Millis now) const;
+  /// True once a majority of the core has shown no later epoch than ours.
+  bool confirmed() const { return confirmed_; }
+  /// Parks a message stamped with an epoch we do not know yet; asks its sender for the entries.
+  bool park(const Envelope& e);
+  std::vector<Envelope> unpark();
+  bool foreign(const Envelope& e) const;
+  /// Entries and values newly taken, for those who keep copies.
+  std::function<void(const Entry&)> on_entry;
+  std::function<void(const Metadata&)> on_jump;
+  void learn(const Entries& v, const std::optional<Metadata>& c);
+
+ private:
+  void discover(Millis now);
+  void enroll(Millis now, const Candidate& c);
+  Outbox& out_;
+  Ledger& led_;
+  Millis born_, next_discover_ = 0, next_beat_ = 0, next_peers_ = 0, next_enroll_ = 0;
+  Epoch beaten_{};
+  size_t turn_ = 0;
+  bool confirmed_ = false;
+  std::map<Address, Millis> heard_;
+  std::map<Address, Millis> confirmed_by_;
+  std::vector<Envelope> parked_;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/follow/ledger.cpp
@@ -0,0 +1,38 @@
+#include "follow/ledger.hpp"
+
+namespace mosskeel {
+
+std::vector<Entry> Ledger::add(const Entry& e) {
+  std::vector<Entry> done;
+  if (e.epoch <= epoch()) return done;
+  if (waiting_.size() < limits::log_keep || e.epoch == next(epoch())) waiting_[e.epoch] = e;
+  while (!waiting_.empty() && waiting_.begin()->first <= next(epoch())) {
+    auto x = std::move(waiting_.begin()->second);
+    waiting_.erase(waiting_.begin());
+    if (x.epoch != next(epoch())) continue;
+    auto r = apply(*view_, x);
+    if (!ok(r)) break;
+    view_ = std::make_shared<Metadata>(value(r));
+    recent_.push_back(x);
+    if (recent_.size() > limits::log_keep) recent_.pop_front();
+    done.push_back(std::move(x));
+  }
+  return done;
+}
+
+bool Ledger::jump(const Metadata& m) {
+  if (m.epoch <= epoch()) return false;
+  view_ = std::make_shared<Metadata>(m);
+  recent_.clear();
+  waiting_.erase(waiting_.begin(), waiting_.upper_bound(m.epoch));
+  return true;
+}
+
+std::pair<std::optional<Metadata>, Entries> Ledger::since(Epoch known) const {
+  if (known >= epoch()) return {};
+  size_t lack = epoch().v - known.v;
+  if (lack > recent_.size() || lack > limits::reply_entries) return {*view_, {}};
+  return {std::nullopt, Entries(recent_.end() - static_cast<ptrdiff_t>(lack), recent_.end())};
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/follow/lineman_machine.hpp
@@ -0,0 +1,22 @@
+#pragma once
+// The agent beside a switchboard: its link to the core, its feed, its voice.
+#include "follow/follower.hpp"
+
+namespace mosskeel {
+
+class LinemanMachine : public Machine {
+ public:
+  LinemanMachine(const Identity& id, Millis now);
+  Actions step(const Envelope& e, Millis now) override;
+  Actions tick(Millis now) override;
+  View view() const override { return led_.view(); }
+
+ private:
+  Outbox out_;
+  Ledger led_;
+  Follower fol_;
+  std::optional<Heartbeat> mine_;
+  Millis heard_ = 0, next_leave_ = 0;
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/kernel/host.cpp
@@ -0,0 +1,112 @@
+#include "kernel/host.hpp"
+
+#include <chrono>
+#include <future>
+
+#include "kernel/log.hpp"
+
+namespace mosskeel {
+
+Millis wall_now() {
+  using namespace std::chrono;
+  static const auto wall = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+  static const auto base = steady_clock::now();
+  return wall + duration_cast<milliseconds>(steady_clock::now() - base).count();
+}
+
+Findings Host::start(const Make& make) {
+  Recovered none{};
+  machine_ = make(disk_ ? disk_->recovered() : none, wall_now());
+  if (disk_) disk_->forget_recovered();
+  std::atomic_store(&view_, machine_->view());
+  auto p = Post::open(self_, [this](Envelope e) { in_.push(std::move(e)); });
+  if (!ok(p)) return findings(p);
+  post_ = std::move(std::get<0>(p));
+  thinker_ = std::thread([this] { think(); });
+  writer_ = std::thread([this] { write(); });
+  return {};
+}
+
+void Host::stop() {
+  stop_ = halt_ = true;
+  in_.close();
+  if (thinker_.joinable()) thinker_.join();
+  out_.close();
+  if (writer_.joinable()) writer_.join();
+  post_.reset();
+}
+
+void Host::ask(const std::function<void(Machine&, Millis)>& f) {
+  auto done = std::make_shared<std::promise<void>>();
+  auto wait = done->get_future();
+  in_.push(Call{[f, done](Machine& m, Millis now) {
+    f(m, now);
+    done->set_value();
+  }});
+  while (!halt_ && wait.wait_for(std::chrono::milliseconds(50)) != std::future_status::ready) {}
+}
+
+void Host::send(Envelope e) {
+  if (e.to == self_) {
+    in_.push(std::move(e));
+    return;
+  }
+  auto colon = e.to.find(':');
+  auto i = routes_.find(e.to.substr(0, colon));
+  if (i != routes_.end()) i->second(e);
+  else post_->send(e);
+}
+
+void Host::act(Actions a) {
+  for (auto& n : a.notes) note(n.event, n.text);
+  for (auto& e : a.now) send(std::move(e));
+  if (!disk_) {
+    for (auto& e : a.synced) send(std::move(e));
+  } else if (!a.journal.empty() || !a.synced.empty() || a.checkpoint) {
+    out_.push({std::move(a.journal), std::move(a.checkpoint), std::move(a.synced)});
+  }
+  if (a.stop) stop_ = true;
+}
+
+void Host::think() {
+  Millis next = 0;
+  while (!halt_) {
+    auto now = wall_now();
+    if (now >= next) {
+      act(machine_->tick(now));
+      next = now + limits::tick;
+    }
+    for (auto& x : in_.take(std::max<Millis>(1, next - wall_now()))) {
+      if (auto* e = std::get_if<Envelope>(&x)) act(machine_->step(*e, wall_now()));
+      else std::get<Call>(x)(*machine_, wall_now());
+    }
+    auto v = machine_->view();
+    if (v != view_) std::atomic_store(&view_, v);
+  }
+}
+
+void Host::write() {
+  while (true) {
+    auto v = out_.take(200);
+    bool good = true;
+    std::vector<Envelope> sends;
+    for (auto& b : v) {
+      good = good && disk_->append(b.journal);
+      if (good && b.checkpoint) {
+        good = disk_->checkpoint(*b.checkpoint);
+        note(Event::checkpointed, std::to_string(b.checkpoint->size()) + " bytes");
+      }
+      for (auto& e : b.sends) sends.push_back(std::move(e));
+    }
+    good = good && disk_->sync();
+    if (!good) {
+      note(Event::disk_failed, "nothing unsynced was answered");
+      stop_ = true;
+      return;
+    }
+    for (auto& e : sends) send(std::move(e));
+    if (v.empty() && out_.closed()) return;
+  }
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/kernel/host.hpp
@@ -0,0 +1,59 @@
+#pragma once
+// Runs a machine: one thread for its state, one for its disk, the post's for hearing.
+#include <thread>
+
+#include "kernel/disk.hpp"
+#include "kernel/post.hpp"
+#include "kernel/queue.hpp"
+
+namespace mosskeel {
+
+/// Wall time at the start, moved on by the steady clock: never steps back in a process.
+Millis wall_now();
+
+class Host {
+ public:
+  using Make = std::function<std::unique_ptr<Machine>(const Recovered&, Millis)>;
+  /// Where a message goes that is not for another daemon ("local:7", "replica:m1").
+  using Deliver = std::function<void(const Envelope&)>;
+
+  Host(std::shared_ptr<Disk> disk, Address self) : disk_(std::move(disk)), self_(std::move(self)) {}
+  ~Host() { stop(); }
+  Findings start(const Make& make);
+  void route(const std::string& prefix, Deliver d) { routes_[prefix] = std::move(d); }
+  /// Puts a message from inside the process before the machine.
+  void post(Envelope e) { in_.push(std::move(e)); }
+  /// Runs in the machine's own thread and waits for the result.
+  void ask(const std::function<void(Machine&, Millis)>& f);
+  View view() const { return std::atomic_load(&view_); }
+  bool stopped() const { return stop_; }
+  void stop();
+  uint64_t syncs() const { return disk_ ? disk_->syncs() : 0; }
+  uint64_t sent() const { return post_ ? post_->sent() : 0; }
+  uint64_t dropped() const { return post_ ? post_->dropped() : 0; }
+  uint64_t foreign() const { return post_ ? post_->foreign() : 0; }
+
+ private:
+  struct Batch {
+    std::vector<std::string> journal;
+    std::optional<std::string> checkpoint;
+    std::vector<Envelope> sends;
+  };
+  using Call = std::function<void(Machine&, Millis)>;
+  void think();
+  void write();
+  void act(Actions a);
+  void send(Envelope e);
+  std::shared_ptr<Disk> disk_;
+  Address self_;
+  std::unique_ptr<Machine> machine_;
+  std::unique_ptr<Post> post_;
+  std::map<std::string, Deliver> routes_;
+  Queue<std::variant<Envelope, Call>> in_;
+  Queue<Batch> out_;
+  View view_ = std::make_shared<Metadata>();
+  std::thread thinker_, writer_;
+  std::atomic<bool> stop_{false}, halt_{false};
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/kernel/log.hpp
@@ -0,0 +1,12 @@
+#pragma once
+// Numbered events through glog.
+#include "kernel/events.hpp"
+#include "mosskeel.hpp"
+
+namespace mosskeel {
+
+void start_log(const char* program);
+void note(Event e, const std::string& text);
+const char* meaning(Event e);
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/kernel/messages.hpp
@@ -0,0 +1,187 @@
+#pragma once
+// What daemons say to each other. Append only: the index in Message is the kind on the wire.
+#include "kernel/codec.hpp"
+#include "metadata/transform.hpp"
+
+namespace mosskeel {
+
+struct Ballot {
+  BOOST_HANA_DEFINE_STRUCT(Ballot, (uint64_t, round), (uint64_t, proposer));
+  auto operator<=>(const Ballot&) const = default;
+};
+using Candidates = std::vector<Candidate>;
+using Addresses = std::vector<Address>;
+using Entries = std::vector<Entry>;
+
+struct Discover {
+  BOOST_HANA_DEFINE_STRUCT(Discover, (Candidate, self));
+};
+/// Who is here: a founded daemon names the core, an unfounded marker its fellow candidates.
+struct DiscoverReply {
+  BOOST_HANA_DEFINE_STRUCT(DiscoverReply, (Candidate, self), (uint64_t, cluster), (Epoch, epoch),
+                           (Addresses, core), (Candidates, candidates));
+};
+struct Prepare {
+  BOOST_HANA_DEFINE_STRUCT(Prepare, (Epoch, epoch), (Ballot, ballot));
+};
+using Accept_ = std::pair<Ballot, Entry>;
+struct Promise {
+  BOOST_HANA_DEFINE_STRUCT(Promise, (Epoch, epoch), (Ballot, ballot), (bool, granted), (Ballot, promised),
+                           (std::optional<Accept_>, accepted));
+};
+struct Accept {
+  BOOST_HANA_DEFINE_STRUCT(Accept, (Ballot, ballot), (Entry, entry));
+};
+struct Accepted {
+  BOOST_HANA_DEFINE_STRUCT(Accepted, (Epoch, epoch), (Ballot, ballot), (bool, granted), (Ballot, promised));
+};
+/// The design's single push of a new entry.
+struct Decided {
+  BOOST_HANA_DEFINE_STRUCT(Decided, (Entry, entry));
+};
+struct Catchup {
+  BOOST_HANA_DEFINE_STRUCT(Catchup, (Epoch, known));
+};
+struct CatchupReply {
+  BOOST_HANA_DEFINE_STRUCT(CatchupReply, (Epoch, epoch), (std::optional<Metadata>, checkpoint), (Entries, entries));
+};
+struct QuorumRead {
+  BOOST_HANA_DEFINE_STRUCT(QuorumRead, (uint64_t, id));
+};
+struct QuorumReadReply {
+  BOOST_HANA_DEFINE_STRUCT(QuorumReadReply, (uint64_t, id), (Epoch, epoch), (bool, open));
+};
+enum class Outcome : uint8_t { yes, no, unknown };
+struct Commit {
+  BOOST_HANA_DEFINE_STRUCT(Commit, (std::string, id), (Transformation, change), (Epoch, known));
+};
+struct CommitReply {
+  BOOST_HANA_DEFINE_STRUCT(CommitReply, (std::string, id), (Outcome, outcome), (std::string, reason), (Epoch, epoch),
+                           (std::optional<Metadata>, checkpoint), (Entries, entries));
+};
+/// A daemon's sign of life; a lineman's speaks for its switchboard too.
+struct Heartbeat {
+  BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, pressure), (Epoch, streamed),
+                           (uint32_t, running), (int64_t, sent), (bool, leaving));
+};
+struct HeartbeatReply {
+  BOOST_HANA_DEFINE_STRUCT(HeartbeatReply, (Epoch, epoch), (std::optional<Metadata>, checkpoint), (Entries, entries),
+                           (int64_t, touched_ms), (bool, confirmed), (int64_t, sent));
+};
+/// How long each daemon has been silent, as one marker hears it.
+using Silences = std::map<DaemonId, int64_t>;
+struct DutyAsk {
+  BOOST_HANA_DEFINE_STRUCT(DutyAsk, (uint64_t, number));
+};
+struct DutyGrant {
+  BOOST_HANA_DEFINE_STRUCT(DutyGrant, (uint64_t, number), (bool, granted), (Silences, silences));
+};
+
+/// An `intent` is there before dispatch with its token reservation, a `settled` before success.
+enum class RecordKind : uint8_t { intent, settled };
+struct Record {
+  BOOST_HANA_DEFINE_STRUCT(Record, (RecordKind, kind), (std::string, key), (std::string, thread), (uint64_t, body_digest), (uint64_t, tokens),
+                           (uint32_t, turn), (uint32_t, status), (DaemonId, runner), (int64_t, at_ms),
+                           (std::string, input), (std::string, output));
+  bool operator==(const Record&) const = default;
+};
+using Records = std::vector<Record>;
+struct LineName {
+  BOOST_HANA_DEFINE_STRUCT(LineName, (std::string, cell), (std::string, program));
+  auto operator<=>(const LineName&) const = default;
+};
+struct LineRead {
+  BOOST_HANA_DEFINE_STRUCT(LineRead, (LineName, line), (SlotId, slot), (Epoch, term));
+};
+struct LineReadReply {
+  BOOST_HANA_DEFINE_STRUCT(LineReadReply, (LineName, line), (Epoch, term), (bool, granted), (Epoch, line_term),
+                           (Records, records));
+};
+/// Appends at `from`, or with `adopt` replaces the whole line by the records.
+struct LineWrite {
+  BOOST_HANA_DEFINE_STRUCT(LineWrite, (LineName, line), (SlotId, slot), (Epoch, term), (bool, adopt), (uint64_t, from),
+                           (Records, records));
+};
+struct LineWriteReply {
+  BOOST_HANA_DEFINE_STRUCT(LineWriteReply, (LineName, line), (Epoch, term), (bool, granted), (bool, gap),
+                           (uint64_t, length));
+};
+struct SlotStream {
+  BOOST_HANA_DEFINE_STRUCT(SlotStream, (SlotId, slot), (Epoch, sequence), (LineName, after));
+};
+struct StreamedLine {
+  BOOST_HANA_DEFINE_STRUCT(StreamedLine, (LineName, line), (Epoch, line_term), (Records, records));
+};
+struct SlotStreamReply {
+  BOOST_HANA_DEFINE_STRUCT(SlotStreamReply, (SlotId, slot), (Epoch, sequence), (LineName, after), (Epoch, fence),
+                           (std::vector<StreamedLine>, lines), (bool, more));
+};
+
+/// A caller's errand, from HTTP or proxied by another switchboard.
+struct Errand {
+  BOOST_HANA_DEFINE_STRUCT(Errand, (std::string, attempt), (std::string, cell), (std::string, route),
+                           (std::string, program), (std::string, thread), (std::string, key), (std::string, kind), (std::string, method),
+                           (std::string, path), (std::string, prefix), (std::string, body), (uint64_t, max_tokens),
+                           (std::optional<uint32_t>, after), (bool, urgent), (bool, bulk), (bool, repeatable), (int64_t, horizon_ms));
+};
+struct ErrandSeen {
+  BOOST_HANA_DEFINE_STRUCT(ErrandSeen, (std::string, attempt));
+};
+struct ErrandPiece {
+  BOOST_HANA_DEFINE_STRUCT(ErrandPiece, (std::string, attempt), (uint32_t, n), (std::string, text));
+};
+/// The last word on an errand. `ran` is what is known of it: no, yes, or unknown.
+struct ErrandEnd {
+  BOOST_HANA_DEFINE_STRUCT(ErrandEnd, (std::string, attempt), (uint32_t, status), (Outcome, ran), (std::string, reason),
+                           (std::string, body), (uint32_t, turn), (uint64_t, tokens), (uint32_t, retry_ms),
+                           (bool, elsewhere), (uint32_t, pieces));
+};
+struct ErrandGone {
+  BOOST_HANA_DEFINE_STRUCT(ErrandGone, (std::string, attempt));
+};
+/// The outcome of a turn that was running when its slot moved.
+struct LateSettle {
+  BOOST_HANA_DEFINE_STRUCT(LateSettle, (std::string, attempt), (LineName, line), (Record, record));
+};
+struct LateSettled {
+  BOOST_HANA_DEFINE_STRUCT(LateSettled, (std::string, attempt), (Outcome, outcome));
+};
+/// What the switchboard asks of a replica, and hears from it.
+struct ReplicaAsk {
+  BOOST_HANA_DEFINE_STRUCT(ReplicaAsk, (std::string, attempt), (std::string, kind), (std::string, url),
+                           (std::string, method), (std::string, body), (int64_t, horizon_ms), (bool, repeatable));
+};
+struct ReplicaPiece {
+  BOOST_HANA_DEFINE_STRUCT(ReplicaPiece, (std::string, attempt), (uint32_t, n), (std::string, text), (uint64_t, tokens));
+};
+/// `sent` tells whether anything may have reached the replica; `sealed` its own closing word.
+struct ReplicaEnd {
+  BOOST_HANA_DEFINE_STRUCT(ReplicaEnd, (std::string, attempt), (bool, sent), (uint32_t, status), (bool, sealed),
+                           (uint32_t, pieces), (uint64_t, tokens), (uint64_t, seal), (std::string, body),
+                           (std::string, reason));
+};
+struct ReplicaStop {
+  BOOST_HANA_DEFINE_STRUCT(ReplicaStop, (std::string, attempt));
+};
+struct StoreManifest {
+  BOOST_HANA_DEFINE_STRUCT(StoreManifest, (Entry, entry));
+};
+struct StoreManifestReply {
+  BOOST_HANA_DEFINE_STRUCT(StoreManifestReply, (Epoch, epoch));
+};
+
+using Message =
+    std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
+                 CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
+                 DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
+                 SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, ErrandGone, LateSettle, LateSettled,
+                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, StoreManifest, StoreManifestReply>;
+
+/// A framed message: kind and body are the variant, the rest is what every daemon checks first.
+struct Envelope {
+  BOOST_HANA_DEFINE_STRUCT(Envelope, (uint16_t, protocol), (uint64_t, cluster), (Epoch, epoch), (uint64_t, id),
+                           (Address, from), (Incarnation, from_inc), (Address, to), (Incarnation, to_inc),
+                           (Message, body));
+};
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/kernel/props.cpp
@@ -0,0 +1,134 @@
+#include "kernel/props.hpp"
+
+#include <arpa/inet.h>
+#include <popt.h>
+#include <signal.h>
+#include <time.h>
+
+#include <cstdio>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "kernel/log.hpp"
+#include "manifest/json.hpp"
+
+namespace mosskeel {
+namespace {
+
+struct PoptClose {
+  void operator()(poptContext c) const { poptFreeContext(c); }
+};
+
+void address(Findings& f, const char* place, const std::string& a) {
+  if (!split_address(a)) f.push_back({place, "'" + a + "' is no IP:port"});
+}
+
+}  // namespace
+
+std::optional<std::pair<std::string, uint16_t>> split_address(const std::string& a) {
+  auto c = a.rfind(':');
+  if (c == std::string::npos) return std::nullopt;
+  in_addr x;
+  auto ip = a.substr(0, c), port = a.substr(c + 1);
+  if (inet_pton(AF_INET, ip.c_str(), &x) != 1 || port.empty() || port.size() > 5) return std::nullopt;
+  if (port.find_first_not_of("0123456789") != std::string::npos) return std::nullopt;
+  int p = std::stoi(port);
+  if (p < 1 || p > 65535) return std::nullopt;
+  return std::make_pair(ip, static_cast<uint16_t>(p));
+}
+
+uint64_t dice() {
+  std::random_device d;
+  return (static_cast<uint64_t>(d()) << 32) ^ d();
+}
+
+void hold_signals() {
+  sigset_t s;
+  sigemptyset(&s);
+  sigaddset(&s, SIGTERM);
+  sigaddset(&s, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &s, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+}
+
+bool signalled(Millis wait) {
+  sigset_t s;
+  sigemptyset(&s);
+  sigaddset(&s, SIGTERM);
+  sigaddset(&s, SIGINT);
+  timespec t{wait / 1000, (wait % 1000) * 1000000};
+  return sigtimedwait(&s, nullptr, &t) > 0;
+}
+
+std::variant<Props, int> read_props(int argc, const char** argv, const Needs& n) {
+  char *file = nullptr, *listen = nullptr, *http = nullptr, *agent = nullptr, *zone = nullptr, *seeds = nullptr, *data = nullptr;
+  int core = 0, version = 0, check = 0;
+  poptOption table[] = {
+      {"settings", 's', POPT_ARG_STRING, &file, 0, "JSON file with any of the settings below", "FILE"},
+      {"listen", 'l', POPT_ARG_STRING, &listen, 0, "address for other daemons", "IP:PORT"},
+      {"http", 'w', POPT_ARG_STRING, &http, 0, "address for HTTP", "IP:PORT"},
+      {"agent", 'a', POPT_ARG_STRING, &agent, 0, "a switchboard's lineman, or a lineman's switchboard", "IP:PORT"},
+      {"zone", 'z', POPT_ARG_STRING, &zone, 0, "the zone of this machine", "NAME"},
+      {"seeds", 'e', POPT_ARG_STRING, &seeds, 0, "three addresses of markers", "A,B,C"},
+      {"data", 'd', POPT_ARG_STRING, &data, 0, "the data folder", "DIR"},
+      {"core-size", 'c', POPT_ARG_INT, &core, 0, "how many markers make the core", "N"},
+      {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings, then exit", nullptr},
+      {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  std::unique_ptr<std::remove_pointer_t<poptContext>, PoptClose> c(poptGetContext(n.program, argc, argv, table, 0));
+  poptSetOtherOptionHelp(c.get(), (std::string("[OPTIONS]\n") + n.purpose).c_str());
+  Findings f;
+  for (int rc; (rc = poptGetNextOpt(c.get())) != -1;)
+    if (rc < -1) {
+      f.push_back({poptBadOption(c.get(), POPT_BADOPTION_NOALIAS), poptStrerror(rc)});
+      break;
+    }
+  for (const char* x; f.empty() && (x = poptGetArg(c.get()));) f.push_back({x, "is no option"});
+  if (version) {
+    printf("%s (mosskeel) %s\n", n.program, MOSSKEEL_VERSION);
+    return 0;
+  }
+  Props p{};
+  if (file) {
+    std::ifstream s(file);
+    std::stringstream t;
+    t << s.rdbuf();
+    if (!s) {
+      f.push_back({file, "cannot be read"});
+    } else {
+      auto r = json::parse<Props>(t.str());
+      if (ok(r)) p = value(r);
+      else for (auto& x : findings(r)) f.push_back({std::string(file) + ": " + x.place, x.reason});
+    }
+  }
+  auto set = [](std::string& to, char* from) {
+    if (from) to = from;
+  };
+  set(p.listen, listen), set(p.http, http), set(p.agent, agent), set(p.zone, zone), set(p.data, data);
+  if (core) p.core_size = static_cast<uint32_t>(core < 0 ? 0 : core);
+  if (seeds) {
+    p.seeds.clear();
+    std::stringstream s(seeds);
+    for (std::string x; std::getline(s, x, ',');) p.seeds.push_back(x);
+  }
+  if (n.listen) address(f, "listen", p.listen);
+  if (n.http) address(f, "http", p.http);
+  if (n.agent) address(f, "agent", p.agent);
+  if (n.zone && p.zone.empty()) f.push_back({"zone", "is missing"});
+  if (n.data && p.data.empty()) f.push_back({"data", "is missing"});
+  if (n.seeds && p.seeds.empty()) f.push_back({"seeds", "are missing"});
+  for (size_t i = 0; n.seeds && i < p.seeds.size(); ++i) address(f, ("seeds[" + std::to_string(i) + "]").c_str(), p.seeds[i]);
+  if (n.core_size && (p.core_size < 1 || p.core_size > 9 || p.core_size % 2 == 0)) f.push_back({"core_size", "must be an odd number from 1 to 9"});
+  if (!f.empty()) {
+    for (auto& x : f) fprintf(stderr, "%s: event=%d %s: %s: %s\n", n.program, static_cast<int>(Event::bad_props), meaning(Event::bad_props), x.place.c_str(), x.reason.c_str());
+    return 2;
+  }
+  if (check) {
+    printf("%s: settings are good\n", n.program);
+    return 0;
+  }
+  return p;
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/kernel/props.hpp
@@ -0,0 +1,34 @@
+#pragma once
+// A daemon's settings: a JSON file, flags over it, all findings at once.
+#include <boost/hana/define_struct.hpp>
+
+#include "metadata/values.hpp"
+
+namespace mosskeel {
+
+struct Props {
+  BOOST_HANA_DEFINE_STRUCT(Props, (std::string, listen), (std::string, http), (std::string, agent), (std::string, zone),
+                           (std::vector<std::string>, seeds), (std::string, data), (uint32_t, core_size));
+  static std::set<std::string> optional_fields() {
+    return {"listen", "http", "agent", "zone", "seeds", "data", "core_size"};
+  }
+};
+
+/// What a program needs of the settings.
+struct Needs {
+  const char* program;
+  const char* purpose;
+  bool listen, http, agent, zone, seeds, data, core_size;
+};
+
+/// Reads flags and file; prints help, version or findings itself and then gives an exit code.
+std::variant<Props, int> read_props(int argc, const char** argv, const Needs& n);
+
+std::optional<std::pair<std::string, uint16_t>> split_address(const std::string& a);
+uint64_t dice();
+/// Blocks SIGTERM and SIGINT for all threads started later.
+void hold_signals();
+/// Waits for one of them; true once it came.
+bool signalled(Millis wait);
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/marker/desk.cpp
@@ -0,0 +1,180 @@
+#include "marker/desk.hpp"
+
+#include "kernel/daemon.hpp"
+#include "manifest/json.hpp"
+
+namespace mosskeel {
+using json::Json;
+
+namespace {
+
+HttpAnswer plain(std::string s) {
+  HttpAnswer a;
+  if (s.empty() || s.back() != '\n') s += '\n';
+  a.body = std::move(s);
+  a.headers["Content-Type"] = "text/plain; charset=utf-8";
+  return a;
+}
+
+HttpAnswer body(const Json& j) {
+  HttpAnswer a;
+  a.body = j.dump() + "\n";
+  return a;
+}
+
+std::string id_of(const HttpAsk& a) {
+  auto i = a.headers.find("idempotency-key");
+  return i != a.headers.end() && !i->second.empty() ? i->second : "op-" + hex(dice());
+}
+
+std::string verdict(const CommitReply& r) {
+  if (r.outcome == Outcome::yes) return "yes epoch " + std::to_string(r.epoch.v);
+  if (r.outcome == Outcome::no) return "no: " + r.reason;
+  return "unknown: retry with " + r.id;
+}
+
+}  // namespace
+
+CommitReply Desk::commit(const Transformation& t, const std::string& id) {
+  auto [addr, words] = sessions_.open();
+  auto until = wall_now() + limits::tcm_await;
+  CommitReply last{};
+  last.id = id;
+  last.outcome = Outcome::unknown;
+  while (wall_now() < until && !host_.stopped()) {
+    auto v = host_.view();
+    Envelope e{};
+    e.from = addr;
+    e.cluster = v->cluster;
+    e.epoch = v->epoch;
+    e.body = Commit{id, t, v->epoch};
+    host_.post(std::move(e));
+    auto m = words->pop(std::min<Millis>(limits::tcm_rpc + limits::heartbeat, until - wall_now()));
+    if (!m) continue;
+    if (auto* r = std::get_if<CommitReply>(&*m)) {
+      last = *r;
+      if (r->outcome != Outcome::unknown) break;
+    }
+  }
+  sessions_.close(addr);
+  return last;
+}
+
+HttpAnswer Desk::change(const Transformation& t, const HttpAsk& a) {
+  auto r = commit(t, id_of(a));
+  Json j{{"outcome", r.outcome == Outcome::yes ? "yes" : r.outcome == Outcome::no ? "no" : "unknown"}, {"id", r.id}};
+  if (r.outcome == Outcome::yes) j["epoch"] = r.epoch.v, j["revision"] = host_.view()->revision.v;
+  else j["reason"] = r.outcome == Outcome::no ? r.reason : "retry with the same id";
+  auto x = body(j);
+  x.status = r.outcome == Outcome::yes ? 200 : r.outcome == Outcome::no ? 409 : 503;
+  if (x.status == 503) x.headers["Retry-After"] = "1";
+  note(Event::platform_asked, describe(t) + ": " + verdict(r));
+  return x;
+}
+
+std::vector<Entry> Desk::recent() {
+  std::vector<Entry> v;
+  host_.ask([&](Machine& m, Millis) {
+    auto& q = static_cast<MarkerMachine&>(m).recent();
+    v.assign(q.begin(), q.end());
+  });
+  return v;
+}
+
+HttpAnswer Desk::say(const HttpAsk& a) {
+  auto c = operators::parse(a.body);
+  std::string s;
+  auto v = host_.view();
+  if (!ok(c)) {
+    s = "no: " + render(findings(c));
+  } else if (auto* x = std::get_if<operators::Show>(&value(c))) {
+    s = operators::show(*x, *v);
+  } else if (auto* x = std::get_if<operators::Explain>(&value(c))) {
+    s = operators::explain(*x, *v, recent());
+  } else {
+    auto t = operators::to_change(value(c), *v);
+    s = ok(t) ? verdict(commit(value(t), id_of(a))) : "no: " + render(findings(t));
+  }
+  note(Event::operator_asked, "'" + a.body.substr(0, 200) + "': " + s.substr(0, s.find('\n')));
+  return plain(s);
+}
+
+HttpAnswer Desk::put_manifest(const HttpAsk& a) {
+  auto q = a.query.find("revision");
+  if (q == a.query.end() || q->second.empty() || q->second.size() > 18 || q->second.find_first_not_of("0123456789") != std::string::npos)
+    return HttpAnswer::error(400, "invalid", Findings{{"revision", "the revision that this manifest is built on is missing"}});
+  auto m = json::parse<Manifest>(a.body);
+  if (!ok(m)) return HttpAnswer::error(400, "invalid", findings(m));
+  if (auto f = check(value(m)); !f.empty()) return HttpAnswer::error(400, "invalid", f);
+  return change(ApplyManifest{Revision{std::stoull(q->second)}, value(m)}, a);
+}
+
+HttpAnswer Desk::put_replica(const HttpAsk& a, const std::string& name) {
+  auto j = Json::parse(a.body, nullptr, false);
+  if (!j.is_object()) return HttpAnswer::error(400, "invalid", Findings{{"body", "is no JSON object"}});
+  Findings f;
+  auto text = [&](const char* k) -> std::string {
+    if (j.contains(k) && j[k].is_string()) return j[k];
+    f.push_back({k, "is missing or no string"});
+    return "";
+  };
+  Replica r{name, text("kind"), text("zone"), text("url"), Fitness::ready, {}};
+  auto fit = j.contains("fitness") ? text("fitness") : "cold";
+  if (fit == "cold") r.fitness = Fitness::cold;
+  else if (fit == "leaving") r.fitness = Fitness::leaving;
+  else if (fit != "ready") f.push_back({"fitness", "is none of cold, ready, leaving"});
+  if (!f.empty()) return HttpAnswer::error(400, "invalid", f);
+  return change(SetReplica{r}, a);
+}
+
+HttpAnswer Desk::replicas() {
+  Json j = Json::array();
+  auto v = host_.view();
+  for (auto& [n, r] : v->replicas)
+    j.push_back({{"name", n}, {"kind", r.kind}, {"zone", r.zone}, {"url", r.url}, {"fitness", name(r.fitness)}, {"epoch", r.since.v}});
+  return body({{"epoch", v->epoch.v}, {"replicas", j}});
+}
+
+HttpAnswer Desk::fronts() {
+  Json j = Json::array();
+  auto v = host_.view();
+  host_.ask([&](Machine& m, Millis now) {
+    auto& h = static_cast<MarkerMachine&>(m).hearing();
+    for (auto& [id, d] : v->directory) {
+      if (d.self.role != Role::front || d.state == DaemonState::left) continue;
+      auto* x = h.of(d.self.inc);
+      bool fresh = x && now - x->last < limits::heartbeat * 4;
+      j.push_back({{"id", id.v}, {"http", d.self.http}, {"zone", d.self.zone}, {"state", name(d.state)},
+                   {"ready", fresh && d.state == DaemonState::up && !v->evacuated.count(d.self.zone)},
+                   {"pressure", x ? x->pressure : 0}, {"epoch", x ? x->known.v : 0}});
+    }
+  });
+  return body({{"epoch", v->epoch.v}, {"fronts", j}});
+}
+
+HttpAnswer Desk::metrics() {
+  double duty = 0;
+  host_.ask([&](Machine& m, Millis now) { duty = static_cast<MarkerMachine&>(m).on_duty(now); });
+  auto v = host_.view();
+  std::map<std::string, double> more{{"duty_held", duty}, {"sequences", static_cast<double>(v->sequences.size())}, {"daemons", static_cast<double>(v->directory.size())}};
+  return plain(metrics_of(host_, "marker", more));
+}
+
+HttpAnswer Desk::answer(const HttpAsk& a) {
+  auto v = host_.view();
+  if (a.path == "/v1/say" && a.method == "POST") return say(a);
+  if (a.path == "/v1/manifest" && a.method == "GET") return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"manifest", json::write(v->manifest)}});
+  if (a.path == "/v1/manifest" && a.method == "PUT") return put_manifest(a);
+  if (a.path == "/v1/replicas" && a.method == "GET") return replicas();
+  if (a.path.starts_with("/v1/replicas/")) {
+    auto n = a.path.substr(13);
+    if (a.method == "PUT") return put_replica(a, n);
+    if (a.method == "DELETE") return change(DropReplica{n}, a);
+  }
+  if (a.path == "/v1/fronts" && a.method == "GET") return fronts();
+  if (a.path == "/metrics") return metrics();
+  if (a.path == "/ready") return v->cluster ? body({{"ready", true}, {"epoch", v->epoch.v}}) : HttpAnswer::error(503, "not_ready", "the cluster is not founded yet", limits::retry_ms);
+  return HttpAnswer::error(404, "unknown_path", a.method + " " + a.path + " is nothing here");
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/metadata/transform.cpp
@@ -0,0 +1,269 @@
+#include "metadata/transform.hpp"
+
+#include <algorithm>
+
+#include "kernel/limits.hpp"
+
+namespace mosskeel {
+namespace {
+
+using R = Result<Metadata>;
+
+Findings no(std::string place, std::string reason) { return {{std::move(place), std::move(reason)}}; }
+std::string who(DaemonId id) { return "daemon " + std::to_string(id.v); }
+
+void recorders_to(Metadata& m, Slot& s, std::vector<DaemonId> v) {
+  s.recorders = std::move(v);
+  s.pending.clear();
+  s.changed = m.epoch;
+}
+
+void owner_to(Metadata& m, Slot& s, DaemonId id) {
+  s.owner = id;
+  s.term = m.epoch;
+}
+
+void unlock(Metadata& m, DaemonId node) {
+  std::erase_if(m.locks, [&](auto& l) { return l.second == node; });
+  m.sequences.erase(node);
+}
+
+void scatter(Metadata& m, DaemonId node) {
+  auto load = places::owned(m);
+  for (auto& s : m.slots) {
+    if (s.owner != node) continue;
+    auto to = places::least_owner(m, load, node);
+    if (to.v != 0) ++load[to];
+    owner_to(m, s, to);
+  }
+}
+
+R go(Metadata m, const std::monostate&) { return m; }
+
+R go(Metadata m, const Found& f) {
+  if (m.cluster) return no("found", "this cluster is founded already");
+  m.cluster = f.cluster;
+  m.core_size = f.core_size;
+  m.generation = 1;
+  m.next_id = 1;
+  m.slots.resize(limits::slots);
+  for (auto& c : f.members) {
+    DaemonId id{m.next_id++};
+    m.directory[id] = {id, c, DaemonState::up, m.epoch};
+    m.members.push_back(id);
+  }
+  return m;
+}
+
+R go(Metadata m, const Register& r) {
+  if (m.find(r.self.inc)) return no("register", "incarnation " + hex(r.self.inc.v) + " is registered already");
+  for (auto& [id, d] : m.directory)
+    if (d.self.addr == r.self.addr && d.state != DaemonState::left) {
+      if (d.state != DaemonState::down && d.self.role != Role::front)
+        return no("register", r.self.addr + " belongs to " + who(id) + ", which is not known to be down");
+    }
+  DaemonId fresh{m.next_id++};
+  for (auto& [id, d] : m.directory)
+    if (d.self.addr == r.self.addr && d.state != DaemonState::left && d.self.role == Role::front) {
+      d.state = DaemonState::left;
+      d.since = m.epoch;
+      unlock(m, id);
+      scatter(m, id);
+    }
+  m.directory[fresh] = {fresh, r.self, r.self.role == Role::marker ? DaemonState::up : DaemonState::registered, m.epoch};
+  return m;
+}
+
+R go(Metadata m, const AdmitCore& a) {
+  auto* d = m.find(a.fresh);
+  if (!d || d->self.role != Role::marker) return no(who(a.fresh), "is not a registered marker");
+  if (m.member(d->self.inc)) return no(who(a.fresh), "is a core member already");
+  if (m.members.size() >= m.core_size) return no(who(a.fresh), "the core has its full number of members");
+  m.members.push_back(a.fresh);
+  return m;
+}
+
+R go(Metadata m, const ReplaceCore& r) {
+  auto *o = m.find(r.old), *f = m.find(r.fresh);
+  if (!f || f->self.role != Role::marker || m.member(f->self.inc)) return no(who(r.fresh), "is not a spare marker");
+  auto i = std::find(m.members.begin(), m.members.end(), r.old);
+  if (i == m.members.end() || !o) return no(who(r.old), "is not a core member");
+  if (o->state != DaemonState::down) return no(who(r.old), std::string("is a live member (") + name(o->state) + ")");
+  *i = r.fresh;
+  m.directory[r.old].state = DaemonState::left;
+  return m;
+}
+
+R go(Metadata m, const MarkDown& t) {
+  auto i = m.directory.find(t.node);
+  if (i == m.directory.end()) return no(who(t.node), "is unknown");
+  auto& d = i->second;
+  if (d.state == DaemonState::down || d.state == DaemonState::left) return no(who(t.node), std::string("is ") + name(d.state) + " already");
+  d.state = DaemonState::down;
+  d.since = m.epoch;
+  if (d.self.role == Role::front) {
+    unlock(m, t.node);
+    scatter(m, t.node);
+  }
+  return m;
+}
+
+R go(Metadata m, const MarkUp& t) {
+  auto i = m.directory.find(t.node);
+  if (i == m.directory.end() || i->second.state != DaemonState::down) return no(who(t.node), "is not down");
+  i->second.state = i->second.self.role == Role::front ? DaemonState::registered : DaemonState::up;
+  i->second.since = m.epoch;
+  return m;
+}
+
+R prepare(Metadata m, DaemonId node, SequenceKind k) {
+  auto* d = m.find(node);
+  if (!d || d->self.role == Role::marker) return no(who(node), "is no front worker or store");
+  if (m.sequences.count(node)) return no(who(node), "has a sequence in progress");
+  if (d->state == DaemonState::left) return no(who(node), "has left");
+  if (k == SequenceKind::join && (d->state == DaemonState::down || d->state == DaemonState::draining)) return no(who(node), std::string("is ") + name(d->state));
+  std::vector<Move> moves;
+  if (k == SequenceKind::join) {
+    moves = places::for_join(m, *d);
+  } else {
+    auto r = places::for_drain(m, *d);
+    if (!ok(r)) return findings(r);
+    moves = value(r);
+  }
+  for (auto& x : moves)
+    if (auto l = m.locks.find(x.slot); l != m.locks.end())
+      return no("slot " + std::to_string(x.slot.v), "is locked by the sequence of " + who(l->second));
+  for (auto& x : moves) m.locks[x.slot] = node;
+  if (k == SequenceKind::drain && d->state != DaemonState::down) m.directory[node].state = DaemonState::draining;
+  m.sequences[node] = {node, k, Step::start, m.epoch, m.epoch, moves};
+  return m;
+}
+R go(Metadata m, const PrepareJoin& t) { return prepare(std::move(m), t.node, SequenceKind::join); }
+R go(Metadata m, const PrepareDrain& t) { return prepare(std::move(m), t.node, SequenceKind::drain); }
+
+R go(Metadata m, const Advance& t) {
+  auto i = m.sequences.find(t.node);
+  if (i == m.sequences.end()) return no(who(t.node), "has no sequence in progress");
+  auto& q = i->second;
+  if (q.due != t.step) return no(who(t.node), std::string("its next step is ") + name(q.due) + ", not " + name(t.step));
+  if (t.step == Step::start)
+    for (auto& x : q.moves)
+      if (auto& s = m.slots[x.slot.v]; x.recorders != s.recorders) s.pending = x.recorders, s.changed = m.epoch;
+  if (t.step != Step::finish) {
+    q.due = t.step == Step::start ? Step::mid : Step::finish;
+    q.last = m.epoch;
+    return m;
+  }
+  for (auto& x : q.moves) {
+    auto& s = m.slots[x.slot.v];
+    if (!s.pending.empty()) recorders_to(m, s, x.recorders);
+    auto* o = m.find(x.owner);
+    if (s.owner != x.owner && o && o->state != DaemonState::down && o->state != DaemonState::left) owner_to(m, s, x.owner);
+  }
+  auto& d = m.directory[t.node];
+  bool join = q.kind == SequenceKind::join;
+  if (d.state != DaemonState::down || !join) d.state = join ? DaemonState::up : DaemonState::left;
+  d.since = m.epoch;
+  unlock(m, t.node);
+  return m;
+}
+
+R go(Metadata m, const CancelSequence& t) {
+  auto i = m.sequences.find(t.node);
+  if (i == m.sequences.end()) return no(who(t.node), "has no sequence in progress");
+  for (auto& x : i->second.moves)
+    if (auto& s = m.slots[x.slot.v]; !s.pending.empty()) recorders_to(m, s, s.recorders);
+  if (auto& d = m.directory[t.node]; d.state == DaemonState::draining) d.state = DaemonState::up;
+  unlock(m, t.node);
+  return m;
+}
+
+R go(Metadata m, const ApplyManifest& t) {
+  if (t.base != m.revision)
+    return no("revision", "built on " + std::to_string(t.base.v) + ", in force is " + std::to_string(m.revision.v));
+  if (auto f = check(t.manifest); !f.empty()) return f;
+  m.manifest = t.manifest;
+  ++m.revision.v;
+  return m;
+}
+
+R go(Metadata m, const SetReplica& t) {
+  auto& r = t.replica;
+  Findings f;
+  if (r.name.empty()) f.push_back({"name", "is empty"});
+  if (r.kind != "model" && r.kind != "app") f.push_back({"kind", "is neither model nor app"});
+  if (!r.url.starts_with("http://")) f.push_back({"url", "does not begin with http://"});
+  if (!f.empty()) return f;
+  auto c = r;
+  auto i = m.replicas.find(r.name);
+  c.since = m.epoch;
+  if (i != m.replicas.end()) {
+    auto same = i->second;
+    same.since = c.since;
+    if (same == c) return no(r.name, "is so already");
+  }
+  m.replicas[r.name] = c;
+  return m;
+}
+
+R go(Metadata m, const DropReplica& t) {
+  if (!m.replicas.erase(t.name)) return no(t.name, "is no replica");
+  return m;
+}
+
+R go(Metadata m, const EvacuateZone& t) {
+  if (m.evacuated.count(t.zone)) return no("zone " + t.zone, "is evacuated already");
+  std::set<std::string> zones;
+  for (auto& [id, d] : m.directory)
+    if (d.state != DaemonState::left) zones.insert(d.self.zone);
+  if (!zones.count(t.zone)) return no("zone " + t.zone, "is unknown");
+  m.evacuated.insert(t.zone);
+  if (places::owned(m).empty()) return no("zone " + t.zone, "holds the last front workers");
+  for (auto& [id, d] : m.directory)
+    if (d.self.role == Role::front && d.self.zone == t.zone) scatter(m, id);
+  return m;
+}
+
+R go(Metadata m, const RestoreZone& t) {
+  if (!m.evacuated.erase(t.zone)) return no("zone " + t.zone, "is not evacuated");
+  for (auto& [n, r] : m.replicas)
+    if (r.zone == t.zone && r.fitness == Fitness::ready) r.fitness = Fitness::cold, r.since = m.epoch;
+  return m;
+}
+
+R go(Metadata m, const MoveSlot& t) {
+  if (t.slot.v >= m.slots.size()) return no("slot " + std::to_string(t.slot.v), "is unknown");
+  if (auto l = m.locks.find(t.slot); l != m.locks.end()) return no("slot " + std::to_string(t.slot.v), "is locked by the sequence of " + who(l->second));
+  if (!places::owned(m).count(t.owner)) return no(who(t.owner), "is no front worker that may own slots");
+  if (m.slots[t.slot.v].owner == t.owner) return no("slot " + std::to_string(t.slot.v), "is owned by " + who(t.owner) + " already");
+  owner_to(m, m.slots[t.slot.v], t.owner);
+  return m;
+}
+
+R go(Metadata m, const MoveRoutes& t) {
+  if (!m.find(t.from)) return no(who(t.from), "is unknown");
+  if (t.from == t.to) return no(who(t.to), "is the same node");
+  if (!places::owned(m).count(t.to)) return no(who(t.to), "is no front worker that may own slots");
+  for (auto& [s, l] : m.locks)
+    if (m.slots[s.v].owner == t.from) return no("slot " + std::to_string(s.v), "is locked by the sequence of " + who(l));
+  size_t n = 0;
+  for (auto& s : m.slots)
+    if (s.owner == t.from) owner_to(m, s, t.to), ++n;
+  if (n == 0) return no(who(t.from), "owns no slots");
+  return m;
+}
+
+}  // namespace
+
+Result<Metadata> apply(const Metadata& m, const Entry& e) {
+  if (e.epoch != next(m.epoch)) return no("epoch", std::to_string(e.epoch.v) + " does not follow " + std::to_string(m.epoch.v));
+  auto c = m;
+  c.epoch = e.epoch;
+  if (!e.commit.empty()) {
+    c.remembered.push_back({e.commit, e.epoch});
+    if (c.remembered.size() > limits::commit_memory) c.remembered.erase(c.remembered.begin());
+  }
+  return std::visit([&](auto& t) { return go(std::move(c), t); }, e.change);
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/metadata/transform.hpp
@@ -0,0 +1,110 @@
+#pragma once
+// Pure transformations: the only way from one metadata value to the next.
+#include "metadata/values.hpp"
+
+namespace mosskeel {
+
+struct Found {
+  BOOST_HANA_DEFINE_STRUCT(Found, (uint64_t, cluster), (uint32_t, core_size),
+                           (std::vector<Candidate>, members));
+  bool operator==(const Found&) const = default;
+};
+struct Register {
+  BOOST_HANA_DEFINE_STRUCT(Register, (Candidate, self));
+  bool operator==(const Register&) const = default;
+};
+struct AdmitCore {
+  BOOST_HANA_DEFINE_STRUCT(AdmitCore, (DaemonId, fresh));
+  bool operator==(const AdmitCore&) const = default;
+};
+struct ReplaceCore {
+  BOOST_HANA_DEFINE_STRUCT(ReplaceCore, (DaemonId, old), (DaemonId, fresh));
+  bool operator==(const ReplaceCore&) const = default;
+};
+struct MarkDown {
+  BOOST_HANA_DEFINE_STRUCT(MarkDown, (DaemonId, node));
+  bool operator==(const MarkDown&) const = default;
+};
+struct MarkUp {
+  BOOST_HANA_DEFINE_STRUCT(MarkUp, (DaemonId, node));
+  bool operator==(const MarkUp&) const = default;
+};
+struct PrepareJoin {
+  BOOST_HANA_DEFINE_STRUCT(PrepareJoin, (DaemonId, node));
+  bool operator==(const PrepareJoin&) const = default;
+};
+struct PrepareDrain {
+  BOOST_HANA_DEFINE_STRUCT(PrepareDrain, (DaemonId, node));
+  bool operator==(const PrepareDrain&) const = default;
+};
+/// The next step of a node's sequence: StartJoin, MidJoin, FinishJoin and their drain kin.
+struct Advance {
+  BOOST_HANA_DEFINE_STRUCT(Advance, (DaemonId, node), (Step, step));
+  bool operator==(const Advance&) const = default;
+};
+struct CancelSequence {
+  BOOST_HANA_DEFINE_STRUCT(CancelSequence, (DaemonId, node), (std::string, reason));
+  bool operator==(const CancelSequence&) const = default;
+};
+struct ApplyManifest {
+  BOOST_HANA_DEFINE_STRUCT(ApplyManifest, (Revision, base), (Manifest, manifest));
+  bool operator==(const ApplyManifest&) const = default;
+};
+struct SetReplica {
+  BOOST_HANA_DEFINE_STRUCT(SetReplica, (Replica, replica));
+  bool operator==(const SetReplica&) const = default;
+};
+struct DropReplica {
+  BOOST_HANA_DEFINE_STRUCT(DropReplica, (std::string, name));
+  bool operator==(const DropReplica&) const = default;
+};
+struct EvacuateZone {
+  BOOST_HANA_DEFINE_STRUCT(EvacuateZone, (std::string, zone));
+  bool operator==(const EvacuateZone&) const = default;
+};
+struct RestoreZone {
+  BOOST_HANA_DEFINE_STRUCT(RestoreZone, (std::string, zone));
+  bool operator==(const RestoreZone&) const = default;
+};
+/// Moves one slot's lease to another front at once: `move routes`.
+struct MoveSlot {
+  BOOST_HANA_DEFINE_STRUCT(MoveSlot, (SlotId, slot), (DaemonId, owner));
+  bool operator==(const MoveSlot&) const = default;
+};
+
+/// Moves all of one front's leases to another.
+struct MoveRoutes {
+  BOOST_HANA_DEFINE_STRUCT(MoveRoutes, (DaemonId, from), (DaemonId, to));
+  bool operator==(const MoveRoutes&) const = default;
+};
+
+/// Append only: the index is what the log keeps.
+using Transformation =
+    std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin,
+                 PrepareDrain, Advance, CancelSequence, ApplyManifest, SetReplica, DropReplica,
+                 EvacuateZone, RestoreZone, MoveSlot, MoveRoutes>;
+
+struct Entry {
+  BOOST_HANA_DEFINE_STRUCT(Entry, (Epoch, epoch), (std::string, commit), (Transformation, change));
+  bool operator==(const Entry&) const = default;
+};
+
+/// The next value, or why there is none. Same input, same bytes out.
+Result<Metadata> apply(const Metadata& m, const Entry& e);
+
+/// A manifest's findings, each with its place.
+Findings check(const Manifest& m);
+
+/// One line on what a transformation does, for logs and `explain`.
+std::string describe(const Transformation& t);
+
+namespace places {
+/// Gives a joining node its share; empty findings where there is nothing to refuse.
+std::vector<Move> for_join(const Metadata& m, const Daemon& d);
+Result<std::vector<Move>> for_drain(const Metadata& m, const Daemon& d);
+/// Fronts that may own slots now, busiest last.
+DaemonId least_owner(const Metadata& m, const std::map<DaemonId, int>& load, DaemonId except);
+std::map<DaemonId, int> owned(const Metadata& m);
+}  // namespace places
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/metadata/values.cpp
@@ -0,0 +1,66 @@
+#include "metadata/values.hpp"
+
+#include "kernel/limits.hpp"
+
+namespace mosskeel {
+
+const char* name(Role r) {
+  static const char* const n[] = {"marker", "front", "recorder"};
+  return n[static_cast<int>(r)];
+}
+const char* name(DaemonState s) {
+  static const char* const n[] = {"registered", "up", "draining", "down", "left"};
+  return n[static_cast<int>(s)];
+}
+const char* name(Fitness f) {
+  static const char* const n[] = {"cold", "ready", "leaving"};
+  return n[static_cast<int>(f)];
+}
+const char* name(SequenceKind k) { return k == SequenceKind::join ? "join" : "drain"; }
+const char* name(Step s) {
+  static const char* const n[] = {"start", "mid", "finish"};
+  return n[static_cast<int>(s)];
+}
+
+const Cell* Manifest::cell(const std::string& n) const {
+  for (auto& c : cells)
+    if (c.name == n) return &c;
+  return nullptr;
+}
+
+const Daemon* Metadata::find(DaemonId id) const {
+  auto i = directory.find(id);
+  return i == directory.end() ? nullptr : &i->second;
+}
+
+const Daemon* Metadata::find(Incarnation inc) const {
+  for (auto& [id, d] : directory)
+    if (d.self.inc == inc) return &d;
+  return nullptr;
+}
+
+const Daemon* Metadata::at(const Address& a) const {
+  for (auto& [id, d] : directory)
+    if (d.self.addr == a && d.state != DaemonState::left) return &d;
+  return nullptr;
+}
+
+bool Metadata::member(Incarnation inc) const {
+  for (auto id : members)
+    if (auto* d = find(id); d && d->self.inc == inc) return true;
+  return false;
+}
+
+std::optional<Epoch> Metadata::outcome(const std::string& commit) const {
+  for (auto& r : remembered)
+    if (r.id == commit) return r.epoch;
+  return std::nullopt;
+}
+
+SlotId slot_of(const std::string& cell, const std::string& program) {
+  return SlotId{static_cast<uint32_t>(digest(program, digest(cell)) % limits::slots)};
+}
+
+size_t majority_of(size_t n) { return n / 2 + 1; }
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/recorder/main.cpp
@@ -0,0 +1,37 @@
+#include "kernel/daemon.hpp"
+#include "line/recorder_machine.hpp"
+
+using namespace mosskeel;
+
+int main(int argc, const char** argv) {
+  auto r = read_props(argc, argv, {"recorder", "A storage daemon: keeps the histories.", true, true, false, true, true, true, false});
+  if (auto* rc = std::get_if<int>(&r)) return *rc;
+  auto& p = std::get<Props>(r);
+  start_log("recorder");
+  hold_signals();
+  auto d = open_disk(p.data);
+  if (auto* rc = std::get_if<int>(&d)) return *rc;
+  auto disk = std::get<0>(d);
+  Identity id{{disk->recovered().inc, Role::recorder, p.zone, p.listen, "", p.http}, p.seeds, 0, dice()};
+  Host host(disk, p.listen);
+  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<RecorderMachine>(id, r, now); }); !f.empty()) return cannot_start("recorder", f);
+  auto web = HttpServer::open(p.http, [&](const HttpAsk& a) {
+    HttpAnswer x;
+    if (a.path == "/metrics") {
+      size_t n = 0;
+      host.ask([&](Machine& m, Millis) { n = static_cast<RecorderMachine&>(m).kept_lines(); });
+      x.body = metrics_of(host, "recorder", {{"lines", static_cast<double>(n)}});
+      x.headers["Content-Type"] = "text/plain";
+      return x;
+    }
+    if (a.path != "/ready") return HttpAnswer::error(404, "unknown_path", a.method + " " + a.path + " is nothing here");
+    auto* me = host.view()->find(disk->recovered().inc);
+    if (!me || me->state != DaemonState::up) return HttpAnswer::error(503, "not_ready", "this store is not in the directory yet", limits::retry_ms);
+    x.body = "{\"ready\":true}\n";
+    return x;
+  });
+  if (!ok(web)) return cannot_start("recorder", findings(web));
+  auto rc = run_until_stopped(host, "recorder", [] { return true; });
+  std::get<0>(web).reset();
+  return rc;
+}
--- /dev/null
+++ b/tools/dialer/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/tools/rack/fleet.hpp
@@ -0,0 +1,49 @@
+#pragma once
+// A whole fleet on one machine: which processes there are, and their lives.
+#include <sys/types.h>
+
+#include <mutex>
+
+#include "mosskeel.hpp"
+
+namespace mosskeel::rack {
+
+struct Plan {
+  int markers = 3, fronts = 6, stores = 3, models = 9, apps = 3, zones = 3;
+  std::string dir, bin, pace = "20";
+  int base = 21000;
+};
+
+struct Proc {
+  std::string name, program;
+  std::vector<std::string> args;
+  Address listen, http;
+  std::string zone, data;
+  pid_t pid = 0;
+  bool frozen = false;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(Plan p);
+  ~Fleet();
+  Findings start_all();
+  /// kill, freeze, wake, stop, start, wipe; the finding says why not.
+  Findings act(const std::string& what, const std::string& name);
+  std::vector<Proc> list();
+  std::vector<Address> markers();
+  /// Tells the platform side of the core about the replicas, and applies the first manifest.
+  Findings introduce();
+
+ private:
+  Findings spawn(Proc& p);
+  void reap();
+  Proc& add(const std::string& name, const std::string& program, int zone);
+  Address port() { return "127.0.0.1:" + std::to_string(next_++); }
+  Plan plan_;
+  int next_;
+  std::mutex m_;
+  std::vector<Proc> procs_;
+};
+
+}  // namespace mosskeel::rack
