--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -23,7 +23,7 @@
   if (!ok(p)) return findings(p);
   post_ = std::move(std::get<0>(p));
   thinker_ = std::thread([this] { think(); });
-  writer_ = std::thread([this] { write(); });
+  if (disk_) writer_ = std::thread([this] { write(); });
   return {};
 }
 
--- /dev/null
+++ b/tests/language_test.cpp
@@ -0,0 +1,41 @@
+#include <catch2/catch.hpp>
+
+#include "operator/language.hpp"
+
+using namespace mosskeel;
+
+TEST_CASE("a sentence that goes wrong names its position and what was expected") {
+  struct Row {
+    const char *sentence, *finding;
+  };
+  const Row rows[] = {
+      {"", "position 1: expected 'show', 'explain', 'create', 'drop', 'set', 'drain', 'restore', 'retire', 'cancel', "
+           "'replace', 'forget' or 'move', found the end"},
+      {"show", "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'manifest' or 'cell', found the end"},
+      {"drain zone", "position 11: expected a zone's name, found the end"},
+      {"retire store seven", "position 14: expected a daemon's number, found 'seven'"},
+      {"show fleet now", "position 12: expected the end of the sentence, found 'now'"},
+      {"replace core 1 by 2", "position 16: expected 'with', found 'by'"},
+  };
+  for (auto& r : rows) {
+    auto c = operators::parse(r.sentence);
+    REQUIRE_FALSE(ok(c));
+    CHECK(render(findings(c)) == r.finding);
+  }
+}
+
+TEST_CASE("sentences become the changes they name") {
+  auto c = operators::parse("retire  store 7");
+  REQUIRE(ok(c));
+  auto t = operators::to_change(value(c), Metadata{});
+  REQUIRE(ok(t));
+  CHECK(value(t) == Transformation{PrepareDrain{DaemonId{7}}});
+  Metadata m{};
+  m.revision = Revision{4};
+  auto d = operators::to_change(value(operators::parse("create cell news budget 400 turn 40 retention 60000")), m);
+  REQUIRE(ok(d));
+  auto& a = std::get<ApplyManifest>(value(d));
+  CHECK(a.base == Revision{4});
+  CHECK(a.manifest.cells.at(0).budget == 400);
+  CHECK(ok(operators::to_change(value(operators::parse("drop cell news")), m)) == false);
+}
