--- /dev/null
+++ b/tests/sim/callers.hpp
@@ -0,0 +1,68 @@
+#pragma once
+// Simulated callers, replicas and operators; and the independent checker of what they saw.
+#include "sim/world.hpp"
+
+namespace mosskeel::sim {
+
+struct Turn {
+  std::string program, thread, key, input, output, front, attempt, text;
+  bool asked = false, done = false, sure_not_run = true, success = false, broken = false;
+  uint32_t pieces = 0, tries = 0, status = 0;
+  uint64_t ordinal = 0;
+};
+
+struct SimReplica {
+  std::string name, zone, fault;
+  bool up = true;
+  int now = 0, peak_cold = 0, every = 0;
+  std::set<std::string> cold_from;
+  Millis leaving_since = 0, evacuated_since = 0;
+  std::set<std::string> stopped;
+};
+
+class Callers {
+ public:
+  Callers(World& w, int models, uint64_t budget, uint64_t turn_limit);
+  /// Founds the manifest and lists the replicas; false if the cluster does not come up.
+  bool introduce();
+  /// Starts programs every `gap` ms until `end`.
+  void traffic(Millis gap, Millis end);
+  /// Commits through a random living marker until there is a verdict or the time is out.
+  void commit(Transformation t, std::function<void(const CommitReply&)> then, std::string id = "", Millis patience = 10000);
+  /// One turn on a program; `then` once it is done.
+  void turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then, bool stubborn = true);
+  void read_back(const std::string& program, std::function<void(uint32_t status, const std::string& body)> then);
+  /// Checks all that can only be judged at the end.
+  void judge();
+  bool served_since(Millis t) const { return last_success_ >= t; }
+  std::map<std::string, SimReplica> replicas;
+  uint64_t successes = 0, refusals = 0, unknowns = 0, resumed = 0, commits_yes = 0;
+  bool helpers = true;
+  std::vector<std::string> programs() const;
+
+ private:
+  struct Open {
+    std::string front;
+    std::function<void(const Message&)> hear;
+    std::function<void()> lost;
+  };
+  void on_local(Node& n, const Envelope& e);
+  void on_replica(Node& n, const Envelope& e);
+  void ask(std::shared_ptr<Turn> t, std::function<void(const Turn&)> then, bool stubborn);
+  void program(const std::string& name, int turns, int i);
+  void piece(const std::string& front, uint64_t life, const std::string& rep, const ReplicaAsk& a, uint32_t k, uint32_t n, std::string fault, std::string text);
+  std::string pick_front();
+  Address session(const std::string& front, std::function<void(const Message&)> hear, std::function<void()> lost);
+  void check_chain(const std::string& program, const std::string& thread, const std::string& body);
+  World& w_;
+  uint64_t budget_, limit_, next_ = 0;
+  std::map<std::pair<std::string, Address>, Open> open_;
+  std::map<std::string, int> runs_;
+  std::map<std::string, uint64_t> handed_;
+  std::map<std::string, std::string> whole_;
+  std::map<std::string, std::vector<std::shared_ptr<Turn>>> turns_;
+  std::map<Revision, std::string> acked_;
+  Millis last_success_ = 0;
+};
+
+}  // namespace mosskeel::sim
--- /dev/null
+++ b/tests/sim/replicas.cpp
@@ -0,0 +1,145 @@
+// Simulated replicas, and the checks that only they can make.
+#include <nlohmann/json.hpp>
+
+#include "sim/callers.hpp"
+
+namespace mosskeel::sim {
+using Json = nlohmann::json;
+
+void Callers::check_chain(const std::string& program, const std::string& thread, const std::string& body) {
+  auto j = Json::parse(body);
+  std::vector<std::string> got;
+  for (auto& c : j["chain"]) got.push_back(c["input"].get<std::string>() + "=" + c["output"].get<std::string>());
+  size_t at = 0;
+  for (auto& t : turns_[program]) {
+    if (t->thread != thread || !t->success) continue;
+    auto want = t->input + "=" + t->output;
+    while (at < got.size() && got[at] != want) ++at;
+    if (at == got.size()) return w_.fail("chain of " + program + "/" + thread + " misses " + t->key + " or its order");
+    ++at;
+  }
+}
+
+void Callers::on_replica(Node& n, const Envelope& e) {
+  auto name = e.to.substr(8);
+  auto& r = replicas[name];
+  if (auto* s = std::get_if<ReplicaStop>(&e.body)) {
+    r.stopped.insert(s->attempt);
+    return;
+  }
+  auto* a = std::get_if<ReplicaAsk>(&e.body);
+  if (!a) return;
+  auto front = n.name;
+  auto life = n.life;
+  auto say = [this, front, life](Millis d, Message m) {
+    w_.at(w_.now() + d, [this, front, life, m] {
+      auto& x = w_.node(front);
+      if (x.life != life || !x.machine) return;
+      Envelope e{};
+      e.from = "replica:";
+      e.body = m;
+      w_.post(front, e);
+    });
+  };
+  if (!r.up) return say(1, ReplicaEnd{a->attempt, false, 0, false, 0, 0, 0, "", "refused"});
+  if (r.leaving_since && w_.now() > r.leaving_since + 3000) w_.fail("a leaving replica was reached " + std::to_string(w_.now() - r.leaving_since) + " ms after its mark");
+  if (r.evacuated_since && w_.now() > r.evacuated_since + 5000) w_.fail("an evacuated zone was reached after " + std::to_string(w_.now() - r.evacuated_since) + " ms");
+  auto j = Json::parse(a->body);
+  auto program = j["program"].get<std::string>();
+  auto key = "news/" + program + "/" + j["key"].get<std::string>();
+  if (++runs_[key] > 1) w_.fail("ran twice: " + key);
+  for (auto& t : turns_[program])
+    if ("news/" + program + "/" + t->key == key && t->done && t->sure_not_run) w_.fail("ran after it was refused as not run: " + key);
+  check_chain(program, j["thread"], a->body);
+  ++r.now;
+  std::string fault = r.every && w_.roll() % static_cast<uint64_t>(r.every) == 0 ? r.fault : "";
+  piece(front, life, name, *a, 0, 3 + static_cast<uint32_t>(w_.below(5)), fault, "");
+}
+
+void Callers::piece(const std::string& front, uint64_t life, const std::string& rep, const ReplicaAsk& a, uint32_t k, uint32_t n, std::string fault, std::string text) {
+  auto j = Json::parse(a.body);
+  auto program = j["program"].get<std::string>();
+  w_.at(w_.now() + 5 + w_.below(40), [=, this] {
+    auto& r = replicas[rep];
+    auto& x = w_.node(front);
+    bool there = x.life == life && x.machine;
+    auto say = [&](Message m) {
+      if (!there) return;
+      Envelope e{};
+      e.from = "replica:";
+      e.body = std::move(m);
+      w_.post(front, e);
+    };
+    auto over = [&](ReplicaEnd e) {
+      --r.now;
+      say(std::move(e));
+    };
+    if (!there || r.stopped.count(a.attempt)) return void(--r.now);
+    if (!r.up) return over({a.attempt, true, 0, false, 0, 0, 0, "", "reset"});
+    if (fault == "stall") return void(--r.now);
+    if ((fault == "cut" && k == n / 2) || (fault == "lost" && k == n)) return over({a.attempt, true, 200, false, 0, 0, 0, "", "reset"});
+    if (k == n) {
+      if (fault == "unsealed") return over({a.attempt, true, 200, false, 0, 0, 0, "", "no seal"});
+      whole_["news/" + program + "/" + j["key"].get<std::string>()] = text;
+      return over({a.attempt, true, 200, true, n, n, digest(text), "", ""});
+    }
+    handed_[program] += 1;
+    if (handed_[program] > budget_ + limit_) w_.fail("program " + program + " got " + std::to_string(handed_[program]) + " tokens of " + std::to_string(budget_));
+    auto t = j["key"].get<std::string>() + "." + std::to_string(k) + " ";
+    say(ReplicaPiece{a.attempt, fault == "skip" && k == n / 2 ? k + 1 : k, t, 1});
+    piece(front, life, rep, a, k + 1, n, fault, text + t);
+  });
+}
+
+std::vector<std::string> Callers::programs() const {
+  std::vector<std::string> v;
+  for (auto& [p, t] : turns_)
+    for (auto& x : t)
+      if (x->success) {
+        v.push_back(p);
+        break;
+      }
+  return v;
+}
+
+void Callers::judge() {
+  int left = 0;
+  for (auto& p : programs()) {
+    ++left;
+    auto tries = std::make_shared<int>(0);
+    auto go = std::make_shared<std::function<void()>>();
+    *go = [=, this, &left] {
+      auto heard = std::make_shared<bool>(false);
+      read_back(p, [=, this, &left](uint32_t status, const std::string& body) {
+        if (*heard) return;
+        *heard = true;
+        if (status == 404) {
+          w_.fail("a kept program was reported missing: " + p);
+          --left;
+        } else if (status == 200) {
+          --left;
+          ++resumed;
+          auto j = Json::parse(body);
+          std::map<std::string, std::string> kept;
+          for (auto& t : j["turns"])
+            if (t["status"] == 200) kept[t["key"]] = t["output"];
+          for (auto& t : turns_.at(p))
+            if (t->success && kept[t->key] != t->output) w_.fail("kept turn " + t->key + " of " + p + " is gone or changed");
+        } else if (++*tries > 40) {
+          w_.fail("program " + p + " cannot be read back: " + body);
+          --left;
+        } else {
+          w_.at(w_.now() + 250, *go);
+        }
+      });
+    };
+    (*go)();
+  }
+  w_.until(30000, [&] { return left <= 0; });
+  if (left > 0) w_.fail(std::to_string(left) + " programs could not be read back in time");
+  for (auto& [p, v] : turns_)
+    for (auto& t : v)
+      if (t->done && t->sure_not_run && !t->success && runs_["news/" + p + "/" + t->key]) w_.fail("refused as not run, yet ran: " + t->key);
+}
+
+}  // namespace mosskeel::sim
--- /dev/null
+++ b/tests/sim/scenarios.cpp
@@ -0,0 +1,266 @@
+#include "sim/scenarios.hpp"
+
+namespace mosskeel::sim {
+namespace {
+
+struct Day {
+  World w;
+  Callers c;
+  Day(uint64_t seed, Size z, uint64_t budget) : w(seed, z), c(w, z.models, budget, 10) {}
+  std::string any(Kind k) {
+    auto v = w.names(k);
+    return v[w.roll() % v.size()];
+  }
+  /// A closing check: everything healed, we serve and resume within 12 s.
+  void close() {
+    w.heal();
+    w.net.loss = w.net.twice = 0;
+    for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+      for (auto& s : w.names(k)) {
+        w.wake(s);
+        w.node(s).disk.slow = 0;
+        if (!w.node(s).machine) w.start(s);
+      }
+    for (auto& [n, r] : c.replicas) r.up = true, r.fault.clear(), r.every = 0;
+    auto t = w.now();
+    bool served = false;
+    auto once = std::make_shared<std::function<void()>>();
+    *once = [this, once, &served] {
+      c.turn("closing" + std::to_string(w.roll()), "main", [&served, once](const Turn& x) {
+        if (x.success) served = true;
+        else (*once)();
+      });
+    };
+    (*once)();
+    if (!w.until(12000, [&] { return served; })) w.fail("not serving 12 s after the closing fault");
+    (void)t;
+    w.run(1000);
+    *once = [] {};
+    c.judge();
+  }
+};
+
+void quiet(Day& d) {
+  d.c.traffic(100, d.w.now() + 10000);
+  d.w.run(12000);
+}
+
+void lossy(Day& d) {
+  d.w.net.loss = 0.02;
+  d.w.net.twice = 0.05;
+  d.c.traffic(100, d.w.now() + 15000);
+  d.w.run(20000);
+}
+
+/// Kills, freezes and cuts of whatever the dice name, a few at a time.
+void havoc(Day& d, const std::vector<Kind>& kinds, bool disks) {
+  auto& w = d.w;
+  d.c.traffic(80, w.now() + 30000);
+  auto end = w.now() + 30000;
+  while (w.now() < end) {
+    w.run(500 + w.below(2500));
+    auto n = d.any(kinds[w.roll() % kinds.size()]);
+    switch (w.roll() % 6) {
+      case 0: w.kill(n); w.at(w.now() + w.below(4000), [&w, n] { w.start(n); }); break;
+      case 1: w.power_off(n); w.at(w.now() + w.below(4000), [&w, n] { w.start(n); }); break;
+      case 2: w.freeze(n); w.at(w.now() + 200 + w.below(7000), [&w, n] { w.wake(n); }); break;
+      case 3: w.isolate(n); w.at(w.now() + 200 + w.below(6000), [&w] { w.heal(); }); break;
+      case 4: w.cut(n, d.any(kinds[w.roll() % kinds.size()])); w.at(w.now() + w.below(5000), [&w] { w.heal(); }); break;
+      case 5: if (disks) w.node(n).disk.slow = w.below(300); break;
+    }
+  }
+  w.run(3000);
+}
+
+/// Replicas that break in every way.
+void faults(Day& d) {
+  const char* const f[] = {"cut", "lost", "unsealed", "stall", "skip"};
+  int i = 0;
+  for (auto& [n, r] : d.c.replicas) r.fault = f[i++ % 5], r.every = 3;
+  d.c.traffic(80, d.w.now() + 15000);
+  for (int k = 0; k < 6; ++k) {
+    d.w.run(2500);
+    auto& r = d.c.replicas["model" + std::to_string(1 + d.w.below(4))];
+    r.up = !r.up;
+  }
+  d.w.run(12000);
+}
+
+/// Operators race, and every acknowledged manifest is in force in 2 s everywhere in touch.
+void storm(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(150, w.now() + 15000);
+  auto end = w.now() + 15000;
+  auto change = std::make_shared<std::function<void()>>();
+  *change = [&d, &w, end, change] {
+    if (w.now() >= end) return;
+    auto v = w.node("marker1").machine ? w.node("marker1").machine->view() : nullptr;
+    if (v) {
+      auto m = v->manifest;
+      if (!m.cells.empty()) m.cells[0].retention_ms += 1;
+      auto rev = Revision{v->revision.v + 1};
+      d.c.commit(ApplyManifest{v->revision, m}, [&d, &w, rev](const CommitReply& r) {
+        if (r.outcome != Outcome::yes) return;
+        w.at(w.now() + 2000, [&w, rev] {
+          for (auto& s : w.names(Kind::switchboard)) {
+            auto& n = w.node(s);
+            if (n.machine && !n.frozen && w.net.cuts.empty() && static_cast<SwitchboardMachine&>(*n.machine).ready(w.now()) && n.machine->view()->revision < rev)
+              w.fail(s + " lacks revision " + std::to_string(rev.v) + " 2 s after its acknowledgement");
+          }
+        });
+      });
+    }
+    w.at(w.now() + 20 + w.below(150), *change);
+  };
+  (*change)();
+  (*change)();
+  w.net.loss = 0.01;
+  for (int i = 0; i < 5; ++i) {
+    w.run(3000);
+    auto m = d.any(Kind::marker);
+    w.power_off(m);
+    w.at(w.now() + 1500, [&w, m] { w.start(m); });
+  }
+  w.run(3000);
+  *change = [] {};
+}
+
+/// Replicas and zones are drained under load, with fronts cut off.
+void drains(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(60, w.now() + 25000);
+  for (int i = 0; i < 4; ++i) {
+    w.run(2000);
+    auto f = d.any(Kind::switchboard);
+    w.isolate(f);
+    w.isolate(w.node(f).beside);
+    auto n = "model" + std::to_string(i + 1);
+    auto& r = d.c.replicas[n];
+    d.c.commit(SetReplica{{n, "model", r.zone, "http://" + n, Fitness::leaving, {}}}, [&](const CommitReply& c) {
+      if (c.outcome == Outcome::yes) r.leaving_since = w.now();
+    });
+    w.run(4500);
+    w.heal();
+    r.leaving_since = 0;
+    d.c.commit(SetReplica{{n, "model", r.zone, "http://" + n, Fitness::ready, {}}}, [](const CommitReply&) {});
+  }
+  w.run(5000);
+  d.c.commit(EvacuateZone{"a"}, [&](const CommitReply& c) {
+    if (c.outcome != Outcome::yes) return;
+    for (auto& [n, r] : d.c.replicas)
+      if (r.zone == "a") r.evacuated_since = w.now();
+  });
+  w.run(9000);
+  for (auto& [n, r] : d.c.replicas) r.evacuated_since = 0;
+  d.c.commit(RestoreZone{"a"}, [](const CommitReply&) {});
+  w.run(3000);
+}
+
+/// Stores added, retired, emptied and replaced under load.
+void stores(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(80, w.now() + 40000);
+  w.run(3000);
+  w.add("recorder9", Kind::recorder, "a");
+  w.run(6000);
+  auto v = w.node("marker1").machine->view();
+  auto* r2 = v->at("recorder2");
+  d.c.commit(PrepareDrain{r2 ? r2->id : DaemonId{}}, [](const CommitReply&) {});
+  w.run(8000);
+  auto n = d.any(Kind::recorder);
+  w.wipe(n);
+  w.run(1000);
+  w.start(n);
+  w.run(20000);
+}
+
+/// A core machine is lost with its disk and an empty one comes at a new address.
+void core(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(100, w.now() + 25000);
+  w.run(2000);
+  auto m = d.any(Kind::marker);
+  w.wipe(m);
+  w.run(1000);
+  w.add("marker9", Kind::marker, "b");
+  w.run(15000);
+  std::string full;
+  for (auto& s : w.names(Kind::marker))
+    if (w.node(s).machine) full = s;
+  auto v = w.node(full).machine->view();
+  bool in = false;
+  for (auto id : v->members) in |= v->find(id)->self.addr == "marker9";
+  if (!in) w.fail("the empty machine was not brought into the core");
+  w.start(m);
+  w.run(5000);
+}
+
+/// Fronts leave in order, one after the other, and come back: no answer may be lost.
+void rolling(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(60, w.now() + 25000);
+  for (auto& s : w.names(Kind::switchboard)) {
+    w.run(1500);
+    static_cast<SwitchboardMachine&>(*w.node(s).machine).leave();
+    if (!w.until(15000, [&] { return !w.node(s).machine; })) w.fail(s + " did not leave in order");
+    w.run(300);
+    w.start(s);
+    w.until(10000, [&] { return static_cast<SwitchboardMachine&>(*w.node(s).machine).ready(w.now()); });
+  }
+  w.run(5000);
+  if (d.c.unknowns) w.fail(std::to_string(d.c.unknowns) + " answers were lost in planned restarts");
+}
+
+using Play = std::function<void(Day&)>;
+struct Row {
+  const char* name;
+  Size size;
+  uint64_t budget;
+  Play play;
+};
+
+const std::vector<Row>& rows() {
+  static const std::vector<Kind> all{Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard};
+  static const std::vector<Row> v{
+      {"quiet", {3, 3, 3, 4, 3}, 400, quiet},
+      {"lossy", {3, 3, 3, 4, 3}, 400, lossy},
+      {"budget", {3, 3, 3, 4, 3}, 12, lossy},
+      {"fronts", {3, 3, 4, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::switchboard, Kind::lineman}, false); }},
+      {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
+      {"markers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::marker}, true); }},
+      {"havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, all, true); }},
+      {"faults", {3, 3, 3, 4, 3}, 40, faults},
+      {"storm", {3, 3, 3, 4, 3}, 400, storm},
+      {"drains", {3, 3, 3, 6, 3}, 400, drains},
+      {"stores", {3, 3, 3, 4, 3}, 400, stores},
+      {"core", {3, 3, 3, 4, 3}, 400, core},
+      {"rolling", {3, 3, 3, 4, 3}, 400, rolling},
+  };
+  return v;
+}
+
+}  // namespace
+
+std::vector<std::string> scenarios() {
+  std::vector<std::string> v;
+  for (auto& r : rows()) v.push_back(r.name);
+  return v;
+}
+
+Verdict play(const std::string& scenario, uint64_t seed, bool notes) {
+  Verdict v;
+  for (auto& r : rows()) {
+    if (r.name != scenario) continue;
+    Day d(seed, r.size, r.budget);
+    d.w.keep_notes = notes;
+    if (!d.c.introduce()) d.w.fail("the fleet did not come up");
+    else r.play(d), d.close();
+    d.w.local = nullptr;
+    d.w.died = nullptr;
+    return {d.w.failures, d.w.notes, d.c.successes, d.c.refusals, d.c.unknowns, d.c.resumed, d.w.messages, d.w.syncs};
+  }
+  v.failures.push_back("no scenario " + scenario);
+  return v;
+}
+
+}  // namespace mosskeel::sim
--- /dev/null
+++ b/tests/sim/scenarios.hpp
@@ -0,0 +1,16 @@
+#pragma once
+// Seeded days in the life of a fleet, each with its own troubles.
+#include "sim/callers.hpp"
+
+namespace mosskeel::sim {
+
+struct Verdict {
+  std::vector<std::string> failures, notes;
+  uint64_t successes = 0, refusals = 0, unknowns = 0, resumed = 0, messages = 0, syncs = 0;
+};
+
+/// The names of all scenarios.
+std::vector<std::string> scenarios();
+Verdict play(const std::string& scenario, uint64_t seed, bool notes = false);
+
+}  // namespace mosskeel::sim
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,226 @@
+#include "sim/world.hpp"
+
+#include "kernel/wire.hpp"
+
+namespace mosskeel::sim {
+
+World::World(uint64_t seed, Size z) : dice_(seed) {
+  core_size = static_cast<uint32_t>(z.markers);
+  auto zone = [&](int i) { return std::string(1, static_cast<char>('a' + i % z.zones)); };
+  for (int i = 0; i < z.markers && i < 3; ++i) seeds.push_back("marker" + std::to_string(i + 1));
+  for (int i = 0; i < z.markers; ++i) add("marker" + std::to_string(i + 1), Kind::marker, zone(i));
+  for (int i = 0; i < z.stores; ++i) add("recorder" + std::to_string(i + 1), Kind::recorder, zone(i));
+  for (int i = 0; i < z.fronts; ++i) {
+    auto k = std::to_string(i + 1);
+    add("lineman" + k, Kind::lineman, zone(i), "switchboard" + k);
+    add("switchboard" + k, Kind::switchboard, zone(i), "lineman" + k);
+  }
+}
+
+void World::add(const std::string& name, Kind k, const std::string& zone, const Address& beside) {
+  auto n = std::make_unique<Node>();
+  n->name = name;
+  n->kind = k;
+  n->beside = beside;
+  auto role = k == Kind::marker ? Role::marker : k == Kind::recorder ? Role::recorder : Role::front;
+  n->id = {{Incarnation{dice_()}, role, zone, name, beside, "http-" + name}, seeds, core_size, dice_()};
+  by_addr_[name] = name;
+  nodes_[name] = std::move(n);
+  start(name);
+}
+
+Node& World::node(const std::string& name) { return *nodes_.at(name); }
+
+std::vector<std::string> World::names(Kind k) const {
+  std::vector<std::string> v;
+  for (auto& [s, n] : nodes_)
+    if (n->kind == k) v.push_back(s);
+  return v;
+}
+
+bool World::alive(const std::string& name) { return node(name).machine && !node(name).frozen; }
+
+void World::fail(const std::string& what) {
+  if (failures.size() < 20) failures.push_back(std::to_string(now_ - 1000000000000) + " ms: " + what);
+}
+
+void World::start(const std::string& name) {
+  auto& n = node(name);
+  if (n.machine) return;
+  bool diskless = n.kind == Kind::lineman || n.kind == Kind::switchboard;
+  if (diskless && n.life) n.id.self.inc = Incarnation{dice_()};
+  n.id.dice = dice_();
+  n.id.seeds = seeds;
+  n.life = ++seq_;
+  n.seen = {};
+  n.revision = {};
+  n.frozen = n.stopped = false;
+  n.backlog.clear();
+  Recovered r{n.id.self.inc, n.disk.checkpoint, n.disk.synced};
+  switch (n.kind) {
+    case Kind::marker: n.machine = std::make_unique<MarkerMachine>(n.id, r, now_); break;
+    case Kind::recorder: n.machine = std::make_unique<RecorderMachine>(n.id, r, now_); break;
+    case Kind::lineman: n.machine = std::make_unique<LinemanMachine>(n.id, now_); break;
+    case Kind::switchboard: n.machine = std::make_unique<SwitchboardMachine>(n.id, now_); break;
+  }
+  at(now_ + below(limits::tick), [this, name, life = n.life] { tick(name, life); });
+}
+
+void World::die(Node& n) {
+  n.machine.reset();
+  n.disk.waiting.clear();
+  n.backlog.clear();
+  n.life = 0;
+  n.frozen = false;
+  if (died) died(n);
+  n.life = ++seq_;
+}
+
+void World::kill(const std::string& name) {
+  auto& n = node(name);
+  if (!n.machine) return;
+  auto keep = n.disk.waiting.empty() ? 0 : dice_() % (n.disk.waiting.size() + 1);
+  for (size_t i = 0; i < keep; ++i) {
+    auto& b = n.disk.waiting[i];
+    for (auto& s : b.journal) n.disk.synced.push_back(s);
+    if (b.checkpoint) n.disk.checkpoint = b.checkpoint, n.disk.synced.clear();
+  }
+  die(n);
+}
+
+void World::power_off(const std::string& name) {
+  if (node(name).machine) die(node(name));
+}
+
+void World::wipe(const std::string& name) {
+  auto& n = node(name);
+  if (n.machine) die(n);
+  n.disk = {};
+  n.id.self.inc = Incarnation{dice_()};
+}
+
+void World::wake(const std::string& name) {
+  auto& n = node(name);
+  if (!n.frozen) return;
+  n.frozen = false;
+  auto v = std::exchange(n.backlog, {});
+  auto life = n.life;
+  for (auto& e : v)
+    if (n.life == life && n.machine) step(n, e);
+  if (n.machine) flush(n);
+}
+
+void World::cut(const std::string& a, const std::string& b) { net.cuts.insert({a, b}); }
+
+void World::isolate(const std::string& name) {
+  auto& n = node(name);
+  for (auto& [s, x] : nodes_)
+    if (s != name && s != n.beside) cut(s, name), cut(name, s);
+}
+
+void World::at(Millis when, std::function<void()> f) { items_.push({when, ++seq_, std::move(f)}); }
+
+void World::run(Millis ms) {
+  until(ms, [] { return false; });
+}
+
+bool World::until(Millis ms, const std::function<bool()>& ok) {
+  auto end = now_ + ms;
+  while (!items_.empty() && items_.top().when <= end) {
+    if (ok()) return true;
+    auto f = items_.top().f;
+    now_ = std::max(now_, items_.top().when);
+    items_.pop();
+    f();
+  }
+  now_ = end;
+  return ok();
+}
+
+void World::tick(const std::string& name, uint64_t life) {
+  auto& n = node(name);
+  if (n.life != life || !n.machine) return;
+  if (!n.frozen) act(n, n.machine->tick(now_));
+  at(now_ + limits::tick, [this, name, life] { tick(name, life); });
+}
+
+void World::post(const std::string& name, Envelope e) {
+  auto& n = node(name);
+  if (!n.machine) return;
+  if (n.frozen) n.backlog.push_back(std::move(e));
+  else step(n, e);
+}
+
+void World::step(Node& n, const Envelope& e) {
+  if (keep_notes) notes.push_back(std::to_string(now_ - 1000000000000) + " " + n.name + " <- " + e.from + " " + kind_name(e.body));
+  act(n, n.machine->step(e, now_));
+}
+
+void World::act(Node& n, Actions a) {
+  if (keep_notes)
+    for (auto& x : a.notes) notes.push_back(std::to_string(now_ - 1000000000000) + " " + n.name + " " + std::to_string(static_cast<int>(x.event)) + " " + x.text);
+  look(n);
+  for (auto& e : a.now) send(n, e);
+  bool diskless = n.kind == Kind::lineman || n.kind == Kind::switchboard;
+  if (diskless) {
+    for (auto& e : a.synced) send(n, e);
+  } else if (!a.journal.empty() || !a.synced.empty() || a.checkpoint) {
+    bool idle = n.disk.waiting.empty() && a.journal.empty() && !a.checkpoint;
+    if (idle) {
+      for (auto& e : a.synced) send(n, e);
+    } else {
+      n.disk.waiting.push_back({std::move(a.journal), std::move(a.checkpoint), std::move(a.synced)});
+      n.disk.busy_until = std::max(n.disk.busy_until, now_) + 1 + below(3) + n.disk.slow;
+      at(n.disk.busy_until, [this, name = n.name, life = n.life] {
+        auto& n = node(name);
+        if (n.life == life && n.machine) flush(n);
+      });
+    }
+  }
+  if (a.stop && n.machine) n.stopped = true, die(n);
+}
+
+void World::flush(Node& n) {
+  if (n.frozen || n.disk.waiting.empty()) return;
+  auto all = std::exchange(n.disk.waiting, {});
+  ++syncs;
+  for (auto& b : all) {
+    for (auto& s : b.journal) n.disk.synced.push_back(std::move(s));
+    if (b.checkpoint) n.disk.checkpoint = std::move(b.checkpoint), n.disk.synced.clear();
+  }
+  for (auto& b : all)
+    for (auto& e : b.sends) send(n, e);
+}
+
+void World::send(Node& n, const Envelope& e) {
+  if (e.to.starts_with("local:")) return local ? local(n, e) : void();
+  if (e.to.starts_with("replica:")) return replica ? replica(n, e) : void();
+  ++messages;
+  if (e.to != n.id.self.addr) {
+    if (net.cuts.count({n.name, e.to}) || chance(net.loss)) return;
+  }
+  int copies = e.to != n.id.self.addr && chance(net.twice) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    auto d = e.to == n.id.self.addr ? 0 : 1 + below(net.delay) + (chance(net.twice) ? below(300) : 0);
+    at(now_ + d, [this, e] { deliver(e.to, e); });
+  }
+}
+
+void World::deliver(const Address& to, const Envelope& e) {
+  auto i = by_addr_.find(to);
+  if (i != by_addr_.end()) post(i->second, e);
+}
+
+void World::look(Node& n) {
+  auto v = n.machine->view();
+  if (v->epoch == n.seen) return;
+  if (v->epoch < n.seen) fail(n.name + " went back from epoch " + std::to_string(n.seen.v) + " to " + std::to_string(v->epoch.v));
+  if (v->revision < n.revision) fail(n.name + " slid back from revision " + std::to_string(n.revision.v));
+  n.seen = v->epoch;
+  n.revision = v->revision;
+  auto d = digest(codec::pack(*v));
+  auto [i, fresh] = truth_.emplace(v->epoch, d);
+  if (!fresh && i->second != d) fail(n.name + " holds another value at epoch " + std::to_string(v->epoch.v));
+}
+
+}  // namespace mosskeel::sim
--- /dev/null
+++ b/tests/sim/world.hpp
@@ -0,0 +1,117 @@
+#pragma once
+// A seeded world of real machines on simulated clocks, disks and wires.
+#include <queue>
+
+#include "consensus/marker_machine.hpp"
+#include "errand/switchboard_machine.hpp"
+#include "follow/lineman_machine.hpp"
+#include "line/recorder_machine.hpp"
+
+namespace mosskeel::sim {
+
+enum class Kind { marker, recorder, lineman, switchboard };
+
+struct SimDisk {
+  std::optional<std::string> checkpoint;
+  std::vector<std::string> synced;
+  struct Batch {
+    std::vector<std::string> journal;
+    std::optional<std::string> checkpoint;
+    std::vector<Envelope> sends;
+  };
+  std::deque<Batch> waiting;
+  Millis busy_until = 0, slow = 0;
+};
+
+struct Node {
+  std::string name;
+  Kind kind;
+  Identity id;
+  Address beside;
+  std::unique_ptr<Machine> machine;
+  SimDisk disk;
+  bool frozen = false, stopped = false;
+  uint64_t life = 0;
+  std::deque<Envelope> backlog;
+  Epoch seen{};
+  Revision revision{};
+};
+
+struct Net {
+  Millis delay = 2;
+  double loss = 0, twice = 0;
+  std::set<std::pair<Address, Address>> cuts;
+};
+
+struct Size {
+  int markers = 3, stores = 3, fronts = 3, models = 4, zones = 3;
+};
+
+class World {
+ public:
+  World(uint64_t seed, Size size);
+  void run(Millis ms);
+  /// True as soon as the condition holds, false if it does not within the time.
+  bool until(Millis ms, const std::function<bool()>& ok);
+  void at(Millis when, std::function<void()> f);
+  Millis now() const { return now_; }
+  uint64_t roll() { return dice_(); }
+  Millis below(Millis n) { return static_cast<Millis>(dice_() % static_cast<uint64_t>(n)); }
+  bool chance(double p) { return static_cast<double>(dice_() % 1000000) < p * 1e6; }
+
+  Node& node(const std::string& name);
+  std::vector<std::string> names(Kind k) const;
+  bool alive(const std::string& name);
+  void start(const std::string& name);
+  /// The process dies; what was written but not synced survives in part.
+  void kill(const std::string& name);
+  /// Power is lost; nothing unsynced survives.
+  void power_off(const std::string& name);
+  void wipe(const std::string& name);
+  void freeze(const std::string& name) { node(name).frozen = true; }
+  void wake(const std::string& name);
+  /// Cuts what `a` says to `b`.
+  void cut(const std::string& a, const std::string& b);
+  void isolate(const std::string& name);
+  void heal() { net.cuts.clear(); }
+  /// Puts a message from inside a front's or marker's own process before its machine.
+  void post(const std::string& name, Envelope e);
+  /// Adds a machine under a new address.
+  void add(const std::string& name, Kind k, const std::string& zone, const Address& beside = "");
+  Addresses seeds;
+  uint32_t core_size = 3;
+
+  Net net;
+  std::vector<std::string> notes, failures;
+  bool keep_notes = false;
+  uint64_t messages = 0, syncs = 0;
+  /// What leaves a process by another door: "local:", "replica:".
+  std::function<void(Node&, const Envelope&)> local, replica;
+  std::function<void(Node&)> died;
+  void fail(const std::string& what);
+
+ private:
+  struct Item {
+    Millis when;
+    uint64_t seq;
+    std::function<void()> f;
+    bool operator<(const Item& o) const { return std::tie(when, seq) > std::tie(o.when, o.seq); }
+  };
+  void act(Node& n, Actions a);
+  void send(Node& n, const Envelope& e);
+  void deliver(const Address& to, const Envelope& e);
+  void flush(Node& n);
+  void step(Node& n, const Envelope& e);
+  void tick(const std::string& name, uint64_t life);
+  void look(Node& n);
+  void die(Node& n);
+  std::mt19937_64 dice_;
+  Millis now_ = 1000000000000;
+  uint64_t seq_ = 0;
+  std::priority_queue<Item> items_;
+  std::map<std::string, std::unique_ptr<Node>> nodes_;
+  std::map<Address, std::string> by_addr_;
+  std::map<Epoch, uint64_t> truth_;
+};
+
+}  // namespace mosskeel::sim
