Streams survive lost pieces; drained fronts finish their turns; no uninitialised last words

Cause: (1) Work kept an ErrandEnd without initialiser, so a live owner answered 'elsewhere' at random; (2) the finish step of a front's drain marked it as left while its turns still ran, so the new owner declared them in doubt; (3) a kept answer after takeover claimed the pieces already streamed. The missing rest of a stream is filled from the whole sealed answer.

--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -104,8 +104,7 @@
     if (r.kind == RecordKind::settled) {
       w.end = {w.e.attempt, r.status, r.status == 200 ? Outcome::yes : Outcome::unknown,
                r.status == 200 ? "" : "kept outcome: " + r.output, r.status == 200 ? r.output : "", r.turn, r.tokens, 0, false, 0};
-      w.end.pieces = w.pieces;
-      return end(w, now), false;
+      return complete(w, now), false;
     }
     if (running_here(w.line, w.e.key) || running_elsewhere(r, now))
       return refuse(w, 409, "key: this turn is running now", limits::retry_ms * 2, now, Outcome::yes), false;
--- a/src/errand/relay.cpp
+++ b/src/errand/relay.cpp
@@ -19,11 +19,8 @@
   if (!d || d->self.inc != e.from_inc) return;
   w.seen = true;
   w.last = now;
-  if (x.n < w.pieces) return;
-  if (x.n > w.pieces) {
-    out_.note(Event::proxied_lost, x.attempt + " lost piece " + std::to_string(w.pieces));
-    return refuse(w, 502, "a piece of the stream was lost on the way; the answer is kept under the key", limits::retry_ms, now, Outcome::unknown);
-  }
+  if (x.n != w.pieces) return;
+  w.text += x.text;
   ++w.pieces;
   out_.send(w.reply, x);
 }
@@ -41,9 +38,24 @@
     if (o && o->id != w.target) route(w, now);
     return;
   }
-  if (x.status == 200 && w.pieces != x.pieces && w.pieces != 0)
-    return refuse(w, 502, "pieces of the stream were lost on the way; the answer is kept under the key", limits::retry_ms, now, Outcome::unknown);
   w.end = x;
+  complete(w, now);
+}
+
+/// The last word after a stream of which pieces may be missing: a whole answer fills the rest in.
+void SwitchboardMachine::complete(Ref w, Millis now) {
+  if (w.end.status == 200 && w.pieces > 0 && w.e.kind == "model") {
+    auto& b = w.end.body;
+    if (!b.starts_with(w.text)) {
+      out_.note(Event::proxied_lost, w.e.attempt + " streamed another text than was kept");
+      return refuse(w, 502, "the stream broke; the answer is kept under the key", limits::retry_ms, now, Outcome::unknown);
+    }
+    if (b.size() > w.text.size()) {
+      ++tallies_["streams_filled"];
+      out_.send(w.reply, ErrandPiece{w.e.attempt, w.pieces++, b.substr(w.text.size())}, w.reply_inc);
+    }
+  }
+  w.end.pieces = w.pieces;
   end(w, now);
 }
 
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -118,7 +118,10 @@
   was_in_touch_ = in;
   drain_queue(now);
   auto* d = me();
-  if (stopping_ && works_.empty() && lates_.empty() && (!d || d->state == DaemonState::left || d->state == DaemonState::down)) out_.act.stop = true;
+  bool handed = !d || d->state == DaemonState::left || d->state == DaemonState::down ||
+                (d->state == DaemonState::draining && !led_.view()->sequences.count(d->id));
+  if (!works_.empty() || !lates_.empty()) last_work_ = now;
+  if (stopping_ && handed && now - last_work_ > limits::farewell) out_.act.stop = true;
   return out_.take();
 }
 
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -24,7 +24,7 @@
  private:
   enum class Stage { opening, waiting, queued, intending, running, settling, handing, proxying };
   struct Work {
-    Errand e;
+    Errand e{};
     Address reply;
     Incarnation reply_inc;
     Stage stage = Stage::opening;
@@ -37,11 +37,11 @@
     Millis born = 0, horizon = 0, last = 0, asked = 0;
     bool direct = false, seen = false, again = false, anew = false;
     DaemonId target{};
-    ErrandEnd end;
-    Record settled;
+    ErrandEnd end{};
+    Record settled{};
   };
   struct Late {
-    Envelope from;
+    Envelope from{};
     uint64_t mark = 0;
     Millis born = 0;
     Epoch term{};
@@ -75,6 +75,7 @@
   void settle(Ref w, uint32_t status, Outcome ran, std::string reason, uint64_t tokens, Millis now);
   void hand_over(Ref w, Millis now);
   void end(Ref w, Millis now);
+  void complete(Ref w, Millis now);
   void refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran = Outcome::no);
   bool late(Late& l, Millis now);
   void beat(Millis now);
@@ -98,7 +99,7 @@
   boost::heap::priority_queue<Key> queue_;
   std::map<std::string, uint64_t> tallies_;
   std::set<std::string> gone_;
-  Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0;
+  Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
   Epoch beaten_{};
   uint64_t seq_ = 0;
   double retries_ = 10;
--- a/src/kernel/limits.hpp
+++ b/src/kernel/limits.hpp
@@ -24,6 +24,7 @@
 constexpr Millis replica_shun = 2000;     // ms; a replica that could not be reached is avoided
 constexpr Millis queue_patience = 5000;   // ms; nobody waits longer for a replica's free place
 constexpr Millis end_memory = 30000;      // ms; the final word on an errand is kept for a lost message
+constexpr Millis farewell = 600;          // ms; a leaving worker answers for lost last words this long
 constexpr Millis agent_beat = 100;        // ms; between a switchboard and its lineman
 constexpr Millis handover_patience = 20000; // ms; a moved turn's outcome is offered this long
 constexpr uint32_t retry_ms = 500;        // ms; when a refused caller may come back
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -99,7 +99,8 @@
   if (i == m.directory.end()) return no(who(t.node), "is unknown");
   auto& d = i->second;
   if (d.state == DaemonState::down || d.state == DaemonState::left) return no(who(t.node), std::string("is ") + name(d.state) + " already");
-  d.state = DaemonState::down;
+  bool leaves = d.state == DaemonState::draining && d.self.role == Role::front && !m.sequences.count(t.node);
+  d.state = leaves ? DaemonState::left : DaemonState::down;
   d.since = m.epoch;
   if (d.self.role == Role::front) {
     unlock(m, t.node);
@@ -162,7 +163,9 @@
   }
   auto& d = m.directory[t.node];
   bool join = q.kind == SequenceKind::join;
-  if (d.state != DaemonState::down || !join) d.state = join ? DaemonState::up : DaemonState::left;
+  bool lingers = !join && d.self.role == Role::front && d.state != DaemonState::down;
+  if (join && d.state != DaemonState::down) d.state = DaemonState::up;
+  if (!join && !lingers) d.state = DaemonState::left;
   d.since = m.epoch;
   unlock(m, t.node);
   return m;
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -170,7 +170,7 @@
       if (kept) w_.fail("a kept conversation was reported missing: " + t->program);
     }
     if (e && e->ran == Outcome::no) ++refusals;
-    else ++unknowns;
+    else ++unknowns, ++reasons[e ? e->reason : "the session was lost"];
     bool final = e && ((e->ran == Outcome::unknown && e->reason.find("kept outcome") == 0) || e->reason.find("will not be run again") != std::string::npos || e->status == 429 || e->status == 400);
     if (final) {
       t->done = true;
--- a/tests/sim/callers.hpp
+++ b/tests/sim/callers.hpp
@@ -38,6 +38,7 @@
   std::map<std::string, SimReplica> replicas;
   uint64_t successes = 0, refusals = 0, unknowns = 0, resumed = 0, commits_yes = 0;
   bool helpers = true;
+  std::map<std::string, uint64_t> reasons;
   std::vector<std::string> programs() const;
 
  private:
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -257,7 +257,7 @@
     else r.play(d), d.close();
     d.w.local = nullptr;
     d.w.died = nullptr;
-    return {d.w.failures, d.w.notes, d.c.successes, d.c.refusals, d.c.unknowns, d.c.resumed, d.w.messages, d.w.syncs};
+    return {d.w.failures, d.w.notes, d.c.successes, d.c.refusals, d.c.unknowns, d.c.resumed, d.w.messages, d.w.syncs, d.c.reasons};
   }
   v.failures.push_back("no scenario " + scenario);
   return v;
--- a/tests/sim/scenarios.hpp
+++ b/tests/sim/scenarios.hpp
@@ -7,6 +7,8 @@
 struct Verdict {
   std::vector<std::string> failures, notes;
   uint64_t successes = 0, refusals = 0, unknowns = 0, resumed = 0, messages = 0, syncs = 0;
+  /// Why answers were not known, by reason.
+  std::map<std::string, uint64_t> reasons;
 };
 
 /// The names of all scenarios.
--- a/tools/testdesk/main.cpp
+++ b/tools/testdesk/main.cpp
@@ -11,7 +11,7 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  int seeds = 0, jobs = 4, notes = 0;
+  int seeds = 0, jobs = 4, notes = 0, reasons = 0;
   long from = 1;
   char* only = nullptr;
   poptOption table[] = {{"seeds", 'n', POPT_ARG_INT, &seeds, 0, "how many seeds each; 0 runs until stopped", "N"},
@@ -19,6 +19,7 @@
                         {"scenario", 's', POPT_ARG_STRING, &only, 0, "only this scenario", "NAME"},
                         {"jobs", 'j', POPT_ARG_INT, &jobs, 0, "threads", "N"},
                         {"notes", 0, POPT_ARG_NONE, &notes, 0, "print every message and event (one seed)", nullptr},
+                        {"reasons", 0, POPT_ARG_NONE, &reasons, 0, "print why outcomes were unknown", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
   poptContext c = poptGetContext("testdesk", argc, argv, table, 0);
   if (int rc = poptGetNextOpt(c); rc < -1) return fprintf(stderr, "testdesk: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
@@ -39,6 +40,7 @@
       if (notes) for (auto& x : v.notes) printf("%s\n", x.c_str());
       auto& t = sum[s];
       t.successes += v.successes, t.refusals += v.refusals, t.unknowns += v.unknowns, t.resumed += v.resumed;
+      for (auto& [r, n] : v.reasons) t.reasons[r] += n;
       t.messages += v.messages, t.syncs += v.syncs;
       if (v.failures.empty()) continue;
       ++failed;
@@ -53,6 +55,9 @@
   for (auto& [s, t] : sum)
     printf("%-10s successes %llu refusals %llu unknown %llu read back %llu messages %llu syncs %llu\n", s.c_str(), (unsigned long long)t.successes,
            (unsigned long long)t.refusals, (unsigned long long)t.unknowns, (unsigned long long)t.resumed, (unsigned long long)t.messages, (unsigned long long)t.syncs);
+  if (reasons)
+    for (auto& [s, t] : sum)
+      for (auto& [r, n] : t.reasons) printf("%-10s %6llu %s\n", s.c_str(), (unsigned long long)n, r.c_str());
   printf("%ld played, %ld failed\n", played.load(), failed.load());
   return failed ? 1 : 0;
 }
