--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -69,6 +69,7 @@
 void World::die(Node& n) {
   n.machine.reset();
   n.disk.waiting.clear();
+  n.disk.in_flight = 0;
   n.backlog.clear();
   n.life = 0;
   n.frozen = false;
@@ -170,26 +171,34 @@
       for (auto& e : a.synced) send(n, e);
     } else {
       n.disk.waiting.push_back({std::move(a.journal), std::move(a.checkpoint), std::move(a.synced)});
-      n.disk.busy_until = std::max(n.disk.busy_until, now_) + 1 + below(3) + n.disk.slow;
-      at(n.disk.busy_until, [this, name = n.name, life = n.life] {
-        auto& n = node(name);
-        if (n.life == life && n.machine) flush(n);
-      });
+      if (!n.disk.in_flight) begin_sync(n);
     }
   }
   if (a.stop && n.machine) n.stopped = true, die(n);
 }
 
+/// One sync at a time; it covers all that waits when it begins.
+void World::begin_sync(Node& n) {
+  n.disk.in_flight = n.disk.waiting.size();
+  at(now_ + 1 + below(3) + n.disk.slow, [this, name = n.name, life = n.life] {
+    auto& n = node(name);
+    if (n.life == life && n.machine) flush(n);
+  });
+}
+
 void World::flush(Node& n) {
-  if (n.frozen || n.disk.waiting.empty()) return;
-  auto all = std::exchange(n.disk.waiting, {});
+  if (n.frozen || !n.disk.in_flight) return;
   ++syncs;
-  for (auto& b : all) {
+  std::vector<Envelope> sends;
+  for (; n.disk.in_flight; --n.disk.in_flight) {
+    auto b = std::move(n.disk.waiting.front());
+    n.disk.waiting.pop_front();
     for (auto& s : b.journal) n.disk.synced.push_back(std::move(s));
     if (b.checkpoint) n.disk.checkpoint = std::move(b.checkpoint), n.disk.synced.clear();
+    for (auto& e : b.sends) sends.push_back(std::move(e));
   }
-  for (auto& b : all)
-    for (auto& e : b.sends) send(n, e);
+  if (!n.disk.waiting.empty()) begin_sync(n);
+  for (auto& e : sends) send(n, e);
 }
 
 void World::send(Node& n, const Envelope& e) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -20,7 +20,8 @@
     std::vector<Envelope> sends;
   };
   std::deque<Batch> waiting;
-  Millis busy_until = 0, slow = 0;
+  size_t in_flight = 0;
+  Millis slow = 0;
 };
 
 struct Node {
@@ -101,6 +102,7 @@
   void send(Node& n, const Envelope& e);
   void deliver(const Address& to, const Envelope& e);
   void flush(Node& n);
+  void begin_sync(Node& n);
   void step(Node& n, const Envelope& e);
   void tick(const std::string& name, uint64_t life);
   void look(Node& n);
