--- a/src/consensus/marker_machine.cpp
+++ b/src/consensus/marker_machine.cpp
@@ -80,7 +80,11 @@
 
 bool MarkerMachine::known_sender(const Envelope& e) const {
   if (e.to_inc.v && e.to_inc != out_.id().self.inc) return false;
-  return e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster;
+  if (e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster || succeeds(*led_.view(), e.cluster)) return true;
+  auto& f = led_.view()->former;
+  auto* d = led_.view()->find(e.from_inc);
+  bool kin = std::find(f.begin(), f.end(), e.cluster) != f.end() && (!d || d->state != DaemonState::left);
+  return kin && (std::holds_alternative<Heartbeat>(e.body) || std::holds_alternative<Catchup>(e.body) || std::holds_alternative<Discover>(e.body));
 }
 
 HeartbeatReply MarkerMachine::reply_to(const Heartbeat& h) const {
@@ -93,6 +97,10 @@
     out_.note(Event::foreign, "from " + e.from);
     return done();
   }
+  if (!out_.cluster && e.cluster) {
+    evidence_ = now;
+    if (!std::holds_alternative<DiscoverReply>(e.body)) out_.send(e.from, Catchup{led_.epoch()});
+  }
   auto before = led_.epoch();
   handle(e, now);
   moved(before, now);
@@ -122,13 +130,22 @@
             out_.send(e.from, r);
           },
           [&](const DiscoverReply& d) {
-            if (out_.cluster) return;
+            if (out_.cluster) {
+              if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+              return;
+            }
             if (d.cluster) return out_.send(e.from, Catchup{led_.epoch()});
             if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
             for (auto& c : d.candidates)
               if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
           },
-          [&](const Prepare& p) { acc_.on(e, p); }, [&](const Accept& a) { acc_.on(e, a); },
+          [&](const Prepare& p) {
+            if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, p);
+          },
+          [&](const Accept& a) {
+            if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, a);
+          },
+          [&](const Rebuild& r) { on(e, r, now); },
           [&](const Promise& p) { prop_.on(e, p, now); }, [&](const Accepted& a) { prop_.on(e, a, now); },
           [&](const Decided& d) {
             learn({d.entry}, std::nullopt);
@@ -173,7 +190,7 @@
   for (auto& [inc, f] : fellows_) v.push_back(f.first);
   std::sort(v.begin(), v.end(), [](auto& a, auto& b) { return a.inc < b.inc; });
   if (v.size() > core) v.resize(core);
-  if (!prop_.idle()) return;
+  if (!prop_.idle() || now - evidence_ <= limits::evidence) return;
   out_.note(Event::founding, std::to_string(v.size()) + " of " + std::to_string(core) + " markers");
   prop_.found({digest(hex(self.inc.v)), static_cast<uint32_t>(core), v}, v, now);
 }
@@ -199,6 +216,7 @@
   auto before = led_.epoch();
   if (!out_.cluster && now >= next_discover_) discover(now);
   if (out_.cluster && now >= next_beat_) beat(now);
+  if (out_.cluster && now >= next_survey_) survey(now);
   duty_.tick(now);
   sup_.tick(now);
   if (!acc_.open() || open_at_ != led_.epoch()) open_since_ = now, open_at_ = led_.epoch();
--- a/src/consensus/marker_machine.hpp
+++ b/src/consensus/marker_machine.hpp
@@ -23,6 +23,11 @@
   void learn(const Entries& v, const std::optional<Metadata>& c);
   void discover(Millis now);
   void beat(Millis now);
+  /// Looks whether a majority of the core is provably lost, and then founds it anew.
+  void survey(Millis now);
+  void on(const Envelope& e, const Rebuild& r, Millis now);
+  bool core_lives(Millis now) const;
+  void refound(const std::vector<DaemonId>& lost, Millis now);
   void moved(Epoch before, Millis now);
   bool known_sender(const Envelope& e) const;
   HeartbeatReply reply_to(const Heartbeat& h) const;
@@ -36,7 +41,7 @@
   Supervisor sup_;
   Proposer prop_;
   std::map<Incarnation, std::pair<Candidate, Millis>> fellows_;
-  Millis born_, open_since_ = 0, next_discover_ = 0, next_beat_ = 0, next_register_ = 0;
+  Millis born_, evidence_ = INT64_MIN / 2, survey_since_ = 0, next_survey_ = 0, open_since_ = 0, next_discover_ = 0, next_beat_ = 0, next_register_ = 0;
   Epoch beaten_{}, open_at_{};
   size_t grown_ = 0;
 };
--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -21,7 +21,7 @@
         w.askers.push_back({e.from, c.known});
       return;
     }
-  queue_.push_back({c.id, c.change, {{e.from, c.known}}, now + limits::tcm_rpc});
+  queue_.push_back({c.id, c.change, {{e.from, c.known}}, now + out_.id().tcm_rpc});
   run(now);
 }
 
@@ -39,6 +39,17 @@
   while (!round_ && now >= pause_) {
     if (founding_ && led_.view()->cluster == 0) return start(founding_->first, now, false);
     founding_.reset();
+    if (refound_) {
+      Entry e{next(led_.epoch()), "", refound_->first};
+      if (!ok(apply(*led_.view(), e))) {
+        refound_.reset();
+      } else if (refound_->second.empty()) {
+        refound_.reset();
+        enact_(e);
+      } else {
+        return start(std::move(e), now, false);
+      }
+    }
     if (queue_.empty() || led_.view()->cluster == 0) return;
     auto& w = queue_.front();
     if (led_.view()->outcome(w.id)) {
@@ -71,8 +82,8 @@
   r.ballot = {top_, out_.id().self.inc.v};
   r.entry = std::move(e);
   if (finish_only) r.entry.epoch = Epoch{0};
-  r.peers = members();
-  r.need = majority_of(led_.view()->cluster ? r.peers.size() : out_.id().core_size);
+  r.peers = refound_ ? refound_->second : members();
+  r.need = refound_ ? r.peers.size() : majority_of(led_.view()->cluster ? r.peers.size() : out_.id().core_size);
   r.until = now + limits::paxos_round + out_.jitter(limits::paxos_jitter);
   for (auto& [inc, a] : r.peers) out_.send(a, Prepare{r.epoch, r.ballot}, inc);
   round_ = std::move(r);
@@ -161,6 +172,13 @@
   run(now);
 }
 
+void Proposer::refound(const Refound& t, std::map<Incarnation, Address> survivors, Millis now) {
+  round_.reset();
+  pause_ = 0;
+  refound_ = {t, std::move(survivors)};
+  run(now);
+}
+
 void Proposer::tick(Millis now) {
   if (round_ && round_->epoch < (round_->stage == Stage::reading ? led_.epoch() : next(led_.epoch()))) round_.reset();
   if (round_ && now >= round_->until) again(now, {});
--- a/src/consensus/proposer.hpp
+++ b/src/consensus/proposer.hpp
@@ -18,6 +18,9 @@
   void tick(Millis now);
   /// Proposes the founding entry to these candidates.
   void found(const Found& f, const Candidates& electors, Millis now);
+  /// Proposes to found the core anew; every survivor must agree, the lost cannot.
+  void refound(const Refound& t, std::map<Incarnation, Address> survivors, Millis now);
+  bool refounding() const { return refound_.has_value(); }
   /// Brings an instance to its end that its proposer left open.
   void finish(Millis now) {
     if (!round_) start(Entry{next(led_.epoch()), "", std::monostate{}}, now, true);
@@ -69,6 +72,7 @@
   std::vector<Waiting> queue_;
   std::optional<Round> round_;
   std::optional<std::pair<Entry, Candidates>> founding_;
+  std::optional<std::pair<Refound, std::map<Incarnation, Address>>> refound_;
   std::map<Epoch, Held> held_;
   uint64_t top_ = 0;
   Millis pause_ = 0;
--- /dev/null
+++ b/src/consensus/refounding.cpp
@@ -0,0 +1,78 @@
+// What a marker does when a majority of the core is gone for good.
+#include <algorithm>
+
+#include "consensus/marker_machine.hpp"
+
+namespace mosskeel {
+
+bool MarkerMachine::core_lives(Millis now) const {
+  auto& m = *led_.view();
+  auto n = std::count_if(m.members.begin(), m.members.end(), [&](auto id) { return hear_.silence(*m.find(id), now) < limits::core_loss; });
+  return static_cast<size_t>(n) >= majority_of(m.members.size());
+}
+
+void MarkerMachine::survey(Millis now) {
+  next_survey_ = now + limits::discover;
+  auto& m = *led_.view();
+  auto& self = out_.id().self;
+  std::erase_if(fellows_, [&](auto& f) { return now - f.second.second > limits::discover * 8; });
+  if (core_lives(now) || !m.member(self.inc)) {
+    survey_since_ = 0;
+    return;
+  }
+  std::vector<DaemonId> lost;
+  bool accounted = true;
+  const Daemon* first = nullptr;
+  for (auto id : m.members) {
+    auto* d = m.find(id);
+    if (hear_.silence(*d, now) < limits::core_loss) {
+      if (!first) first = d;
+      continue;
+    }
+    out_.send(d->self.addr, Discover{self});
+    bool replaced = std::any_of(fellows_.begin(), fellows_.end(), [&](auto& f) { return f.second.first.addr == d->self.addr && f.first != d->self.inc; });
+    if (replaced) lost.push_back(id);
+    else accounted = false;
+  }
+  if (!accounted || !first || first->self.inc != self.inc || lost.size() <= m.members.size() - majority_of(m.members.size())) {
+    survey_since_ = 0;
+    return;
+  }
+  if (survey_since_ == 0) {
+    survey_since_ = now;
+    for (auto& [id, d] : m.directory)
+      if (d.state != DaemonState::left) out_.send(d.self.agent.empty() ? d.self.addr : d.self.agent, Catchup{led_.epoch()});
+  }
+  if (now - survey_since_ >= limits::survey && !prop_.refounding()) refound(lost, now);
+}
+
+void MarkerMachine::refound(const std::vector<DaemonId>& lost, Millis now) {
+  auto& m = *led_.view();
+  Refound r{m.generation, lost, {}};
+  std::map<Incarnation, Address> survivors;
+  for (auto id : m.members)
+    if (std::find(lost.begin(), lost.end(), id) == lost.end()) survivors[m.find(id)->self.inc] = m.find(id)->self.addr;
+  if (!m.member(out_.id().self.inc)) r.fresh.push_back(out_.id().self);
+  for (auto& [inc, f] : fellows_)
+    if (!m.member(inc)) r.fresh.push_back(f.first);
+  out_.note(Event::refounding, std::to_string(lost.size()) + " of " + std::to_string(m.members.size()) + " members are lost at epoch " + std::to_string(m.epoch.v));
+  prop_.refound(r, survivors, now);
+}
+
+void MarkerMachine::on(const Envelope& e, const Rebuild& r, Millis now) {
+  auto say = [&](Outcome o, const std::string& why) { out_.send(e.from, CommitReply{r.id, o, why, led_.epoch(), std::nullopt, {}}); };
+  auto& m = *led_.view();
+  if (!m.cluster) return say(Outcome::no, "this marker holds no log");
+  if (core_lives(now)) return say(Outcome::no, "a majority of the core lives; use replace core");
+  for (auto id : r.lost) {
+    if (std::find(m.members.begin(), m.members.end(), id) == m.members.end()) return say(Outcome::no, "daemon " + std::to_string(id.v) + " is no core member");
+    if (hear_.silence(*m.find(id), now) < limits::core_loss) return say(Outcome::no, "daemon " + std::to_string(id.v) + " lives");
+  }
+  for (auto id : m.members)
+    if (std::find(r.lost.begin(), r.lost.end(), id) == r.lost.end() && hear_.silence(*m.find(id), now) >= limits::core_loss)
+      return say(Outcome::no, "daemon " + std::to_string(id.v) + " is silent too, but was not named as lost");
+  refound(r.lost, now);
+  say(Outcome::yes, "");
+}
+
+}  // namespace mosskeel
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -8,6 +8,7 @@
   if (!duty_.held(now)) {
     busy_.clear();
     barrier_.clear();
+    cold_.clear();
     return;
   }
   if (now < next_ || (!busy_.empty() && now < busy_until_)) return;
@@ -110,6 +111,19 @@
   return std::nullopt;
 }
 
+std::optional<Transformation> Supervisor::warm(Millis now) {
+  for (auto& [n, r] : led_.view()->replicas) {
+    if (r.fitness != Fitness::cold) continue;
+    auto& c = cold_[n];
+    if (c.first != r.since) c = {r.since, now};
+    if (now - c.second < limits::cold_ramp + limits::isolation) continue;
+    auto x = r;
+    x.fitness = Fitness::ready;
+    return SetReplica{x};
+  }
+  return std::nullopt;
+}
+
 std::optional<Transformation> Supervisor::decide(Millis now) {
   auto& m = *led_.view();
   for (auto& [id, d] : m.directory) {
@@ -121,6 +135,7 @@
     if (d.state == DaemonState::down && heard(d, now)) return MarkUp{id};
   }
   if (auto t = core(now)) return t;
+  if (auto t = warm(now)) return t;
   return sequences(now);
 }
 
--- a/src/consensus/supervisor.hpp
+++ b/src/consensus/supervisor.hpp
@@ -17,6 +17,7 @@
   std::optional<Transformation> decide(Millis now);
   std::optional<Transformation> core(Millis now);
   std::optional<Transformation> sequences(Millis now);
+  std::optional<Transformation> warm(Millis now);
   /// How many members agree that a daemon was silent this long, or heard this lately.
   bool silent(const Daemon& d, Millis now) const;
   bool heard(const Daemon& d, Millis now) const;
@@ -29,6 +30,7 @@
   Millis busy_until_ = 0, next_ = 0;
   std::map<DaemonId, std::pair<Epoch, Millis>> barrier_;
   std::map<DaemonId, Millis> later_;
+  std::map<std::string, std::pair<Epoch, Millis>> cold_;
 };
 
 }  // namespace mosskeel
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -23,11 +23,11 @@
 
 bool Follower::foreign(const Envelope& e) const {
   if (e.to_inc.v && e.to_inc != out_.id().self.inc) return true;
-  return e.cluster && out_.cluster && e.cluster != out_.cluster;
+  return e.cluster && out_.cluster && e.cluster != out_.cluster && !succeeds(*led_.view(), e.cluster);
 }
 
 void Follower::learn(const Entries& v, const std::optional<Metadata>& c) {
-  if (c && (out_.cluster == 0 || c->cluster == out_.cluster) && led_.jump(*c)) {
+  if (c && (out_.cluster == 0 || c->cluster == out_.cluster || succeeds(*led_.view(), c->cluster)) && led_.jump(*c)) {
     out_.note(Event::caught_up, "checkpoint at " + std::to_string(c->epoch.v));
     if (on_jump) on_jump(*c);
   }
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -20,9 +20,10 @@
   X(decided, 202, "an epoch is enacted")                                                         \
   X(rejected, 203, "a change was refused, confirmed at the highest epoch")                       \
   X(unknown_outcome, 204, "a commit ended without a known outcome")                              \
+  X(refounding, 207, "a majority of the core is lost; it is founded anew from its survivors")     \
   X(caught_up, 205, "missing epochs were fetched")                                               \
   X(registered, 206, "this daemon is in the directory")                                          \
-  X(lost_identity, 207, "the log says that this daemon has left or been replaced")               \
+  X(lost_identity, 208, "the log says that this daemon has left or been replaced")               \
   X(duty_taken, 210, "the supervisor duty was taken")                                            \
   X(duty_lost, 211, "the supervisor duty ended")                                                 \
   X(node_silent, 212, "a daemon is silent for a majority of observers")                          \
--- a/src/kernel/machine.hpp
+++ b/src/kernel/machine.hpp
@@ -36,6 +36,7 @@
   Addresses seeds;
   uint32_t core_size = 3;
   uint64_t dice = 1;
+  Millis tcm_rpc = limits::tcm_rpc;
 };
 
 /// One interface for all daemons, driven alike by the hosts and the simulator.
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -170,12 +170,17 @@
   BOOST_HANA_DEFINE_STRUCT(StoreManifestReply, (Epoch, epoch));
 };
 
+/// The operator's word that these core members are lost for good.
+struct Rebuild {
+  BOOST_HANA_DEFINE_STRUCT(Rebuild, (std::string, id), (std::vector<DaemonId>, lost));
+};
+
 using Message =
     std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
                  CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
                  DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
                  SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, ErrandGone, LateSettle, LateSettled,
-                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, StoreManifest, StoreManifestReply>;
+                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, StoreManifest, StoreManifestReply, Rebuild>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
 struct Envelope {
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <sstream>
 
+#include "kernel/limits.hpp"
 #include "kernel/log.hpp"
 #include "manifest/json.hpp"
 
@@ -64,6 +65,7 @@
 std::variant<Props, int> read_props(int argc, const char** argv, const Needs& n) {
   char *file = nullptr, *listen = nullptr, *http = nullptr, *agent = nullptr, *zone = nullptr, *seeds = nullptr, *data = nullptr;
   int core = 0, version = 0, check = 0;
+  long await = 0, rpc = 0;
   poptOption table[] = {
       {"settings", 's', POPT_ARG_STRING, &file, 0, "JSON file with any of the settings below", "FILE"},
       {"listen", 'l', POPT_ARG_STRING, &listen, 0, "address for other daemons", "IP:PORT"},
@@ -73,6 +75,8 @@
       {"seeds", 'e', POPT_ARG_STRING, &seeds, 0, "three addresses of markers", "A,B,C"},
       {"data", 'd', POPT_ARG_STRING, &data, 0, "the data folder", "DIR"},
       {"core-size", 'c', POPT_ARG_INT, &core, 0, "how many markers make the core", "N"},
+      {"tcm-await-ms", 0, POPT_ARG_LONG, &await, 0, "patience for a change as a whole (10000)", "MS"},
+      {"tcm-rpc-ms", 0, POPT_ARG_LONG, &rpc, 0, "patience of one marker for it (2000)", "MS"},
       {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings, then exit", nullptr},
       {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -90,6 +94,8 @@
     return 0;
   }
   Props p{};
+  p.tcm_await_ms = limits::tcm_await;
+  p.tcm_rpc_ms = limits::tcm_rpc;
   if (file) {
     std::ifstream s(file);
     std::stringstream t;
@@ -98,7 +104,12 @@
       f.push_back({file, "cannot be read"});
     } else {
       auto r = json::parse<Props>(t.str());
-      if (ok(r)) p = value(r);
+      if (ok(r)) {
+        auto whole = value(r);
+        if (!whole.tcm_await_ms) whole.tcm_await_ms = p.tcm_await_ms;
+        if (!whole.tcm_rpc_ms) whole.tcm_rpc_ms = p.tcm_rpc_ms;
+        p = whole;
+      }
       else for (auto& x : findings(r)) f.push_back({std::string(file) + ": " + x.place, x.reason});
     }
   }
@@ -107,6 +118,8 @@
   };
   set(p.listen, listen), set(p.http, http), set(p.agent, agent), set(p.zone, zone), set(p.data, data);
   if (core) p.core_size = static_cast<uint32_t>(core < 0 ? 0 : core);
+  if (await) p.tcm_await_ms = await;
+  if (rpc) p.tcm_rpc_ms = rpc;
   if (seeds) {
     p.seeds.clear();
     std::stringstream s(seeds);
@@ -120,6 +133,8 @@
   if (n.seeds && p.seeds.empty()) f.push_back({"seeds", "are missing"});
   for (size_t i = 0; n.seeds && i < p.seeds.size(); ++i) address(f, ("seeds[" + std::to_string(i) + "]").c_str(), p.seeds[i]);
   if (n.core_size && (p.core_size < 1 || p.core_size > 9 || p.core_size % 2 == 0)) f.push_back({"core_size", "must be an odd number from 1 to 9"});
+  if (p.tcm_rpc_ms < 100 || p.tcm_rpc_ms > 30000) f.push_back({"tcm_rpc_ms", "must be from 100 to 30000"});
+  if (p.tcm_await_ms < p.tcm_rpc_ms || p.tcm_await_ms > 60000) f.push_back({"tcm_await_ms", "must be from tcm_rpc_ms to 60000"});
   if (!f.empty()) {
     for (auto& x : f) fprintf(stderr, "%s: event=%d %s: %s: %s\n", n.program, static_cast<int>(Event::bad_props), meaning(Event::bad_props), x.place.c_str(), x.reason.c_str());
     return 2;
--- a/src/kernel/props.hpp
+++ b/src/kernel/props.hpp
@@ -8,9 +8,10 @@
 
 struct Props {
   BOOST_HANA_DEFINE_STRUCT(Props, (std::string, listen), (std::string, http), (std::string, agent), (std::string, zone),
-                           (std::vector<std::string>, seeds), (std::string, data), (uint32_t, core_size));
+                           (std::vector<std::string>, seeds), (std::string, data), (uint32_t, core_size),
+                           (int64_t, tcm_await_ms), (int64_t, tcm_rpc_ms));
   static std::set<std::string> optional_fields() {
-    return {"listen", "http", "agent", "zone", "seeds", "data", "core_size"};
+    return {"listen", "http", "agent", "zone", "seeds", "data", "core_size", "tcm_await_ms", "tcm_rpc_ms"};
   }
 };
 
--- a/src/marker/desk.cpp
+++ b/src/marker/desk.cpp
@@ -37,7 +37,7 @@
 
 CommitReply Desk::commit(const Transformation& t, const std::string& id) {
   auto [addr, words] = sessions_.open();
-  auto until = wall_now() + limits::tcm_await;
+  auto until = wall_now() + await_;
   CommitReply last{};
   last.id = id;
   last.outcome = Outcome::unknown;
@@ -49,7 +49,7 @@
     e.epoch = v->epoch;
     e.body = Commit{id, t, v->epoch};
     host_.post(std::move(e));
-    auto m = words->pop(std::min<Millis>(limits::tcm_rpc + limits::heartbeat, until - wall_now()));
+    auto m = words->pop(std::min<Millis>(rpc_ + limits::heartbeat, until - wall_now()));
     if (!m) continue;
     if (auto* r = std::get_if<CommitReply>(&*m)) {
       last = *r;
@@ -60,6 +60,22 @@
   return last;
 }
 
+CommitReply Desk::rebuild(const std::vector<DaemonId>& lost) {
+  auto [addr, words] = sessions_.open();
+  CommitReply r{};
+  r.id = "the same sentence";
+  r.outcome = Outcome::unknown;
+  Envelope e{};
+  e.from = addr;
+  e.cluster = host_.view()->cluster;
+  e.body = Rebuild{r.id, lost};
+  host_.post(std::move(e));
+  if (auto m = words->pop(rpc_))
+    if (auto* x = std::get_if<CommitReply>(&*m)) r = *x;
+  sessions_.close(addr);
+  return r;
+}
+
 HttpAnswer Desk::change(const Transformation& t, const HttpAsk& a) {
   auto r = commit(t, id_of(a));
   Json j{{"outcome", r.outcome == Outcome::yes ? "yes" : r.outcome == Outcome::no ? "no" : "unknown"}, {"id", r.id}};
@@ -91,6 +107,8 @@
     s = operators::show(*x, *v);
   } else if (auto* x = std::get_if<operators::Explain>(&value(c))) {
     s = operators::explain(*x, *v, recent());
+  } else if (auto* x = std::get_if<operators::RebuildCore>(&value(c))) {
+    s = verdict(rebuild(x->lost));
   } else {
     auto t = operators::to_change(value(c), *v);
     s = ok(t) ? verdict(commit(value(t), id_of(a))) : "no: " + render(findings(t));
--- a/src/marker/desk.hpp
+++ b/src/marker/desk.hpp
@@ -9,11 +9,12 @@
 
 class Desk {
  public:
-  Desk(Host& h, Sessions& s) : host_(h), sessions_(s) {}
+  Desk(Host& h, Sessions& s, Millis await, Millis rpc) : host_(h), sessions_(s), await_(await), rpc_(rpc) {}
   HttpAnswer answer(const HttpAsk& a);
 
  private:
   CommitReply commit(const Transformation& t, const std::string& id);
+  CommitReply rebuild(const std::vector<DaemonId>& lost);
   HttpAnswer say(const HttpAsk& a);
   HttpAnswer change(const Transformation& t, const HttpAsk& a);
   HttpAnswer put_manifest(const HttpAsk& a);
@@ -24,6 +25,7 @@
   std::vector<Entry> recent();
   Host& host_;
   Sessions& sessions_;
+  Millis await_, rpc_;
 };
 
 }  // namespace mosskeel
--- a/src/metadata/describe.cpp
+++ b/src/metadata/describe.cpp
@@ -25,6 +25,7 @@
           [](const EvacuateZone& x) { return "evacuate zone " + x.zone; },
           [](const RestoreZone& x) { return "restore zone " + x.zone; },
           [](const MoveRoutes& x) { return "move the routes of " + id(x.from) + " to " + id(x.to); },
+          [](const Refound& x) { return "found the core anew as generation " + std::to_string(x.generation + 1) + " without " + std::to_string(x.lost.size()) + " lost members"; },
           [](const MoveSlot& x) { return "move slot " + std::to_string(x.slot.v) + " to " + id(x.owner); },
       },
       t);
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -256,6 +256,24 @@
   return m;
 }
 
+R go(Metadata m, const Refound& t) {
+  if (t.generation != m.generation) return no("generation", "is " + std::to_string(m.generation) + ", not " + std::to_string(t.generation));
+  std::erase_if(m.members, [&](auto id) { return std::find(t.lost.begin(), t.lost.end(), id) != t.lost.end(); });
+  for (auto id : t.lost)
+    if (auto i = m.directory.find(id); i != m.directory.end()) i->second.state = DaemonState::left, i->second.since = m.epoch;
+  for (auto& c : t.fresh) {
+    if (m.members.size() >= m.core_size) break;
+    auto* d = m.find(c.inc);
+    DaemonId id = d ? d->id : DaemonId{m.next_id++};
+    m.directory[id] = {id, c, DaemonState::up, m.epoch};
+    if (std::find(m.members.begin(), m.members.end(), id) == m.members.end()) m.members.push_back(id);
+  }
+  if (m.members.empty()) return no("refound", "no member would be left");
+  m.former.push_back(m.cluster);
+  m.cluster = successor(m.cluster, m.generation++);
+  return m;
+}
+
 }  // namespace
 
 Result<Metadata> apply(const Metadata& m, const Entry& e) {
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -78,11 +78,17 @@
   bool operator==(const MoveRoutes&) const = default;
 };
 
+/// Founds the core anew from its survivors: the lost members never vote again, the cluster's id changes.
+struct Refound {
+  BOOST_HANA_DEFINE_STRUCT(Refound, (uint64_t, generation), (std::vector<DaemonId>, lost), (std::vector<Candidate>, fresh));
+  bool operator==(const Refound&) const = default;
+};
+
 /// Append only: the index is what the log keeps.
 using Transformation =
     std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin,
                  PrepareDrain, Advance, CancelSequence, ApplyManifest, SetReplica, DropReplica,
-                 EvacuateZone, RestoreZone, MoveSlot, MoveRoutes>;
+                 EvacuateZone, RestoreZone, MoveSlot, MoveRoutes, Refound>;
 
 struct Entry {
   BOOST_HANA_DEFINE_STRUCT(Entry, (Epoch, epoch), (std::string, commit), (Transformation, change));
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -57,6 +57,17 @@
   return std::nullopt;
 }
 
+uint64_t successor(uint64_t cluster, uint64_t generation) { return digest(hex(cluster), generation); }
+
+bool succeeds(const Metadata& m, uint64_t later) {
+  auto c = m.cluster;
+  for (uint64_t k = 0; k < limits::generations_ahead; ++k) {
+    c = successor(c, m.generation + k);
+    if (c == later) return true;
+  }
+  return false;
+}
+
 SlotId slot_of(const std::string& cell, const std::string& program) {
   return SlotId{static_cast<uint32_t>(digest(program, digest(cell)) % limits::slots)};
 }
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -95,7 +95,8 @@
                            (Directory, directory), (uint64_t, next_id), (Replicas, replicas),
                            (std::vector<Slot>, slots), (Locks, locks), (Sequences, sequences),
                            (Revision, revision), (Manifest, manifest),
-                           (std::set<std::string>, evacuated), (std::vector<Remembered>, remembered));
+                           (std::set<std::string>, evacuated), (std::vector<Remembered>, remembered),
+                           (std::vector<uint64_t>, former));
   bool operator==(const Metadata&) const = default;
 
   const Daemon* find(DaemonId id) const;
@@ -106,6 +107,11 @@
 };
 using View = std::shared_ptr<const Metadata>;
 
+/// The cluster's id after its next re-founding; the old one is fenced off by it.
+uint64_t successor(uint64_t cluster, uint64_t generation);
+/// Whether `later` is what `m`'s cluster becomes by a few re-foundings.
+bool succeeds(const Metadata& m, uint64_t later);
+
 /// The slot of a program, by its root's id.
 SlotId slot_of(const std::string& cell, const std::string& program);
 
--- a/src/operator/language.cpp
+++ b/src/operator/language.cpp
@@ -134,6 +134,14 @@
           if (p.number(x, "a number") && p.end()) c = SetCell{n, w, x};
           break;
         }
+  } else if (p.take("rebuild")) {
+    RebuildCore r;
+    DaemonId d;
+    if (p.take("core") && p.take("without") && p.node(d)) {
+      do r.lost.push_back(d);
+      while (!p.end() && p.node(d));
+      if (p.end()) c = r;
+    }
   } else {
     c = change_sentence(p);
   }
--- a/src/operator/language.hpp
+++ b/src/operator/language.hpp
@@ -23,7 +23,10 @@
 struct Change {
   Transformation t;
 };
-using Command = std::variant<Show, Explain, CreateCell, DropCell, SetCell, Change>;
+struct RebuildCore {
+  std::vector<DaemonId> lost;
+};
+using Command = std::variant<Show, Explain, CreateCell, DropCell, SetCell, Change, RebuildCore>;
 
 /// A command, or where the sentence went wrong and what was expected there.
 Result<Command> parse(const std::string& sentence);
--- a/src/recorder/main.cpp
+++ b/src/recorder/main.cpp
@@ -12,7 +12,7 @@
   auto d = open_disk(p.data);
   if (auto* rc = std::get_if<int>(&d)) return *rc;
   auto disk = std::get<0>(d);
-  Identity id{{disk->recovered().inc, Role::recorder, p.zone, p.listen, "", p.http}, p.seeds, 0, dice()};
+  Identity id{{disk->recovered().inc, Role::recorder, p.zone, p.listen, "", p.http}, p.seeds, 0, dice(), p.tcm_rpc_ms};
   Host host(disk, p.listen);
   if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<RecorderMachine>(id, r, now); }); !f.empty()) return cannot_start("recorder", f);
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) {
--- /dev/null
+++ b/tests/sim/day.hpp
@@ -0,0 +1,29 @@
+#pragma once
+// One simulated day: a world, its callers, and the closing check.
+#include "sim/scenarios.hpp"
+
+namespace mosskeel::sim {
+
+struct Day {
+  World w;
+  Callers c;
+  Day(uint64_t seed, Size z, uint64_t budget) : w(seed, z), c(w, z.models, budget, 10) {}
+  std::string any(Kind k) {
+    auto v = w.names(k);
+    return v[w.roll() % v.size()];
+  }
+  /// Everything healed: we serve within 12 s, old conversations are resumed, every promise is checked.
+  void close();
+};
+
+void split(Day& d);
+void zone_lost(Day& d);
+void coreless(Day& d);
+void cold(Day& d);
+void rush(Day& d);
+void power_after_ack(Day& d);
+void core_majority_lost(Day& d);
+void rebuild(Day& d);
+void seeds_swapped(Day& d);
+
+}  // namespace mosskeel::sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -142,6 +142,10 @@
   auto& n = node(name);
   if (n.life != life || !n.machine) return;
   if (!n.frozen) act(n, n.machine->tick(now_));
+  if (!n.frozen && n.machine && n.kind == Kind::marker && static_cast<MarkerMachine&>(*n.machine).on_duty(now_))
+    for (auto& [s, x] : nodes_)
+      if (s != name && x->machine && !x->frozen && x->kind == Kind::marker && static_cast<MarkerMachine&>(*x->machine).on_duty(now_))
+        fail("two supervisors at once: " + name + " and " + s);
   at(now_ + limits::tick, [this, name, life] { tick(name, life); });
 }
 
--- a/tools/dialer/main.cpp
+++ b/tools/dialer/main.cpp
@@ -6,14 +6,15 @@
 #include <cstdio>
 #include <sstream>
 
+#include "har.hpp"
 #include "load.hpp"
 
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
   dialer::Plan p;
-  char *markers = nullptr, *mix = nullptr, *runs = nullptr, *report = nullptr, *cell = nullptr, *harm = nullptr, *control = nullptr;
-  int version = 0;
+  char *markers = nullptr, *mix = nullptr, *runs = nullptr, *report = nullptr, *cell = nullptr, *harm = nullptr, *control = nullptr, *har = nullptr, *to = nullptr;
+  int version = 0, all = 0;
   poptOption table[] = {{"markers", 'm', POPT_ARG_STRING, &markers, 0, "HTTP addresses of markers", "A,B,C"},
                         {"rate", 'r', POPT_ARG_DOUBLE, &p.rate, 0, "programs a second", "N"},
                         {"seconds", 't', POPT_ARG_INT, &p.seconds, 0, "how long programs are begun", "S"},
@@ -24,11 +25,20 @@
                         {"harm", 0, POPT_ARG_STRING, &harm, 0, "kinds of process to kill, freeze and restart", "KIND,..."},
                         {"control", 0, POPT_ARG_STRING, &control, 0, "the rack's control address, for harm", "IP:PORT"},
                         {"seed", 0, POPT_ARG_LONG, &p.seed, 0, "dice of the harm", "N"},
+                        {"har", 0, POPT_ARG_STRING, &har, 0, "replay this HTTP archive instead", "FILE"},
+                        {"to", 0, POPT_ARG_STRING, &to, 0, "the front worker that the replay goes to", "IP:PORT"},
+                        {"all", 0, POPT_ARG_NONE, &all, 0, "replay also what may not be repeated", nullptr},
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
   poptContext c = poptGetContext("dialer", argc, argv, table, 0);
   if (int rc = poptGetNextOpt(c); rc < -1) return fprintf(stderr, "dialer: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
   if (version) return printf("dialer (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
+  if (har && !to) return fprintf(stderr, "dialer: to: is missing\n"), 2;
+  if (har) {
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    return dialer::replay_har(har, to, all);
+  }
   if (!markers) return fprintf(stderr, "dialer: markers: are missing\n"), 2;
   if (p.rate <= 0 || p.rate > 1000 || p.seconds < 1) return fprintf(stderr, "dialer: rate, seconds: are out of range\n"), 2;
   std::stringstream l(markers);
