--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -25,5 +25,7 @@
 void core_majority_lost(Day& d);
 void rebuild(Day& d);
 void seeds_swapped(Day& d);
+void slow_disks(Day& d);
+void many_helpers(Day& d);
 
 }  // namespace mosskeel::sim
--- a/tests/sim/replicas.cpp
+++ b/tests/sim/replicas.cpp
@@ -85,7 +85,8 @@
     if (fault == "stall") return void(--r.now);
     if ((fault == "cut" && k == n / 2) || (fault == "lost" && k == n)) return over({a.attempt, true, 200, false, 0, 0, 0, "", "reset"});
     if (k == n) {
-      if (fault == "unsealed") return over({a.attempt, true, 200, false, 0, 0, 0, "", "no seal"});
+      if (fault == "unsealed") return over({a.attempt, true, 200, false, n, n, digest(text), "", "no seal"});
+      if (fault == "false seal") return over({a.attempt, true, 200, true, n, n, digest(text) + 1, "", ""});
       whole_["news/" + program + "/" + j["key"].get<std::string>()] = text;
       return over({a.attempt, true, 200, true, n, n, digest(text), "", ""});
     }
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -37,9 +37,9 @@
 
 /// Replicas that break in every way.
 void faults(Day& d) {
-  const char* const f[] = {"cut", "lost", "unsealed", "stall", "skip"};
+  const char* const f[] = {"cut", "lost", "unsealed", "stall", "skip", "false seal"};
   int i = 0;
-  for (auto& [n, r] : d.c.replicas) r.fault = f[i++ % 5], r.every = 3;
+  for (auto& [n, r] : d.c.replicas) r.fault = f[i++ % 6], r.every = 3;
   d.c.traffic(80, d.w.now() + 15000);
   for (int k = 0; k < 6; ++k) {
     d.w.run(2500);
@@ -192,7 +192,7 @@
       {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
       {"markers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::marker}, true); }},
       {"havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, all, true); }},
-      {"faults", {3, 3, 3, 4, 3}, 40, faults},
+      {"faults", {3, 3, 3, 6, 3}, 40, faults},
       {"storm", {3, 3, 3, 4, 3}, 400, storm},
       {"drains", {3, 3, 3, 6, 3}, 400, drains},
       {"stores", {3, 3, 3, 4, 3}, 400, stores},
@@ -207,6 +207,8 @@
       {"lostcore", {3, 3, 3, 4, 3}, 400, core_majority_lost},
       {"rebuild", {3, 3, 3, 4, 3}, 400, rebuild},
       {"seeds", {5, 3, 3, 4, 3}, 400, seeds_swapped},
+      {"slow", {3, 3, 4, 4, 3}, 400, slow_disks},
+      {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
   };
   return v;
 }
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -153,8 +153,9 @@
     auto all = w.names(Kind::marker);
     for (auto& s : all) w.power_off(s);
     if (w.chance(0.5)) w.power_off(d.any(Kind::recorder));
+    if (i == 2) w.wipe(all[w.roll() % all.size()]);
     w.run(500 + w.below(1500));
-    for (auto& s : all) w.start(s);
+    for (auto& s : all) w.start(s), w.node(s).disk.slow = w.chance(0.5) ? w.below(200) : 0;
     for (auto& s : w.names(Kind::recorder)) w.start(s);
     if (r) in_force(d, r, 8000);
   }
@@ -228,6 +229,39 @@
     if (s != stay) w.wipe(s);
 }
 
+/// All stores are slow, fronts die often, and now and then all stores lose power at once.
+void slow_disks(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(80, w.now() + 25000);
+  for (int i = 0; i < 8; ++i) {
+    for (auto& s : w.names(Kind::recorder)) w.node(s).disk.slow = 100 + w.below(300);
+    w.run(1500 + w.below(1500));
+    if (i % 2) {
+      for (auto& s : w.names(Kind::recorder)) w.power_off(s);
+      w.run(200);
+      for (auto& s : w.names(Kind::recorder)) w.start(s);
+    } else {
+      auto f = d.any(Kind::switchboard);
+      w.kill(f);
+      w.run(500);
+      w.start(f);
+    }
+  }
+  w.run(6000);
+}
+
+/// Programs whose helpers all ask at once, against one small budget.
+void many_helpers(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(200, w.now() + 12000);
+  for (int i = 0; i < 30; ++i) {
+    auto p = "dive" + std::to_string(i);
+    for (int h = 0; h < 8; ++h) d.c.turn(p, "h" + std::to_string(h), [](const Turn&) {});
+    w.run(300);
+  }
+  w.run(5000);
+}
+
 /// The seeds are swapped for other core machines, and every daemon restarts.
 void seeds_swapped(Day& d) {
   auto& w = d.w;
