An errand that another owner may have run is never again called not run

Cause: a front that had proxied an errand to an owner which then died relayed the next owner's refusal (its queue, its stores) as 'not run', though the first owner had run it. Ruled out: the owner's own refusals, which come before its intent.

--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -56,12 +56,12 @@
       if (now - w.last >= limits::line_retry) hand_over(w, now);
       return;
     case Stage::proxying: {
-      if (now >= w.horizon) return refuse(w, 504, "the horizon passed", limits::retry_ms, now, w.anew || w.seen ? Outcome::unknown : Outcome::unknown);
+      if (now >= w.horizon) return refuse(w, 504, "the horizon passed", limits::retry_ms, now);
       auto* t = led_.view()->find(w.target);
       bool gone = !t || t->state == DaemonState::down || t->state == DaemonState::left;
       if (o && o->id != w.target && (gone || !w.seen)) return route(w, now);
       if (!w.seen && now - w.asked > limits::proxy_patience + limits::line_patience)
-        return refuse(w, 503, "the program's owner does not answer", limits::retry_ms, now, t ? Outcome::unknown : Outcome::no);
+        return refuse(w, 503, "the program's owner does not answer", limits::retry_ms, now);
       if (now - w.last >= limits::line_retry * (w.seen ? 4 : 1)) proxy(w, now);
       return;
     }
@@ -83,6 +83,7 @@
 }
 
 void SwitchboardMachine::opened(Ref w, Millis now) {
+  w.doubt = false;
   if (w.e.kind == "history") return history(w, now);
   if (examine(w, now)) enqueue(w);
 }
--- a/src/errand/relay.cpp
+++ b/src/errand/relay.cpp
@@ -7,6 +7,7 @@
   w.last = now;
   auto* o = led_.view()->find(w.target);
   if (!o) return;
+  w.sent = true;
   ++tallies_["errands_proxied_out"];
   out_.send(o->self.addr, w.e, o->self.inc);
 }
@@ -32,6 +33,7 @@
   auto* d = led_.view()->find(w.target);
   if (!d || d->self.inc != e.from_inc) return;
   if (x.elsewhere) {
+    w.sent = false;
     w.seen = false;
     w.last = now;
     auto* o = owner(w.slot);
@@ -39,6 +41,7 @@
     return;
   }
   w.end = x;
+  if (w.doubt && x.ran == Outcome::no && x.status != 429) w.end.ran = Outcome::unknown;
   complete(w, now);
 }
 
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -165,6 +165,8 @@
 }
 
 void SwitchboardMachine::route(Ref w, Millis now) {
+  w.doubt = w.doubt || w.sent;
+  w.sent = false;
   auto* o = owner(w.slot);
   if (o && o->self.inc == out_.id().self.inc) {
     w.stage = Stage::opening;
@@ -183,6 +185,7 @@
 }
 
 void SwitchboardMachine::refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran) {
+  if (ran == Outcome::no && (w.doubt || w.sent)) ran = Outcome::unknown;
   w.end.status = status;
   w.end.ran = ran;
   w.end.reason = std::move(reason);
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -35,7 +35,9 @@
     std::string replica, text;
     uint32_t pieces = 0, turn = 0;
     Millis born = 0, horizon = 0, last = 0, asked = 0;
-    bool direct = false, seen = false, again = false, anew = false;
+    bool direct = false, seen = false, again = false;
+    /// It went to an owner whose verdict never came, so "not run" may no longer be said.
+    bool doubt = false, sent = false;
     DaemonId target{};
     ErrandEnd end{};
     Record settled{};
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -122,7 +122,7 @@
     auto t = "helper" + std::to_string(w_.below(3));
     turn(name, t, [](const Turn&) {});
   }
-  turn(name, "main", [=, this](const Turn&) { w_.at(w_.now() + w_.below(500), [=, this] { program(name, turns, i + 1); }); });
+  turn(name, "main", [=, this](const Turn&) { w_.at(w_.now() + w_.below(500), [=, this] { program(name, turns, i + 1); }); }, !w_.chance(0.25));
 }
 
 void Callers::turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then, bool stubborn) {
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -237,9 +237,12 @@
     for (auto& s : w.names(Kind::recorder)) w.node(s).disk.slow = 100 + w.below(300);
     w.run(1500 + w.below(1500));
     if (i % 2) {
+      auto f = d.any(Kind::switchboard);
       for (auto& s : w.names(Kind::recorder)) w.power_off(s);
+      w.kill(f);
       w.run(200);
       for (auto& s : w.names(Kind::recorder)) w.start(s);
+      w.start(f);
     } else {
       auto f = d.any(Kind::switchboard);
       w.kill(f);
