--- a/src/operator/language.cpp
+++ b/src/operator/language.cpp
@@ -1,5 +1,7 @@
 #include "operator/language.hpp"
 
+#include <algorithm>
+
 namespace mosskeel::operators {
 namespace {
 
@@ -60,7 +62,7 @@
  private:
   void hope(std::string s) {
     if (at_ != i_) hopes_.clear(), at_ = i_;
-    hopes_.push_back(std::move(s));
+    if (std::find(hopes_.begin(), hopes_.end(), s) == hopes_.end()) hopes_.push_back(std::move(s));
   }
   std::vector<Word> v_;
   std::vector<std::string> hopes_;
