--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -42,7 +42,6 @@
                         if (d && d->self.inc == e.from_inc) i->second.seen = true;
                       },
                       [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
-                      [&](const ErrandGone& x) { gone_.insert(x.attempt); },
                       [&](const LateSettle& x) { on(e, x, now); },
                       [&](const LateSettled& x) {
                         auto i = works_.find(x.attempt);
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -100,7 +100,6 @@
   std::vector<Late> lates_;
   boost::heap::priority_queue<Key> queue_;
   std::map<std::string, uint64_t> tallies_;
-  std::set<std::string> gone_;
   Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
   Epoch beaten_{};
   uint64_t seq_ = 0;
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -136,9 +136,6 @@
                            (std::string, body), (uint32_t, turn), (uint64_t, tokens), (uint32_t, retry_ms),
                            (bool, elsewhere), (uint32_t, pieces));
 };
-struct ErrandGone {
-  BOOST_HANA_DEFINE_STRUCT(ErrandGone, (std::string, attempt));
-};
 /// The outcome of a turn that was running when its slot moved.
 struct LateSettle {
   BOOST_HANA_DEFINE_STRUCT(LateSettle, (std::string, attempt), (LineName, line), (Record, record));
@@ -179,7 +176,7 @@
     std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
                  CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
                  DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
-                 SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, ErrandGone, LateSettle, LateSettled,
+                 SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled,
                  ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, StoreManifest, StoreManifestReply, Rebuild>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
--- a/src/kernel/wire.cpp
+++ b/src/kernel/wire.cpp
@@ -28,7 +28,7 @@
       "commit",        "commit-reply", "heartbeat",         "heartbeat-reply", "duty-ask",   "duty-grant",
       "line-read",         "line-read-reply", "line-write", "line-write-reply",
       "slot-stream",   "slot-stream-reply", "errand",       "errand-seen",   "errand-piece", "errand-end",
-      "errand-gone",   "late-settle",  "late-settled",      "replica-ask",   "replica-piece", "replica-end",
+         "late-settle",  "late-settled",      "replica-ask",   "replica-piece", "replica-end",
       "replica-stop",     "store-manifest",    "store-manifest-reply", "rebuild"};
   static_assert(std::size(n) == std::variant_size_v<Message>);
   return n[m.index()];
--- a/src/switchboard/callers.cpp
+++ b/src/switchboard/callers.cpp
@@ -68,7 +68,7 @@
   auto [addr, words] = sessions_.open();
   auto a = addr;
   auto w = words;
-  auto shut = [this, a] { sessions_.close(a); };
+  std::shared_ptr<void> open(nullptr, [this, a](void*) { sessions_.close(a); });
   Envelope env{};
   env.from = addr;
   auto v = host_.view();
@@ -84,7 +84,7 @@
   ErrandEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the errand", "", 0, 0, limits::retry_ms, false, 0};
   while (true) {
     auto m = w->pop(std::max<Millis>(1, until - wall_now()));
-    if (!m) return shut(), refused(lost);
+    if (!m) return refused(lost);
     if (auto* p = std::get_if<ErrandPiece>(&*m)) {
       text += p->text;
       ++n;
@@ -93,7 +93,7 @@
       r.headers["Content-Type"] = "application/x-ndjson";
       auto first = std::make_shared<std::optional<ErrandPiece>>(*p);
       auto over = std::make_shared<int>(0);
-      r.next = [=, this](std::string& o) -> HttpAnswer::Flow {
+      r.next = [=](std::string& o) mutable -> HttpAnswer::Flow {
         auto piece = [](const ErrandPiece& x) { return dump({{"n", x.n}, {"text", x.text}}); };
         if (*over) return *over == 1 ? HttpAnswer::Flow::end : HttpAnswer::Flow::broken;
         if (*first) {
@@ -108,13 +108,12 @@
         bool good = end && end->status == 200;
         o = dump(good ? done(*end) : verdict(end ? *end : lost));
         *over = good ? 1 : 2;
-        sessions_.close(a);
+        open.reset();
         return HttpAnswer::Flow::more;
       };
       return r;
     }
     if (auto* end = std::get_if<ErrandEnd>(&*m)) {
-      shut();
       if (end->status != 200) return refused(*end);
       HttpAnswer r;
       if (stream) {
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -19,3 +19,10 @@
 MARKERS=$(sed 's/.*markers \([^;]*\);.*/\1/' "$DIR/out")
 harm() { curl -sf -X POST "http://$CONTROL/$1/$2" >/dev/null; }
 say() { "$BIN/attendant" -m "$MARKERS" "$@"; }
+http_of() { curl -sf "http://$CONTROL/fleet" | tr '{' '\n' | grep "\"name\":\"$1\"" | sed 's/.*"http":"\([^"]*\)".*/\1/'; }
+# expect STATUS PATTERN CURL-ARGS...: the status, and a pattern that the body must hold
+expect() {
+  local want=$1 pattern=$2 got; shift 2
+  got=$(curl -s -o "$DIR/body" -w '%{http_code}' "$@")
+  [ "$got" = "$want" ] && grep -q -- "$pattern" "$DIR/body" || { echo "expected $want with $pattern, got $got: $(cat "$DIR/body") for $*"; exit 1; }
+}
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -10,6 +10,37 @@
 rc=0; "$BIN/marker" --listen nowhere --core-size 4 2>"$DIR/bad" || rc=$?; [ $rc = 2 ]
 [ "$(grep -c event=103 "$DIR/bad")" -ge 5 ]
 rc=0; say apply "$0" at 1 || rc=$?; [ $rc = 1 ]
+# bad input: each its own answer, naming field and reason
+F=$(http_of switchboard1); M=$(http_of marker1); T=http://$F/v1/cells/news/programs/bad/turns
+expect 400 '"place":"body"' -d '{' "$T"
+expect 400 '"place":"input"' -d '{}' "$T"
+expect 400 '"place":"max_tokens"' -d '{"input":"x","max_tokens":-1}' "$T"
+expect 400 'X-Horizon-Ms' -H 'X-Horizon-Ms: soon' -d '{"input":"x"}' "$T"
+expect 400 'X-Class' -H 'X-Class: first' -d '{"input":"x"}' "$T"
+expect 404 "cell 'nowhere' is unknown" -d '{"input":"x"}' "http://$F/v1/cells/nowhere/programs/p/turns"
+expect 404 "route 'q'" -d '{"input":"x","route":"q"}' "$T"
+expect 404 'conversation is missing' "http://$F/v1/cells/news/programs/never-seen"
+expect 404 'conversation is missing' -d '{"input":"x","after":2}' "$T"
+expect 404 unknown_path "http://$F/v2"
+expect 200 '"turn":1' -H 'Idempotency-Key: same' -d '{"input":"x"}' "$T"
+expect 200 '"turn":1' -H 'Idempotency-Key: same' -d '{"input":"x"}' "$T"
+expect 409 'another body' -H 'Idempotency-Key: same' -d '{"input":"y"}' "$T"
+expect 409 'after: the thread has 1' -d '{"input":"z","after":3}' "$T"
+head -c 1100000 /dev/zero | tr '\0' 'x' >"$DIR/long"
+expect 413 too_long --data-binary @"$DIR/long" "$T"
+expect 400 '"place":"cells"' -X PUT -d '{}' "http://$M/v1/manifest?revision=1"
+expect 400 '"place":"revision"' -X PUT -d '{"cells":[]}' "http://$M/v1/manifest"
+expect 409 'in force is' -X PUT -d '{"cells":[]}' "http://$M/v1/manifest?revision=77"
+expect 400 '"place":"url"' -X PUT -d '{"kind":"model","zone":"a"}' "http://$M/v1/replicas/x"
+expect 200 'position 6: expected' -d 'show flet' "http://$M/v1/say"
+# faults of a replica reach the caller as what they are
+for f in cut lost unsealed overlong error skip repeat; do
+  for r in model1 model2; do curl -sf -d "{\"fault\":\"$f\",\"left\":1}" "http://$(http_of $r)/control/fault" >/dev/null; done
+  expect 502 '"ran":"unknown"' -H "Idempotency-Key: $f" -d '{"input":"x"}' "http://$F/v1/cells/news/programs/fault-$f/turns"
+  expect 502 'kept outcome' -H "Idempotency-Key: $f" -d '{"input":"x"}' "http://$F/v1/cells/news/programs/fault-$f/turns"
+  [ "$(cat "$DIR"/fleet/runs-model* | grep -c "/$f	")" = 1 ]
+  for r in model1 model2; do curl -sf -d '{}' "http://$(http_of $r)/control/fault" >/dev/null; done
+done
 # the whole core dies and comes back from its disks
 for m in marker1 marker2 marker3; do harm kill $m; done
 for m in marker1 marker2 marker3; do harm start $m; done
