Every process has a clock of its own; a front's own word tells if a turn still runs

Cause: all simulated nodes shared one clock, which hid that Record::at_ms was compared between machines (is the turn still running elsewhere, retention read by fronts, expiry by recorders). Now: Record carries no time; the new owner asks the runner of an open intent and believes only its word or the log's that it is down; a process's time is its steady clock. Expiry is left out here and comes back by the recorders' own durations.

--- a/src/errand/dispatch.cpp
+++ b/src/errand/dispatch.cpp
@@ -138,7 +138,7 @@
 void SwitchboardMachine::history(Ref w, Millis now) {
   auto& v = keep_.records(w.line);
   auto* c = led_.view()->manifest.cell(w.e.cell);
-  if (v.empty() || (c && v.back().at_ms + c->retention_ms < now))
+  if (v.empty())
     return refuse(w, 404, "the conversation is missing: a majority of its stores keeps no such turns", 0, now);
   nlohmann::json j{{"program", w.e.program}, {"turns", nlohmann::json::array()}};
   std::map<std::string, const Record*> intents;
--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -68,11 +68,15 @@
   }
 }
 
-bool SwitchboardMachine::running_elsewhere(const Record& r, Millis now) const {
+bool SwitchboardMachine::running_elsewhere(const LineName& n, const Record& r, Millis now) {
   auto* d = led_.view()->find(r.runner);
-  if (!d || d->self.inc == out_.id().self.inc) return false;
-  if (now - r.at_ms > limits::errand_horizon + limits::handover_patience * 2) return false;
-  return d->state != DaemonState::down && d->state != DaemonState::left;
+  if (!d || d->self.inc == out_.id().self.inc || d->state == DaemonState::down || d->state == DaemonState::left) return false;
+  auto& x = runners_[{n, r.key, r.runner}];
+  if (!x.over && now - x.at >= limits::line_retry) {
+    x.at = now;
+    out_.send(d->self.addr, RunnerAsk{n, r.key}, d->self.inc);
+  }
+  return !x.over;
 }
 
 bool SwitchboardMachine::running_here(const LineName& n, const std::string& key) const {
@@ -107,7 +111,7 @@
                r.status == 200 ? "" : "kept outcome: " + r.output, r.status == 200 ? r.output : "", r.turn, r.tokens, 0, false, 0};
       return complete(w, now), false;
     }
-    if (running_here(w.line, w.e.key) || running_elsewhere(r, now))
+    if (running_here(w.line, w.e.key) || running_elsewhere(w.line, r, now))
       return refuse(w, 409, "key: this turn is running now", limits::retry_ms * 2, now, Outcome::yes), false;
     out_.note(Event::in_doubt, w.line.program + " key " + w.e.key);
     return refuse(w, 502, "the outcome of this turn is unknown; it will not be run again", 0, now, Outcome::unknown), false;
@@ -120,10 +124,9 @@
     if (open || r->status != 0) spent += r->tokens;
     if (r->thread != w.e.thread) continue;
     if (!open && r->status == 200) ++turns;
-    if (open && (running_here(w.line, k) || running_elsewhere(*r, now))) busy = true;
+    if (open && (running_here(w.line, k) || running_elsewhere(w.line, *r, now))) busy = true;
   }
-  bool stale = !v.empty() && v.back().at_ms + c->retention_ms < now;
-  if (w.e.kind == "model" && w.e.after && *w.e.after > 0 && (turns == 0 || stale))
+  if (w.e.kind == "model" && w.e.after && *w.e.after > 0 && turns == 0)
     return refuse(w, 404, "the conversation is missing: a majority of its stores keeps no such turns", 0, now), false;
   if (busy) {
     auto waiting = std::count_if(works_.begin(), works_.end(), [&](auto& x) { return x.second.line == w.line && x.second.stage == Stage::waiting; });
@@ -150,7 +153,6 @@
   r.tokens = w.reservation;
   r.turn = w.turn;
   r.runner = me()->id;
-  r.at_ms = now;
   r.input = w.e.body;
   w.settled = r;
   w.stage = Stage::intending;
@@ -165,7 +167,6 @@
   r.kind = RecordKind::settled;
   r.status = status;
   r.tokens = tokens;
-  r.at_ms = now;
   r.output = status == 200 ? w.text : reason;
   r.input.clear();
   if (keep_.term(w.line) != w.term) {
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -43,6 +43,12 @@
                       },
                       [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
                       [&](const LateSettle& x) { on(e, x, now); },
+                      [&](const RunnerAsk& x) { out_.send(e.from, RunnerWord{x.line, x.key, running_here(x.line, x.key)}, e.from_inc); },
+                      [&](const RunnerWord& x) {
+                        auto* d = led_.view()->find(e.from_inc);
+                        auto i = d ? runners_.find({x.line, x.key, d->id}) : runners_.end();
+                        if (i != runners_.end()) i->second.over = i->second.over || !x.running;
+                      },
                       [&](const LateSettled& x) {
                         auto i = works_.find(x.attempt);
                         if (i == works_.end() || i->second.stage != Stage::handing) return;
@@ -101,6 +107,7 @@
   for (auto& a : v)
     if (auto i = works_.find(a); i != works_.end()) advance(i->second, now);
   std::erase_if(lates_, [&](auto& l) { return late(l, now); });
+  std::erase_if(runners_, [&](auto& x) { return now - x.second.at > limits::line_idle; });
   for (auto i = ended_.begin(); i != ended_.end();) {
     auto age = now - i->second.first;
     if (age > limits::end_memory) i->second.second.reset();
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -48,6 +48,11 @@
     Millis born = 0;
     Epoch term{};
   };
+  /// What the front that wrote an intent said of it; `over` is its last word.
+  struct Asked {
+    Millis at = 0;
+    bool over = false;
+  };
   struct Key {
     bool urgent;
     uint64_t seq;
@@ -82,7 +87,7 @@
   bool late(Late& l, Millis now);
   void beat(Millis now);
   void sweep(Millis now);
-  bool running_elsewhere(const Record& intent, Millis now) const;
+  bool running_elsewhere(const LineName& n, const Record& intent, Millis now);
   bool running_here(const LineName& n, const std::string& key) const;
   const Daemon* me() const { return led_.view()->find(out_.id().self.inc); }
   const Daemon* owner(SlotId s) const { return led_.view()->find(led_.view()->slots[s.v].owner); }
@@ -98,6 +103,7 @@
   std::map<std::string, Work> works_;
   std::map<std::string, std::pair<Millis, std::optional<ErrandEnd>>> ended_;
   std::vector<Late> lates_;
+  std::map<std::tuple<LineName, std::string, DaemonId>, Asked> runners_;
   boost::heap::priority_queue<Key> queue_;
   std::map<std::string, uint64_t> tallies_;
   Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -7,16 +7,15 @@
 
 namespace mosskeel {
 
-Millis wall_now() {
+Millis process_now() {
   using namespace std::chrono;
-  static const auto wall = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
   static const auto base = steady_clock::now();
-  return wall + duration_cast<milliseconds>(steady_clock::now() - base).count();
+  return limits::process_start + duration_cast<milliseconds>(steady_clock::now() - base).count();
 }
 
 Findings Host::start(const Make& make) {
   Recovered none{};
-  machine_ = make(disk_ ? disk_->recovered() : none, wall_now());
+  machine_ = make(disk_ ? disk_->recovered() : none, process_now());
   if (disk_) disk_->forget_recovered();
   std::atomic_store(&view_, machine_->view());
   auto p = Post::open(self_, [this](Envelope e) { in_.push(std::move(e)); });
@@ -71,14 +70,14 @@
 void Host::think() {
   Millis next = 0;
   while (!halt_) {
-    auto now = wall_now();
+    auto now = process_now();
     if (now >= next) {
       act(machine_->tick(now));
       next = now + limits::tick;
     }
-    for (auto& x : in_.take(std::max<Millis>(1, next - wall_now()))) {
-      if (auto* e = std::get_if<Envelope>(&x)) act(machine_->step(*e, wall_now()));
-      else std::get<Call>(x)(*machine_, wall_now());
+    for (auto& x : in_.take(std::max<Millis>(1, next - process_now()))) {
+      if (auto* e = std::get_if<Envelope>(&x)) act(machine_->step(*e, process_now()));
+      else std::get<Call>(x)(*machine_, process_now());
     }
     auto v = machine_->view();
     if (v != view_) std::atomic_store(&view_, v);
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -8,8 +8,8 @@
 
 namespace mosskeel {
 
-/// Wall time at the start, moved on by the steady clock: never steps back in a process.
-Millis wall_now();
+/// This process's own time by the steady clock; it says nothing to any other process.
+Millis process_now();
 
 class Host {
  public:
--- a/src/kernel/limits.hpp
+++ b/src/kernel/limits.hpp
@@ -4,6 +4,7 @@
 
 namespace mosskeel::limits {
 
+constexpr Millis process_start = 1000000000000; // ms; a process's time begins here, so that 0 means never
 constexpr Millis tcm_await = 10000;       // ms; a daemon's whole patience for one commit (design)
 constexpr Millis tcm_rpc = 2000;          // ms; a marker's patience inside one commit ask (design)
 constexpr Millis tick = 20;               // ms; how often a state machine sees its schedule
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -81,7 +81,7 @@
 enum class RecordKind : uint8_t { intent, settled };
 struct Record {
   BOOST_HANA_DEFINE_STRUCT(Record, (RecordKind, kind), (std::string, key), (std::string, thread), (uint64_t, body_digest), (uint64_t, tokens),
-                           (uint32_t, turn), (uint32_t, status), (DaemonId, runner), (int64_t, at_ms),
+                           (uint32_t, turn), (uint32_t, status), (DaemonId, runner),
                            (std::string, input), (std::string, output));
   bool operator==(const Record&) const = default;
 };
@@ -160,6 +160,13 @@
 struct ReplicaStop {
   BOOST_HANA_DEFINE_STRUCT(ReplicaStop, (std::string, attempt));
 };
+/// Asks the front that wrote an intent whether it still runs it; only its own word counts.
+struct RunnerAsk {
+  BOOST_HANA_DEFINE_STRUCT(RunnerAsk, (LineName, line), (std::string, key));
+};
+struct RunnerWord {
+  BOOST_HANA_DEFINE_STRUCT(RunnerWord, (LineName, line), (std::string, key), (bool, running));
+};
 struct StoreManifest {
   BOOST_HANA_DEFINE_STRUCT(StoreManifest, (Entry, entry));
 };
@@ -177,7 +184,7 @@
                  CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
                  DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
                  SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled,
-                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, StoreManifest, StoreManifestReply, Rebuild>;
+                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, StoreManifest, StoreManifestReply, Rebuild, RunnerAsk, RunnerWord>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
 struct Envelope {
--- a/src/line/recorder_machine.cpp
+++ b/src/line/recorder_machine.cpp
@@ -181,23 +181,6 @@
   return e;
 }
 
-void RecorderMachine::expire(Millis now) {
-  next_expire_ = now + limits::line_patience;
-  auto& m = *led_.view();
-  for (auto& [id, s] : slots_) {
-    std::vector<LineName> gone;
-    for (auto& [n, l] : s.lines) {
-      auto* c = m.manifest.cell(n.cell);
-      if (!c || l.records.empty()) continue;
-      if (l.records.back().at_ms + c->retention_ms * 2 + limits::errand_horizon * 2 < now) gone.push_back(n);
-    }
-    for (auto& n : gone) {
-      journal(DropRecord{id, n});
-      s.lines.erase(n);
-    }
-  }
-}
-
 void RecorderMachine::handle(const Envelope& e, Millis now) {
   if (fol_.handle(e, now)) return;
   if (fol_.park(e)) return;
@@ -232,7 +215,6 @@
 
 void RecorderMachine::turn(Millis now) {
   stream(now);
-  if (now >= next_expire_) expire(now);
   Heartbeat h{out_.id().self, {}, 0, streamed(), 0, 0, false};
   fol_.tick(now, &h);
 }
--- a/src/line/recorder_machine.hpp
+++ b/src/line/recorder_machine.hpp
@@ -54,7 +54,6 @@
   static LineWriteReply write(SlotStore& s, const LineWrite& w);
   static void merge(SlotStore& s, const StreamRecord& r);
   void stream(Millis now);
-  void expire(Millis now);
   void turn(Millis now);
   Epoch streamed() const;
   void journal(const RecorderRecord& r) { out_.write(codec::pack(r)); }
@@ -66,7 +65,6 @@
   SlotStores slots_;
   std::map<SlotId, Streaming> streams_;
   size_t grown_ = 0;
-  Millis next_expire_ = 0;
 };
 
 }  // namespace mosskeel
--- a/src/marker/desk.cpp
+++ b/src/marker/desk.cpp
@@ -37,11 +37,11 @@
 
 CommitReply Desk::commit(const Transformation& t, const std::string& id) {
   auto [addr, words] = sessions_.open();
-  auto until = wall_now() + await_;
+  auto until = process_now() + await_;
   CommitReply last{};
   last.id = id;
   last.outcome = Outcome::unknown;
-  while (wall_now() < until && !host_.stopped()) {
+  while (process_now() < until && !host_.stopped()) {
     auto v = host_.view();
     Envelope e{};
     e.from = addr;
@@ -49,7 +49,7 @@
     e.epoch = v->epoch;
     e.body = Commit{id, t, v->epoch};
     host_.post(std::move(e));
-    auto m = words->pop(std::min<Millis>(rpc_ + limits::heartbeat, until - wall_now()));
+    auto m = words->pop(std::min<Millis>(rpc_ + limits::heartbeat, until - process_now()));
     if (!m) continue;
     if (auto* r = std::get_if<CommitReply>(&*m)) {
       last = *r;
--- a/src/switchboard/callers.cpp
+++ b/src/switchboard/callers.cpp
@@ -80,10 +80,10 @@
   host_.post(std::move(env));
   std::string text;
   uint32_t n = 0;
-  auto until = wall_now() + patience;
+  auto until = process_now() + patience;
   ErrandEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the errand", "", 0, 0, limits::retry_ms, false, 0};
   while (true) {
-    auto m = w->pop(std::max<Millis>(1, until - wall_now()));
+    auto m = w->pop(std::max<Millis>(1, until - process_now()));
     if (!m) return refused(lost);
     if (auto* p = std::get_if<ErrandPiece>(&*m)) {
       text += p->text;
@@ -101,7 +101,7 @@
           first->reset();
           return HttpAnswer::Flow::more;
         }
-        auto m = w->pop(std::max<Millis>(1, until - wall_now()));
+        auto m = w->pop(std::max<Millis>(1, until - process_now()));
         if (m && std::holds_alternative<ErrandPiece>(*m)) return o = piece(std::get<ErrandPiece>(*m)), HttpAnswer::Flow::more;
         auto* end = m ? std::get_if<ErrandEnd>(&*m) : nullptr;
         if (m && !end) return HttpAnswer::Flow::more;
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -62,7 +62,7 @@
   return w_.until(60000, [&] {
     if (left) return false;
     for (auto& s : w_.names(Kind::switchboard))
-      if (!w_.node(s).machine || !static_cast<SwitchboardMachine&>(*w_.node(s).machine).ready(w_.now())) return false;
+      if (!w_.ready(s)) return false;
     auto v = w_.node("switchboard1").machine->view();
     for (auto& s : v->slots)
       if (s.recorders.size() < std::min<size_t>(limits::copies, w_.names(Kind::recorder).size()) || !s.owner.v) return false;
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -67,7 +67,7 @@
         w.at(w.now() + 2000, [&w, rev] {
           for (auto& s : w.names(Kind::switchboard)) {
             auto& n = w.node(s);
-            if (n.machine && !n.frozen && w.net.cuts.empty() && static_cast<SwitchboardMachine&>(*n.machine).ready(w.now()) && n.machine->view()->revision < rev)
+            if (n.machine && !n.frozen && w.net.cuts.empty() && w.ready(s) && n.machine->view()->revision < rev)
               w.fail(s + " lacks revision " + std::to_string(rev.v) + " 2 s after its acknowledgement");
           }
         });
@@ -168,7 +168,7 @@
     if (!w.until(15000, [&] { return !w.node(s).machine; })) w.fail(s + " did not leave in order");
     w.run(300);
     w.start(s);
-    w.until(10000, [&] { return static_cast<SwitchboardMachine&>(*w.node(s).machine).ready(w.now()); });
+    w.until(10000, [&] { return w.ready(s); });
   }
   w.run(5000);
   if (d.c.unknowns) w.fail(std::to_string(d.c.unknowns) + " answers were lost in planned restarts");
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -41,7 +41,7 @@
 bool World::alive(const std::string& name) { return node(name).machine && !node(name).frozen; }
 
 void World::fail(const std::string& what) {
-  if (failures.size() < 20) failures.push_back(std::to_string(now_ - 1000000000000) + " ms: " + what);
+  if (failures.size() < 20) failures.push_back(std::to_string(now_ - limits::process_start) + " ms: " + what);
 }
 
 void World::start(const std::string& name) {
@@ -56,12 +56,15 @@
   n.revision = {};
   n.frozen = n.stopped = false;
   n.backlog.clear();
+  n.skew = below(12 * 3600 * 1000);
+  n.rate = 1 + (static_cast<double>(below(1001)) - 500) * 1e-6;
+  auto now = clock(n);
   Recovered r{n.id.self.inc, n.disk.checkpoint, n.disk.synced};
   switch (n.kind) {
-    case Kind::marker: n.machine = std::make_unique<MarkerMachine>(n.id, r, now_); break;
-    case Kind::recorder: n.machine = std::make_unique<RecorderMachine>(n.id, r, now_); break;
-    case Kind::lineman: n.machine = std::make_unique<LinemanMachine>(n.id, now_); break;
-    case Kind::switchboard: n.machine = std::make_unique<SwitchboardMachine>(n.id, now_); break;
+    case Kind::marker: n.machine = std::make_unique<MarkerMachine>(n.id, r, now); break;
+    case Kind::recorder: n.machine = std::make_unique<RecorderMachine>(n.id, r, now); break;
+    case Kind::lineman: n.machine = std::make_unique<LinemanMachine>(n.id, now); break;
+    case Kind::switchboard: n.machine = std::make_unique<SwitchboardMachine>(n.id, now); break;
   }
   at(now_ + below(limits::tick), [this, name, life = n.life] { tick(name, life); });
 }
@@ -119,6 +122,15 @@
     if (s != name && s != n.beside) cut(s, name), cut(name, s);
 }
 
+Millis World::clock(const Node& n) const {
+  return limits::process_start + n.skew + static_cast<Millis>(static_cast<double>(now_ - limits::process_start) * n.rate);
+}
+
+bool World::ready(const std::string& front) {
+  auto& n = node(front);
+  return n.machine && static_cast<SwitchboardMachine&>(*n.machine).ready(clock(n));
+}
+
 void World::at(Millis when, std::function<void()> f) { items_.push({when, ++seq_, std::move(f)}); }
 
 void World::run(Millis ms) {
@@ -141,10 +153,10 @@
 void World::tick(const std::string& name, uint64_t life) {
   auto& n = node(name);
   if (n.life != life || !n.machine) return;
-  if (!n.frozen) act(n, n.machine->tick(now_));
-  if (!n.frozen && n.machine && n.kind == Kind::marker && static_cast<MarkerMachine&>(*n.machine).on_duty(now_))
+  if (!n.frozen) act(n, n.machine->tick(clock(n)));
+  if (!n.frozen && n.machine && n.kind == Kind::marker && static_cast<MarkerMachine&>(*n.machine).on_duty(clock(n)))
     for (auto& [s, x] : nodes_)
-      if (s != name && x->machine && !x->frozen && x->kind == Kind::marker && static_cast<MarkerMachine&>(*x->machine).on_duty(now_))
+      if (s != name && x->machine && !x->frozen && x->kind == Kind::marker && static_cast<MarkerMachine&>(*x->machine).on_duty(clock(*x)))
         fail("two supervisors at once: " + name + " and " + s);
   at(now_ + limits::tick, [this, name, life] { tick(name, life); });
 }
@@ -157,13 +169,13 @@
 }
 
 void World::step(Node& n, const Envelope& e) {
-  if (keep_notes) notes.push_back(std::to_string(now_ - 1000000000000) + " " + n.name + " <- " + e.from + " " + kind_name(e.body));
-  act(n, n.machine->step(e, now_));
+  if (keep_notes) notes.push_back(std::to_string(now_ - limits::process_start) + " " + n.name + " <- " + e.from + " " + kind_name(e.body));
+  act(n, n.machine->step(e, clock(n)));
 }
 
 void World::act(Node& n, Actions a) {
   if (keep_notes)
-    for (auto& x : a.notes) notes.push_back(std::to_string(now_ - 1000000000000) + " " + n.name + " " + std::to_string(static_cast<int>(x.event)) + " " + x.text);
+    for (auto& x : a.notes) notes.push_back(std::to_string(now_ - limits::process_start) + " " + n.name + " " + std::to_string(static_cast<int>(x.event)) + " " + x.text);
   look(n);
   for (auto& e : a.now) send(n, e);
   bool diskless = n.kind == Kind::lineman || n.kind == Kind::switchboard;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -36,6 +36,9 @@
   std::deque<Envelope> backlog;
   Epoch seen{};
   Revision revision{};
+  /// This process's clock: another start than anybody's, and a rate of its own.
+  Millis skew = 0;
+  double rate = 1;
 };
 
 struct Net {
@@ -56,6 +59,9 @@
   bool until(Millis ms, const std::function<bool()>& ok);
   void at(Millis when, std::function<void()> f);
   Millis now() const { return now_; }
+  /// What the clock of one process shows now; no two agree.
+  Millis clock(const Node& n) const;
+  bool ready(const std::string& front);
   uint64_t roll() { return dice_(); }
   Millis below(Millis n) { return static_cast<Millis>(dice_() % static_cast<uint64_t>(n)); }
   bool chance(double p) { return static_cast<double>(dice_() % 1000000) < p * 1e6; }
@@ -108,7 +114,7 @@
   void look(Node& n);
   void die(Node& n);
   std::mt19937_64 dice_;
-  Millis now_ = 1000000000000;
+  Millis now_ = limits::process_start;
   uint64_t seq_ = 0;
   std::priority_queue<Item> items_;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
--- a/tools/rack/fleet.cpp
+++ b/tools/rack/fleet.cpp
@@ -162,9 +162,9 @@
 Findings Fleet::introduce() {
   auto all = markers();
   auto put = [&](const std::string& path, const Json& j) -> Findings {
-    auto until = wall_now() + 60000;
+    auto until = process_now() + 60000;
     std::string why;
-    while (wall_now() < until)
+    while (process_now() < until)
       for (auto& m : all) {
         WebAsk a;
         a.method = "PUT";
--- a/tools/rack/main.cpp
+++ b/tools/rack/main.cpp
@@ -82,17 +82,17 @@
   start_log("rack");
   hold_signals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  auto begun = wall_now();
+  auto begun = process_now();
   rack::Fleet f(p);
   if (auto x = f.start_all(); !x.empty()) return fprintf(stderr, "rack: %s\n", render(x).c_str()), 2;
   if (auto x = f.introduce(); !x.empty()) return fprintf(stderr, "rack: %s\n", render(x).c_str()), 1;
-  while (ready(f) < p.fronts && wall_now() - begun < 60000)
+  while (ready(f) < p.fronts && process_now() - begun < 60000)
     if (signalled(100)) return 1;
   auto web = HttpServer::open("127.0.0.1:" + std::to_string(p.base - 1), [&](const HttpAsk& a) { return answer(f, a); });
   if (!ok(web)) return fprintf(stderr, "rack: %s\n", render(findings(web)).c_str()), 2;
   std::string m;
   for (auto& a : f.markers()) m += (m.empty() ? "" : ",") + a;
-  printf("rack: %d of %d fronts ready after %lld ms; markers %s; control 127.0.0.1:%d\n", ready(f), p.fronts, static_cast<long long>(wall_now() - begun), m.c_str(), p.base - 1);
+  printf("rack: %d of %d fronts ready after %lld ms; markers %s; control 127.0.0.1:%d\n", ready(f), p.fronts, static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
   fflush(stdout);
   while (!signalled(1000)) {}
   return 0;
