Retention by the recorders' own uptime; an ended program keeps its name and takes no turn

Cause: lines were dropped by one recorder on dates that fronts had written; after that a program began with a fresh budget and its old keys ran again; lines of dropped cells stayed for ever. Now: records carry the retention promised with them, a majority of recorders must find a line aged, its owner ends it by a record, recorders keep 8 bytes of its name, bounded; callers hear 410.

--- a/src/errand/dispatch.cpp
+++ b/src/errand/dispatch.cpp
@@ -35,6 +35,10 @@
         route(w, now);
         continue;
       }
+      if (keep_.ended(w.line)) {
+        gone(w, now);
+        continue;
+      }
       if (!examine(w, now)) continue;
     }
     w.replica = r->name;
--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -88,6 +88,7 @@
 
 void SwitchboardMachine::opened(Ref w, Millis now) {
   w.doubt = false;
+  if (keep_.ended(w.line)) return gone(w, now);
   if (w.e.kind == "history") return history(w, now);
   if (examine(w, now)) enqueue(w);
 }
@@ -154,6 +155,7 @@
   r.turn = w.turn;
   r.runner = me()->id;
   r.input = w.e.body;
+  r.keep_ms = led_.view()->manifest.cell(w.e.cell)->retention_ms;
   w.settled = r;
   w.stage = Stage::intending;
   w.mark = keep_.append(w.line, r, now);
@@ -169,6 +171,7 @@
   r.tokens = tokens;
   r.output = status == 200 ? w.text : reason;
   r.input.clear();
+  if (auto* c = led_.view()->manifest.cell(w.e.cell)) r.keep_ms = std::max(r.keep_ms, c->retention_ms);
   if (keep_.term(w.line) != w.term) {
     w.asked = now;
     return hand_over(w, now);
@@ -198,6 +201,7 @@
   auto s = keep_.open(x.line, now);
   if (s == Keeper::State::fenced || now - l.born > limits::handover_patience) return true;
   if (s != Keeper::State::open) return false;
+  if (keep_.ended(x.line)) return say(Outcome::no);
   if (l.mark && l.term == keep_.term(x.line)) return keep_.committed(x.line) >= l.mark ? say(Outcome::yes) : false;
   const Record *last = nullptr, *after = nullptr;
   for (auto& r : keep_.records(x.line)) {
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -47,6 +47,7 @@
                       },
                       [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
                       [&](const LateSettle& x) { on(e, x, now); },
+                      [&](const LineAged& x) { on(e, x, now); },
                       [&](const RunnerAsk& x) { out_.send(e.from, RunnerWord{x.line, x.key, running_here(x.line, x.key)}, e.from_inc); },
                       [&](const RunnerWord& x) {
                         auto* d = led_.view()->find(e.from_inc);
@@ -111,6 +112,7 @@
   for (auto& a : v)
     if (auto i = works_.find(a); i != works_.end()) advance(i->second, now);
   std::erase_if(lates_, [&](auto& l) { return late(l, now); });
+  if (aged_.size() > limits::log_keep * limits::expiry_batch) aged_.clear();
   std::erase_if(runners_, [&](auto& x) { return now - x.second.at > limits::line_idle; });
   for (auto i = ended_.begin(); i != ended_.end();) {
     auto age = now - i->second.first;
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -87,6 +87,8 @@
   void complete(Ref w, Millis now);
   void refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran = Outcome::no);
   bool late(Late& l, Millis now);
+  void on(const Envelope& e, const LineAged& x, Millis now);
+  void gone(Ref w, Millis now);
   void beat(Millis now);
   void sweep(Millis now);
   bool running_elsewhere(const LineName& n, const Record& intent, Millis now);
@@ -105,6 +107,8 @@
   std::map<std::string, Work> works_;
   std::map<std::string, std::pair<Millis, std::optional<ErrandEnd>>> ended_;
   std::vector<Late> lates_;
+  /// Which recorders say that a line has outlived its retention, and at which length.
+  std::map<LineName, std::map<DaemonId, uint64_t>> aged_;
   std::map<std::tuple<LineName, std::string, DaemonId>, Asked> runners_;
   boost::heap::priority_queue<Key> queue_;
   std::map<std::string, uint64_t> tallies_;
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -77,11 +77,11 @@
   BOOST_HANA_DEFINE_STRUCT(DutyGrant, (uint64_t, number), (bool, granted), (Silences, silences));
 };
 
-/// An `intent` is there before dispatch with its token reservation, a `settled` before success.
-enum class RecordKind : uint8_t { intent, settled };
+/// An `intent` is there before dispatch with its token reservation, a `settled` before success; `ended` closes a line.
+enum class RecordKind : uint8_t { intent, settled, ended };
 struct Record {
   BOOST_HANA_DEFINE_STRUCT(Record, (RecordKind, kind), (std::string, key), (std::string, thread), (uint64_t, body_digest), (uint64_t, tokens),
-                           (uint32_t, turn), (uint32_t, status), (DaemonId, runner),
+                           (uint32_t, turn), (uint32_t, status), (DaemonId, runner), (int64_t, keep_ms),
                            (std::string, input), (std::string, output));
   bool operator==(const Record&) const = default;
 };
@@ -95,7 +95,7 @@
 };
 struct LineReadReply {
   BOOST_HANA_DEFINE_STRUCT(LineReadReply, (LineName, line), (Epoch, term), (bool, granted), (Epoch, line_term),
-                           (Records, records));
+                           (bool, buried), (Records, records));
 };
 /// Appends at `from`, or with `adopt` replaces the whole line by the records.
 struct LineWrite {
@@ -106,15 +106,24 @@
   BOOST_HANA_DEFINE_STRUCT(LineWriteReply, (LineName, line), (Epoch, term), (bool, granted), (bool, gap),
                            (uint64_t, length));
 };
+/// A recorder's own clock says that the line of this length has outlived its retention.
+struct LineAged {
+  BOOST_HANA_DEFINE_STRUCT(LineAged, (LineName, line), (SlotId, slot), (uint64_t, length));
+};
+/// The line has ended for good: its text may go, its name stays.
+struct LineBury {
+  BOOST_HANA_DEFINE_STRUCT(LineBury, (LineName, line), (SlotId, slot), (Epoch, term));
+};
 struct SlotStream {
-  BOOST_HANA_DEFINE_STRUCT(SlotStream, (SlotId, slot), (Epoch, sequence), (LineName, after));
+  BOOST_HANA_DEFINE_STRUCT(SlotStream, (SlotId, slot), (Epoch, sequence), (LineName, after), (uint64_t, grave));
 };
 struct StreamedLine {
   BOOST_HANA_DEFINE_STRUCT(StreamedLine, (LineName, line), (Epoch, line_term), (Records, records));
 };
 struct SlotStreamReply {
-  BOOST_HANA_DEFINE_STRUCT(SlotStreamReply, (SlotId, slot), (Epoch, sequence), (LineName, after), (Epoch, fence),
-                           (std::vector<StreamedLine>, lines), (bool, more));
+  BOOST_HANA_DEFINE_STRUCT(SlotStreamReply, (SlotId, slot), (Epoch, sequence), (LineName, after), (uint64_t, grave),
+                           (Epoch, fence), (std::vector<StreamedLine>, lines), (std::vector<uint64_t>, graves),
+                           (bool, more));
 };
 
 /// A caller's errand, from HTTP or proxied by another switchboard.
@@ -177,7 +186,8 @@
                  CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
                  DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
                  SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled,
-                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, Rebuild, RunnerAsk, RunnerWord>;
+                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged,
+                 LineBury>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
 struct Envelope {
--- a/src/kernel/wire.cpp
+++ b/src/kernel/wire.cpp
@@ -29,7 +29,7 @@
       "line-read",         "line-read-reply", "line-write", "line-write-reply",
       "slot-stream",   "slot-stream-reply", "errand",       "errand-seen",   "errand-piece", "errand-end",
          "late-settle",  "late-settled",      "replica-ask",   "replica-piece", "replica-end",
-      "replica-stop",     "rebuild", "runner-ask", "runner-word"};
+      "replica-stop",     "rebuild", "runner-ask", "runner-word", "line-aged", "line-bury"};
   static_assert(std::size(n) == std::variant_size_v<Message>);
   return n[m.index()];
 }
--- /dev/null
+++ b/src/line/graves.hpp
@@ -0,0 +1,20 @@
+#pragma once
+// What outlives a line's text: that it was there and has ended.
+#include "kernel/limits.hpp"
+#include "kernel/messages.hpp"
+
+namespace mosskeel {
+
+/// Digests of the names of ended lines, bounded: the older half goes when the younger is full.
+struct Graves {
+  BOOST_HANA_DEFINE_STRUCT(Graves, (std::vector<uint64_t>, young), (std::vector<uint64_t>, old));
+  bool has(uint64_t x) const;
+  void add(uint64_t x, size_t bound = limits::graves);
+  /// Those above `after` in order, at most `most`.
+  std::vector<uint64_t> above(uint64_t after, size_t most) const;
+  size_t size() const { return young.size() + old.size(); }
+};
+
+uint64_t grave_of(const LineName& n);
+
+}  // namespace mosskeel
--- a/src/line/keeper.cpp
+++ b/src/line/keeper.cpp
@@ -72,6 +72,18 @@
   return i == lines_.end() ? Epoch{} : i->second.term;
 }
 
+bool Keeper::ended(const LineName& n) const {
+  auto i = lines_.find(n);
+  if (i == lines_.end()) return false;
+  auto& v = i->second.records;
+  return i->second.buried || (!v.empty() && v.back().kind == RecordKind::ended);
+}
+
+bool Keeper::agreed(const LineName& n, const std::function<bool(DaemonId)>& has) const {
+  auto i = lines_.find(n);
+  return i != lines_.end() && enough(i->second, has);
+}
+
 uint64_t Keeper::append(const LineName& n, Record r, Millis now) {
   auto i = lines_.find(n);
   if (i == lines_.end()) return 0;
@@ -112,6 +124,7 @@
     if (!enough(h, [&](DaemonId id) { return h.peers.count(id) && h.peers[id].read; })) return;
     h.reading = false;
     for (auto& [id, p] : h.peers) p.last = 0, p.adopted = false;
+    if (h.buried) h.records.clear();
     if (h.records.empty()) {
       h.state = State::open;
       changed_.insert(n);
@@ -147,6 +160,7 @@
     if (!r->granted || !h.reading) return true;
     auto& p = h.peers[d->id];
     p.read = true;
+    h.buried = h.buried || r->buried;
     if (std::make_pair(h.best_term, h.records.size()) < std::make_pair(r->line_term, r->records.size())) {
       h.best_term = r->line_term;
       h.records = r->records;
--- a/src/line/keeper.hpp
+++ b/src/line/keeper.hpp
@@ -19,10 +19,14 @@
   uint64_t committed(const LineName& n) const;
   /// The term under which the line is open, to notice a change of ownership.
   Epoch term(const LineName& n) const;
+  /// Whether an open line has ended: its text is gone or may go, and nothing runs on it any more.
+  bool ended(const LineName& n) const;
   bool on(const Envelope& e, Millis now);
   void tick(Millis now);
   /// Lines whose state or committed length changed since the last call.
   std::set<LineName> changed() { return std::exchange(changed_, {}); }
+  /// Whether those who said so are a majority of the line's recorders.
+  bool agreed(const LineName& n, const std::function<bool(DaemonId)>& has) const;
   size_t open_lines() const { return lines_.size(); }
 
  private:
@@ -35,7 +39,7 @@
     SlotId slot{};
     Epoch term{};
     State state = State::opening;
-    bool reading = true;
+    bool reading = true, buried = false;
     Epoch best_term{};
     Records records;
     std::map<DaemonId, Peer> peers;
--- a/src/line/recorder_machine.cpp
+++ b/src/line/recorder_machine.cpp
@@ -4,11 +4,12 @@
 
 namespace mosskeel {
 
-RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now) : out_(id), fol_(out_, led_, now) {
+RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now) : out_(id), fol_(out_, led_, now), born_(now), now_(now) {
   if (r.checkpoint)
     if (auto c = codec::unpack<RecorderCheckpoint>(*r.checkpoint)) {
       led_.jump(c->metadata);
       slots_ = std::move(c->slots);
+      before_ = c->uptime;
     }
   for (auto& s : r.journal) {
     auto x = codec::unpack<RecorderRecord>(s);
@@ -16,7 +17,7 @@
     std::visit(overload{[&](const Fence& f) { slots_[f.slot].fence = std::max(slots_[f.slot].fence, f.term); },
                         [&](const LineWrite& w) { write(slots_[w.slot], w); },
                         [&](const StreamRecord& q) { merge(slots_[q.slot], q); },
-                        [&](const DropRecord& d) { slots_[d.slot].lines.erase(d.line); },
+                        [&](const BuryRecord& b) { bury(slots_[b.slot], b.line); },
                         [&](const Entry& e) { led_.add(e); }, [&](const Metadata& m) { led_.jump(m); }},
                *x);
   }
@@ -27,7 +28,7 @@
   fol_.on_jump = [this](const Metadata& m) { journal(m); };
 }
 
-std::string RecorderMachine::checkpoint() const { return codec::pack(RecorderCheckpoint{*led_.view(), slots_}); }
+std::string RecorderMachine::checkpoint() const { return codec::pack(RecorderCheckpoint{*led_.view(), slots_, uptime()}); }
 
 size_t RecorderMachine::kept_lines() const {
   size_t n = 0;
@@ -35,6 +36,12 @@
   return n;
 }
 
+size_t RecorderMachine::kept_graves() const {
+  size_t n = 0;
+  for (auto& [s, x] : slots_) n += x.graves.size();
+  return n;
+}
+
 Actions RecorderMachine::done() {
   for (auto& s : out_.act.journal) grown_ += s.size();
   if (grown_ > limits::checkpoint_bytes) {
@@ -66,19 +73,20 @@
 
 void RecorderMachine::on(const Envelope& e, const LineRead& r) {
   bool yes = placed(e, r.slot) && fence(r.slot, r.term);
-  LineReadReply a{r.line, r.term, yes, {}, {}};
   auto& s = slots_[r.slot];
+  LineReadReply a{r.line, r.term, yes, {}, s.graves.has(grave_of(r.line)), {}};
   if (auto i = s.lines.find(r.line); yes && i != s.lines.end()) a.line_term = i->second.term, a.records = i->second.records;
   out_.send_synced(e.from, a, e.from_inc);
 }
 
 LineWriteReply RecorderMachine::write(SlotStore& s, const LineWrite& w) {
   s.fence = std::max(s.fence, w.term);
+  if (s.graves.has(grave_of(w.line))) return {w.line, w.term, false, false, 0};
   auto i = s.lines.find(w.line);
   if (w.adopt) {
     auto& l = s.lines[w.line];
     if (l.term > w.term) return {w.line, w.term, false, false, 0};
-    if (l.term < w.term || w.records.size() >= l.records.size()) l = {w.term, w.records};
+    if (l.term < w.term || w.records.size() >= l.records.size()) l = {w.term, w.records, l.records.size() == w.records.size() ? l.touched : uptime()};
     return {w.line, w.term, true, false, l.records.size()};
   }
   if (i == s.lines.end() || i->second.term != w.term || i->second.records.size() < w.from)
@@ -86,6 +94,7 @@
   auto& v = i->second.records;
   size_t have = v.size() - w.from;
   for (size_t k = have; k < w.records.size(); ++k) v.push_back(w.records[k]);
+  i->second.touched = uptime();
   return {w.line, w.term, true, false, v.size()};
 }
 
@@ -100,7 +109,7 @@
 }
 
 void RecorderMachine::on(const Envelope& e, const SlotStream& q) {
-  SlotStreamReply r{q.slot, q.sequence, q.after, {}, {}, false};
+  SlotStreamReply r{q.slot, q.sequence, q.after, q.grave, {}, {}, {}, false};
   if (auto i = slots_.find(q.slot); i != slots_.end()) {
     r.fence = i->second.fence;
     size_t bytes = 0;
@@ -113,16 +122,21 @@
       for (auto& x : j->second.records) bytes += x.input.size() + x.output.size() + 128;
       r.lines.push_back({j->first, j->second.term, j->second.records});
     }
+    r.graves = i->second.graves.above(q.grave, limits::graves_page);
+    r.more = r.more || r.graves.size() == limits::graves_page;
   }
   out_.send(e.from, r, e.from_inc);
 }
 
 void RecorderMachine::merge(SlotStore& s, const StreamRecord& r) {
   s.fence = std::max(s.fence, r.fence);
+  for (auto g : r.graves) s.graves.add(g);
+  if (!r.graves.empty()) std::erase_if(s.lines, [&](auto& l) { return s.graves.has(grave_of(l.first)); });
   for (auto& l : r.lines) {
+    if (s.graves.has(grave_of(l.line))) continue;
     auto& mine = s.lines[l.line];
     if (std::make_pair(mine.term, mine.records.size()) < std::make_pair(l.line_term, l.records.size()))
-      mine = {l.line_term, l.records};
+      mine = {l.line_term, l.records, uptime()};
   }
 }
 
@@ -132,13 +146,14 @@
   if (i == streams_.end() || i->second.sequence != r.sequence || !d || i->second.complete) return;
   auto& x = i->second;
   auto at = x.at.find(d->id);
-  if (at == x.at.end() || at->second != r.after || x.done.count(d->id)) return;
-  StreamRecord q{r.slot, r.fence, r.lines};
+  if (at == x.at.end() || at->second.line != r.after || at->second.grave != r.grave || x.done.count(d->id)) return;
+  StreamRecord q{r.slot, r.fence, r.lines, r.graves};
   merge(slots_[r.slot], q);
   journal(q);
   if (r.more) {
-    at->second = r.lines.back().line;
-    out_.send(e.from, SlotStream{r.slot, r.sequence, at->second});
+    if (!r.lines.empty()) at->second.line = r.lines.back().line;
+    if (!r.graves.empty()) at->second.grave = r.graves.back();
+    out_.send(e.from, SlotStream{r.slot, r.sequence, at->second.line, at->second.grave});
     return;
   }
   x.done.insert(d->id);
@@ -169,7 +184,7 @@
     if (x.complete || now - x.last < limits::line_retry) continue;
     x.last = now;
     for (auto r : s.recorders)
-      if (auto* d = m.find(r); d && !x.done.count(r)) out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r]}, d->self.inc);
+      if (auto* d = m.find(r); d && !x.done.count(r)) out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].grave}, d->self.inc);
   }
 }
 
@@ -186,12 +201,13 @@
   if (fol_.handle(e, now)) return;
   if (fol_.park(e)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
-                      [&](const SlotStream& q) { on(e, q); }, [&](const SlotStreamReply& r) { on(e, r, now); },
+                      [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); }, [&](const SlotStreamReply& r) { on(e, r, now); },
                       [&](const auto&) {}},
              e.body);
 }
 
 Actions RecorderMachine::step(const Envelope& e, Millis now) {
+  now_ = now;
   if (fol_.foreign(e)) {
     out_.note(Event::foreign, "from " + e.from);
     return done();
@@ -206,12 +222,14 @@
 }
 
 Actions RecorderMachine::tick(Millis now) {
+  now_ = now;
   turn(now);
   return done();
 }
 
 void RecorderMachine::turn(Millis now) {
   stream(now);
+  if (now >= next_expire_) expire(now);
   Heartbeat h{out_.id().self, {}, 0, streamed(), 0, 0, false};
   fol_.tick(now, &h);
 }
--- a/src/line/recorder_machine.hpp
+++ b/src/line/recorder_machine.hpp
@@ -1,30 +1,33 @@
 #pragma once
 // A recorder: fenced append logs, one a line; it syncs before it answers.
 #include "follow/follower.hpp"
+#include "line/graves.hpp"
 
 namespace mosskeel {
 
+/// `touched` is when it was last written, by the recorder's own count of the time that it was up.
 struct Line {
-  BOOST_HANA_DEFINE_STRUCT(Line, (Epoch, term), (Records, records));
+  BOOST_HANA_DEFINE_STRUCT(Line, (Epoch, term), (Records, records), (Millis, touched));
 };
 using Lines = std::map<LineName, Line>;
 struct SlotStore {
-  BOOST_HANA_DEFINE_STRUCT(SlotStore, (Epoch, fence), (Lines, lines));
+  BOOST_HANA_DEFINE_STRUCT(SlotStore, (Epoch, fence), (Lines, lines), (Graves, graves));
 };
 using SlotStores = std::map<SlotId, SlotStore>;
 struct RecorderCheckpoint {
-  BOOST_HANA_DEFINE_STRUCT(RecorderCheckpoint, (Metadata, metadata), (SlotStores, slots));
+  BOOST_HANA_DEFINE_STRUCT(RecorderCheckpoint, (Metadata, metadata), (SlotStores, slots), (Millis, uptime));
 };
 struct StreamRecord {
-  BOOST_HANA_DEFINE_STRUCT(StreamRecord, (SlotId, slot), (Epoch, fence), (std::vector<StreamedLine>, lines));
+  BOOST_HANA_DEFINE_STRUCT(StreamRecord, (SlotId, slot), (Epoch, fence), (std::vector<StreamedLine>, lines),
+                           (std::vector<uint64_t>, graves));
 };
 struct Fence {
   BOOST_HANA_DEFINE_STRUCT(Fence, (SlotId, slot), (Epoch, term));
 };
-struct DropRecord {
-  BOOST_HANA_DEFINE_STRUCT(DropRecord, (SlotId, slot), (LineName, line));
+struct BuryRecord {
+  BOOST_HANA_DEFINE_STRUCT(BuryRecord, (SlotId, slot), (LineName, line));
 };
-using RecorderRecord = std::variant<Fence, LineWrite, StreamRecord, DropRecord, Entry, Metadata>;
+using RecorderRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata>;
 
 class RecorderMachine : public Machine {
  public:
@@ -35,11 +38,17 @@
   std::string checkpoint() const;
   const SlotStores& slots() const { return slots_; }
   size_t kept_lines() const;
+  size_t kept_graves() const;
 
  private:
+  /// How far a stream has come.
+  struct Place {
+    LineName line;
+    uint64_t grave = 0;
+  };
   struct Streaming {
     Epoch sequence;
-    std::map<DaemonId, LineName> at;
+    std::map<DaemonId, Place> at;
     std::set<DaemonId> done;
     Millis last = 0;
     bool complete = false;
@@ -51,8 +60,14 @@
   void on(const Envelope& e, const LineWrite& w);
   void on(const Envelope& e, const SlotStream& q);
   void on(const Envelope& e, const SlotStreamReply& r, Millis now);
-  static LineWriteReply write(SlotStore& s, const LineWrite& w);
-  static void merge(SlotStore& s, const StreamRecord& r);
+  void on(const Envelope& e, const LineBury& b);
+  LineWriteReply write(SlotStore& s, const LineWrite& w);
+  void merge(SlotStore& s, const StreamRecord& r);
+  static void bury(SlotStore& s, const LineName& n);
+  /// Tells the owner of lines that have outlived their retention by this recorder's own clock.
+  void expire(Millis now);
+  bool aged(const Line& l) const;
+  Millis uptime() const { return before_ + (now_ - born_); }
   void stream(Millis now);
   void turn(Millis now);
   Epoch streamed() const;
@@ -65,6 +80,8 @@
   SlotStores slots_;
   std::map<SlotId, Streaming> streams_;
   size_t grown_ = 0;
+  Millis born_, now_, before_ = 0, next_expire_ = 0;
+  SlotId expiring_{};
 };
 
 }  // namespace mosskeel
--- a/src/recorder/main.cpp
+++ b/src/recorder/main.cpp
@@ -18,9 +18,12 @@
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) {
     HttpAnswer x;
     if (a.path == "/metrics") {
-      size_t n = 0;
-      host.ask([&](Machine& m, Millis) { n = static_cast<RecorderMachine&>(m).kept_lines(); });
-      x.body = metrics_of(host, "recorder", {{"lines", static_cast<double>(n)}});
+      size_t n = 0, g = 0;
+      host.ask([&](Machine& m, Millis) {
+        n = static_cast<RecorderMachine&>(m).kept_lines();
+        g = static_cast<RecorderMachine&>(m).kept_graves();
+      });
+      x.body = metrics_of(host, "recorder", {{"lines", static_cast<double>(n)}, {"graves", static_cast<double>(g)}});
       x.headers["Content-Type"] = "text/plain";
       return x;
     }
--- a/src/switchboard/callers.cpp
+++ b/src/switchboard/callers.cpp
@@ -16,6 +16,7 @@
 std::string dump(const Json& j) { return j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"; }
 
 const char* code(const ErrandEnd& e) {
+  if (e.status == 410) return "ended";
   if (e.ran == Outcome::unknown) return "outcome_unknown";
   switch (e.status) {
     case 400: return "invalid";
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -154,6 +154,13 @@
   w_.at(w_.now() + 45000, [=] { finish(nullptr); });
 }
 
+void Callers::send(const std::string& front, Errand e, std::function<void(const Message&)> hear) {
+  Envelope env{};
+  env.from = session(front, std::move(hear), [] {});
+  env.body = std::move(e);
+  w_.post(front, env);
+}
+
 void Callers::fetch() {
   auto front = pick_front();
   if (front.empty()) return;
--- a/tests/sim/callers.hpp
+++ b/tests/sim/callers.hpp
@@ -31,6 +31,9 @@
   void commit(Transformation t, std::function<void(const CommitReply&)> then, std::string id = "", Millis patience = 10000);
   /// One turn on a program; `then` once it is done.
   void turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then, bool stubborn = true);
+  /// Any errand, by a session of its own.
+  void send(const std::string& front, Errand e, std::function<void(const Message&)> hear);
+  int runs(const std::string& program, const std::string& key) { return runs_["news/" + program + "/" + key]; }
   /// One repeatable errand of the plain application service.
   void fetch();
   void read_back(const std::string& program, std::function<void(uint32_t status, const std::string& body)> then);
--- /dev/null
+++ b/tests/sim/retention.cpp
@@ -0,0 +1,109 @@
+// Retention runs out, is shortened and lengthened, and cells go and come back, while turns are kept.
+#include "sim/day.hpp"
+
+namespace mosskeel::sim {
+namespace {
+
+constexpr Millis keep = 20000;
+
+/// One program's conversation, and what it was promised.
+struct Kept {
+  std::string cell, program, key;
+  Millis acked = 0, promise = 0;
+};
+
+struct Asker {
+  Day& d;
+  std::vector<Kept> kept;
+  int n = 0;
+
+  ErrandEnd go(Errand e) {
+    for (int i = 0; i < 20; ++i) {
+      auto r = ask(d, e, d.any(Kind::switchboard));
+      if (r.status && r.status != 503) return r;
+      d.w.run(300);
+    }
+    return {};
+  }
+  ErrandEnd turn(const std::string& cell, const std::string& program, const std::string& key) {
+    Errand e{};
+    e.kind = "model", e.route = "chat", e.thread = "main";
+    e.cell = cell, e.program = program, e.key = key, e.body = "say " + key;
+    return go(std::move(e));
+  }
+  ErrandEnd read(const Kept& k) {
+    Errand e{};
+    e.kind = "history";
+    e.cell = k.cell, e.program = k.program;
+    return go(std::move(e));
+  }
+  void add(const std::string& cell, Millis promise) {
+    auto name = "r" + std::to_string(++n), key = "key" + std::to_string(n);
+    if (turn(cell, name, key).status == 200) kept.push_back({cell, name, key, d.w.now(), promise});
+    else d.w.fail("a turn of cell " + cell + " failed");
+  }
+  /// Applies this list of cells beside the first one.
+  void cells(const std::vector<Cell>& v) {
+    auto m = latest(d.w)->manifest;
+    m.cells.resize(1);
+    for (auto& c : v) m.cells.push_back(c);
+    auto over = std::make_shared<bool>(false);
+    d.c.commit(ApplyManifest{latest(d.w)->revision, m}, [over](const CommitReply& r) { *over = r.outcome == Outcome::yes; });
+    if (!d.w.until(10000, [over] { return *over; })) d.w.fail("the manifest was not acknowledged");
+    d.w.run(300);
+  }
+  void expect(const Kept& k, uint32_t status, const char* when) {
+    if (auto r = read(k); r.status != status)
+      d.w.fail(k.program + " of cell " + k.cell + " gave " + std::to_string(r.status) + " (" + r.reason + ") " + when + ", " + std::to_string(d.w.now() - k.acked) + " ms after its turn");
+  }
+};
+
+Cell brief(const std::string& name, Millis ms) { return {name, 400, 10, ms, {{"chat", "model", {}}, {"app", "app", {}}}}; }
+
+}  // namespace
+
+void retention(Day& d) {
+  auto& w = d.w;
+  Asker a{d, {}};
+  d.c.traffic(150, w.now() + 20000);
+  a.cells({brief("plain", keep), brief("cut", 4 * keep), brief("gone", keep)});
+  for (int i = 0; i < 4; ++i)
+    for (auto* c : {"plain", "cut", "gone"}) a.add(c, std::string(c) == "cut" ? 4 * keep : keep);
+  a.cells({brief("plain", 3 * keep), brief("cut", 1000)});
+  a.add("plain", 3 * keep);
+  auto s = d.any(Kind::recorder);
+  w.kill(s);
+  w.run(1000);
+  w.start(s);
+  a.cells({brief("plain", keep), brief("cut", 1000), brief("gone", keep)});
+  auto at = [&](Millis after) { w.run(std::max<Millis>(0, a.kept.front().acked + after - w.now())); };
+  at(keep - 500);
+  for (auto& k : a.kept)
+    if (w.now() < k.acked + k.promise) a.expect(k, 200, "inside its retention");
+  s = d.any(Kind::recorder);
+  w.kill(s);
+  w.run(200);
+  w.start(s);
+  for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
+  at(keep + 100000);
+  for (auto& k : a.kept) {
+    if (k.promise > keep) continue;
+    a.expect(k, 410, "after its end");
+    auto before = d.c.runs(k.program, k.key);
+    for (auto key : {k.key, k.key + "-new"}) {
+      auto r = a.turn(k.cell, k.program, key);
+      if (r.status != 410) w.fail("an ended program took a turn: " + std::to_string(r.status) + " " + r.reason);
+    }
+    if (d.c.runs(k.program, k.key) != before || d.c.runs(k.program, k.key + "-new")) w.fail("a turn of an ended program ran");
+  }
+  for (auto& k : a.kept)
+    if (k.promise == 4 * keep && w.now() < k.acked + k.promise) a.expect(k, 200, "after its cell's retention was shortened");
+  at(4 * keep + 110000);
+  for (auto& k : a.kept) a.expect(k, 410, "at the end");
+  for (auto& n : w.names(Kind::recorder))
+    for (auto& [id, x] : static_cast<RecorderMachine&>(*w.node(n).machine).slots())
+      for (auto& [l, y] : x.lines)
+        if (l.cell != "news") w.fail(n + " still keeps " + l.cell + "/" + l.program);
+}
+
+}  // namespace mosskeel::sim
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -192,6 +192,7 @@
       {"slow", {3, 3, 4, 4, 3}, 400, slow_disks},
       {"carousel", {3, 3, 3, 4, 3}, 400, carousel},
       {"corecut", {3, 3, 4, 6, 3}, 400, core_cut},
+      {"retention", {3, 3, 3, 4, 3}, 400, retention},
       {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
   };
   return v;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -15,7 +15,7 @@
   e.protocol = limits::protocol;
   e.cluster = 9;
   e.from = "127.0.0.1:1";
-  e.body = LineWrite{{"news", "p"}, SlotId{3}, Epoch{4}, false, 2, {Record{RecordKind::intent, "k", "main", 1, 2, 3, 0, DaemonId{4}, "in", ""}}};
+  e.body = LineWrite{{"news", "p"}, SlotId{3}, Epoch{4}, false, 2, {Record{RecordKind::intent, "k", "main", 1, 2, 3, 0, DaemonId{4}, 5, "in", ""}}};
   return e;
 }
 }  // namespace
