Recorders compare their slots in the background and fetch the lines they lack

Cause: a line that a recorder missed stayed on a bare majority until its next use; nobody knew how many there were. Now: sums of slots compared in turn between the recorders in place, pages of names where they differ, lines fetched and taken by the higher (term, length); throttled; slots_lacking in metrics and heartbeats; no retirement while it is above 0.

--- a/src/consensus/hearing.hpp
+++ b/src/consensus/hearing.hpp
@@ -11,6 +11,7 @@
   Epoch streamed{};
   uint32_t running = 0;
   Candidate self{};
+  uint32_t lacking = 0;
 };
 
 class Hearing {
@@ -18,7 +19,7 @@
   explicit Hearing(Millis start) : start_(start) {}
   void hear(const Heartbeat& h, Millis now) {
     auto& x = heard_[h.self.inc];
-    x = {now, std::max(x.known, h.known), h.pressure, h.streamed, h.running, h.self};
+    x = {now, std::max(x.known, h.known), h.pressure, h.streamed, h.running, h.self, h.lacking};
   }
   const Heard* of(Incarnation inc) const {
     auto i = heard_.find(inc);
--- a/src/consensus/marker_machine.cpp
+++ b/src/consensus/marker_machine.cpp
@@ -225,7 +225,7 @@
   next_beat_ = now + limits::heartbeat;
   beaten_ = led_.epoch();
   auto& self = out_.id().self;
-  Heartbeat h{self, led_.epoch(), 0, {}, 0, now, false};
+  Heartbeat h{self, led_.epoch(), 0, {}, 0, now, false, 0};
   hear_.hear(h, now);
   for (auto id : led_.view()->members)
     if (auto* d = led_.view()->find(id); d->self.inc != self.inc) out_.send_synced(d->self.addr, h);
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -101,7 +101,7 @@
   next_beat_ = now + limits::agent_beat;
   beaten_ = led_.epoch();
   Heartbeat h{out_.id().self, led_.epoch(), static_cast<uint32_t>(works_.size()), {},
-              static_cast<uint32_t>(works_.size()), now, stopping_};
+              static_cast<uint32_t>(works_.size()), now, stopping_, 0};
   out_.send(out_.id().self.agent, h);
 }
 
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -62,7 +62,7 @@
 /// A daemon's sign of life; a lineman's speaks for its switchboard too.
 struct Heartbeat {
   BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, pressure), (Epoch, streamed),
-                           (uint32_t, running), (int64_t, sent), (bool, leaving));
+                           (uint32_t, running), (int64_t, sent), (bool, leaving), (uint32_t, lacking));
 };
 struct HeartbeatReply {
   BOOST_HANA_DEFINE_STRUCT(HeartbeatReply, (Epoch, epoch), (std::optional<Metadata>, checkpoint), (Entries, entries),
@@ -126,6 +126,29 @@
                            (bool, more));
 };
 
+/// Recorders compare their slots' lines in the background and fetch what they lack.
+struct SlotCheck {
+  BOOST_HANA_DEFINE_STRUCT(SlotCheck, (SlotId, slot), (Epoch, changed), (uint64_t, sum));
+};
+struct SlotCheckReply {
+  BOOST_HANA_DEFINE_STRUCT(SlotCheckReply, (SlotId, slot), (Epoch, changed), (bool, equal));
+};
+struct SlotList {
+  BOOST_HANA_DEFINE_STRUCT(SlotList, (SlotId, slot), (LineName, after));
+};
+struct LineMark {
+  BOOST_HANA_DEFINE_STRUCT(LineMark, (LineName, line), (Epoch, term), (uint64_t, length));
+};
+struct SlotListReply {
+  BOOST_HANA_DEFINE_STRUCT(SlotListReply, (SlotId, slot), (LineName, after), (std::vector<LineMark>, marks), (bool, more));
+};
+struct LinesFetch {
+  BOOST_HANA_DEFINE_STRUCT(LinesFetch, (SlotId, slot), (std::vector<LineName>, names));
+};
+struct LinesFetched {
+  BOOST_HANA_DEFINE_STRUCT(LinesFetched, (SlotId, slot), (std::vector<StreamedLine>, lines));
+};
+
 /// A caller's errand, from HTTP or proxied by another switchboard.
 struct Errand {
   BOOST_HANA_DEFINE_STRUCT(Errand, (std::string, attempt), (std::string, cell), (std::string, route),
@@ -187,7 +210,7 @@
                  DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
                  SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled,
                  ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged,
-                 LineBury>;
+                 LineBury, SlotCheck, SlotCheckReply, SlotList, SlotListReply, LinesFetch, LinesFetched>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
 struct Envelope {
--- a/src/kernel/wire.cpp
+++ b/src/kernel/wire.cpp
@@ -29,7 +29,7 @@
       "line-read",         "line-read-reply", "line-write", "line-write-reply",
       "slot-stream",   "slot-stream-reply", "errand",       "errand-seen",   "errand-piece", "errand-end",
          "late-settle",  "late-settled",      "replica-ask",   "replica-piece", "replica-end",
-      "replica-stop",     "rebuild", "runner-ask", "runner-word", "line-aged", "line-bury"};
+      "replica-stop",     "rebuild", "runner-ask", "runner-word", "line-aged", "line-bury", "slot-check", "slot-check-reply", "slot-list", "slot-list-reply", "lines-fetch", "lines-fetched"};
   static_assert(std::size(n) == std::variant_size_v<Message>);
   return n[m.index()];
 }
--- a/src/line/recorder_machine.cpp
+++ b/src/line/recorder_machine.cpp
@@ -4,7 +4,12 @@
 
 namespace mosskeel {
 
-RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now) : out_(id), fol_(out_, led_, now), born_(now), now_(now) {
+RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now) : out_(id), fol_(out_, led_, now), rep_(out_, led_, slots_), born_(now), now_(now) {
+  rep_.take = [this](const StreamRecord& q) {
+    merge(slots_[q.slot], q);
+    journal(q);
+  };
+  rep_.uptime = [this] { return uptime(); };
   if (r.checkpoint)
     if (auto c = codec::unpack<RecorderCheckpoint>(*r.checkpoint)) {
       led_.jump(c->metadata);
@@ -200,6 +205,7 @@
 void RecorderMachine::handle(const Envelope& e, Millis now) {
   if (fol_.handle(e, now)) return;
   if (fol_.park(e)) return;
+  if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
                       [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); }, [&](const SlotStreamReply& r) { on(e, r, now); },
                       [&](const auto&) {}},
@@ -230,7 +236,8 @@
 void RecorderMachine::turn(Millis now) {
   stream(now);
   if (now >= next_expire_) expire(now);
-  Heartbeat h{out_.id().self, {}, 0, streamed(), 0, 0, false};
+  rep_.tick(now);
+  Heartbeat h{out_.id().self, {}, 0, streamed(), 0, 0, false, rep_.lacking()};
   fol_.tick(now, &h);
 }
 
--- a/src/line/recorder_machine.hpp
+++ b/src/line/recorder_machine.hpp
@@ -1,26 +1,13 @@
 #pragma once
 // A recorder: fenced append logs, one a line; it syncs before it answers.
 #include "follow/follower.hpp"
-#include "line/graves.hpp"
+#include "line/repair.hpp"
 
 namespace mosskeel {
 
-/// `touched` is when it was last written, by the recorder's own count of the time that it was up.
-struct Line {
-  BOOST_HANA_DEFINE_STRUCT(Line, (Epoch, term), (Records, records), (Millis, touched));
-};
-using Lines = std::map<LineName, Line>;
-struct SlotStore {
-  BOOST_HANA_DEFINE_STRUCT(SlotStore, (Epoch, fence), (Lines, lines), (Graves, graves));
-};
-using SlotStores = std::map<SlotId, SlotStore>;
 struct RecorderCheckpoint {
   BOOST_HANA_DEFINE_STRUCT(RecorderCheckpoint, (Metadata, metadata), (SlotStores, slots), (Millis, uptime));
 };
-struct StreamRecord {
-  BOOST_HANA_DEFINE_STRUCT(StreamRecord, (SlotId, slot), (Epoch, fence), (std::vector<StreamedLine>, lines),
-                           (std::vector<uint64_t>, graves));
-};
 struct Fence {
   BOOST_HANA_DEFINE_STRUCT(Fence, (SlotId, slot), (Epoch, term));
 };
@@ -39,6 +26,7 @@
   const SlotStores& slots() const { return slots_; }
   size_t kept_lines() const;
   size_t kept_graves() const;
+  const Repair& repair() const { return rep_; }
 
  private:
   /// How far a stream has come.
@@ -78,6 +66,7 @@
   Ledger led_;
   Follower fol_;
   SlotStores slots_;
+  Repair rep_;
   std::map<SlotId, Streaming> streams_;
   size_t grown_ = 0;
   Millis born_, now_, before_ = 0, next_expire_ = 0;
--- /dev/null
+++ b/src/line/store.hpp
@@ -0,0 +1,21 @@
+#pragma once
+// What a recorder keeps of its slots.
+#include "line/graves.hpp"
+
+namespace mosskeel {
+
+/// `touched` is when it was last written, by the recorder's own count of the time that it was up.
+struct Line {
+  BOOST_HANA_DEFINE_STRUCT(Line, (Epoch, term), (Records, records), (Millis, touched));
+};
+using Lines = std::map<LineName, Line>;
+struct SlotStore {
+  BOOST_HANA_DEFINE_STRUCT(SlotStore, (Epoch, fence), (Lines, lines), (Graves, graves));
+};
+using SlotStores = std::map<SlotId, SlotStore>;
+struct StreamRecord {
+  BOOST_HANA_DEFINE_STRUCT(StreamRecord, (SlotId, slot), (Epoch, fence), (std::vector<StreamedLine>, lines),
+                           (std::vector<uint64_t>, graves));
+};
+
+}  // namespace mosskeel
--- a/src/marker/desk.cpp
+++ b/src/marker/desk.cpp
@@ -35,7 +35,27 @@
 
 }  // namespace
 
+/// A store is not retired while another one lacks copies: the one that goes might be the last to hold a line.
+std::string Desk::unsafe(const Transformation& t) {
+  auto* p = std::get_if<PrepareDrain>(&t);
+  auto v = host_.view();
+  auto* d = p ? v->find(p->node) : nullptr;
+  if (!d || d->self.role != Role::recorder) return "";
+  std::string s;
+  host_.ask([&](Machine& m, Millis now) {
+    auto& h = static_cast<MarkerMachine&>(m).hearing();
+    for (auto& [id, x] : v->directory) {
+      if (x.self.role != Role::recorder || x.state != DaemonState::up) continue;
+      auto* o = h.of(x.self.inc);
+      if (!o || now - o->last > limits::silence) s += " daemon " + std::to_string(id.v) + " is silent;";
+      else if (o->lacking) s += " daemon " + std::to_string(id.v) + " lacks copies in " + std::to_string(o->lacking) + " comparisons;";
+    }
+  });
+  return s.empty() ? "" : "copies are lacking:" + s + " wait for the repair (metric slots_lacking must be 0)";
+}
+
 CommitReply Desk::commit(const Transformation& t, const std::string& id) {
+  if (auto why = unsafe(t); !why.empty()) return {id, Outcome::no, why, host_.view()->epoch, std::nullopt, {}};
   auto [addr, words] = sessions_.open();
   auto until = process_now() + await_;
   CommitReply last{};
--- a/src/marker/desk.hpp
+++ b/src/marker/desk.hpp
@@ -13,6 +13,7 @@
   HttpAnswer answer(const HttpAsk& a);
 
  private:
+  std::string unsafe(const Transformation& t);
   CommitReply commit(const Transformation& t, const std::string& id);
   CommitReply rebuild(const std::vector<DaemonId>& lost);
   HttpAnswer say(const HttpAsk& a);
--- a/src/recorder/main.cpp
+++ b/src/recorder/main.cpp
@@ -18,12 +18,14 @@
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) {
     HttpAnswer x;
     if (a.path == "/metrics") {
-      size_t n = 0, g = 0;
+      size_t n = 0, g = 0, lacking = 0, fetched = 0;
       host.ask([&](Machine& m, Millis) {
         n = static_cast<RecorderMachine&>(m).kept_lines();
         g = static_cast<RecorderMachine&>(m).kept_graves();
+        lacking = static_cast<RecorderMachine&>(m).repair().lacking();
+        fetched = static_cast<RecorderMachine&>(m).repair().fetched();
       });
-      x.body = metrics_of(host, "recorder", {{"lines", static_cast<double>(n)}, {"graves", static_cast<double>(g)}});
+      x.body = metrics_of(host, "recorder", {{"lines", static_cast<double>(n)}, {"graves", static_cast<double>(g)}, {"slots_lacking", static_cast<double>(lacking)}, {"lines_repaired", static_cast<double>(fetched)}});
       x.headers["Content-Type"] = "text/plain";
       return x;
     }
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -38,6 +38,7 @@
 void carousel(Day& d);
 void core_cut(Day& d);
 void retention(Day& d);
+void idle_lines(Day& d);
 
 /// One errand from its asking to its end; a session that is lost gives status 0.
 ErrandEnd ask(Day& d, Errand e, const std::string& front);
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -106,4 +106,57 @@
         if (l.cell != "news") w.fail(n + " still keeps " + l.cell + "/" + l.program);
 }
 
+/// A store is away while lines are written; once repair says that nothing is lacking, all stores hold the same.
+void idle_lines(Day& d) {
+  auto& w = d.w;
+  auto stores = w.names(Kind::recorder);
+  auto away = d.any(Kind::recorder);
+  d.c.traffic(80, w.now() + 8000);
+  w.run(500 + w.below(1500));
+  bool frozen = w.chance(0.4);
+  if (frozen) w.freeze(away);
+  else w.power_off(away);
+  w.run(12000);
+  if (frozen) w.wake(away);
+  else w.start(away);
+  w.run(1000);
+  auto machine = [&](const std::string& s) -> RecorderMachine& { return static_cast<RecorderMachine&>(*w.node(s).machine); };
+  auto whole = [&] {
+    auto v = latest(w);
+    if (!v || !v->sequences.empty()) return false;
+    for (auto& s : stores) {
+      auto* me = w.node(s).machine ? machine(s).view()->find(w.node(s).id.self.inc) : nullptr;
+      if (!me || me->state != DaemonState::up || machine(s).repair().lacking()) return false;
+    }
+    return true;
+  };
+  auto same = [&] {
+    size_t lines = 0;
+    for (uint32_t i = 0; i < limits::slots; ++i) {
+      std::map<LineName, Records> first;
+      for (auto& s : stores) {
+        std::map<LineName, Records> v;
+        if (auto x = machine(s).slots().find(SlotId{i}); x != machine(s).slots().end())
+          for (auto& [n, l] : x->second.lines) v[n] = l.records;
+        if (s == stores.front()) first = v, lines += v.size();
+        else if (v != first) return w.fail(s + " holds other lines of slot " + std::to_string(i) + " than " + stores.front());
+      }
+    }
+    if (lines < 50) w.fail("hardly any lines to compare: " + std::to_string(lines));
+  };
+  if (!w.until(30000, whole)) w.fail("repair did not come to its end");
+  else same();
+  if (!frozen && machine(away).repair().fetched() < 10) w.fail("the store that was away fetched hardly anything: " + std::to_string(machine(away).repair().fetched()));
+  for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
+  auto lost = stores[w.roll() % stores.size()];
+  while (lost == away) lost = stores[w.roll() % stores.size()];
+  w.wipe(lost);
+  w.run(500);
+  w.start(lost);
+  w.run(8000);
+  if (!w.until(30000, whole)) w.fail("the copies of the lost disk were not restored");
+  else same();
+  for (auto& f : w.names(Kind::switchboard)) w.until(8000, [&] { return w.ready(f); });
+}
+
 }  // namespace mosskeel::sim
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -193,6 +193,7 @@
       {"carousel", {3, 3, 3, 4, 3}, 400, carousel},
       {"corecut", {3, 3, 4, 6, 3}, 400, core_cut},
       {"retention", {3, 3, 3, 4, 3}, 400, retention},
+      {"idle", {3, 3, 3, 4, 3}, 400, idle_lines},
       {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
   };
   return v;
