Two markers that each hold their own grant step back instead of denying each other for ever

Cause: a marker that granted the lease to itself renewed that grant each 500 ms. With just a majority alive, two such markers denied each other without end: nobody was on duty, nothing was marked down, slots of the dead stayed where they were. Ruled out: the heartbeats (all three living markers heard each other and were asked each 500 ms). Now: who is denied and holds nothing withdraws its own grant, ignores late grants, and asks again after up to 500 ms.

--- a/src/consensus/duty.cpp
+++ b/src/consensus/duty.cpp
@@ -19,6 +19,7 @@
   auto& m = *led_.view();
   if (g.number != number_ || !m.member(e.from_inc)) return;
   seen_[e.from_inc] = {now, g.silences};
+  denied_ = denied_ || !g.granted;
   if (!g.granted) return;
   grants_.insert(e.from_inc);
   if (grants_.size() >= majority_of(m.members.size())) until_ = asked_ + limits::duty_lease - limits::duty_margin;
@@ -37,10 +38,19 @@
     next_ask_ = granted_until_ + 1 + (rank - m.members.begin()) * limits::duty_margin / 2;
     return;
   }
+  if (denied_ && !held(now)) {
+    // Two who each grant themselves would deny each other for ever: step back, and let whoever asks first have it.
+    denied_ = false;
+    if (granted_to_ == me) granted_to_ = {}, granted_until_ = now;
+    number_ = 0;
+    next_ask_ = now + 1 + out_.jitter(limits::duty_renew);
+    return;
+  }
   next_ask_ = now + limits::duty_renew;
   asked_ = now;
   number_ = out_.roll();
   grants_.clear();
+  denied_ = false;
   for (auto id : m.members) out_.send(m.find(id)->self.addr, DutyAsk{number_}, m.find(id)->self.inc);
 }
 
--- a/src/consensus/duty.hpp
+++ b/src/consensus/duty.hpp
@@ -26,7 +26,7 @@
   Millis asked_ = 0, next_ask_ = 0, until_ = 0;
   std::set<Incarnation> grants_;
   std::map<Incarnation, std::pair<Millis, Silences>> seen_;
-  bool was_ = false;
+  bool was_ = false, denied_ = false;
 };
 
 }  // namespace mosskeel
--- /dev/null
+++ b/tests/sim/sizes.cpp
@@ -0,0 +1,168 @@
+// Days at the deployments' sizes: the brief's troubles under its load, then a closing fault that stays.
+#include "sim/day.hpp"
+
+namespace mosskeel::sim {
+namespace {
+
+std::vector<std::string> of_zone(World& w, const std::string& z) {
+  std::vector<std::string> v;
+  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+    for (auto& s : w.names(k))
+      if (w.node(s).id.self.zone == z) v.push_back(s);
+  return v;
+}
+
+void front_down(Day& d, bool freeze) {
+  auto f = d.any(Kind::switchboard);
+  for (auto& s : {f, d.w.node(f).beside}) freeze ? d.w.freeze(s) : d.w.kill(s);
+}
+
+void replica(Day& d, const std::string& n, Fitness f) {
+  auto& r = d.c.replicas[n];
+  d.c.commit(SetReplica{{n, r.kind, r.zone, "http://" + n, f, {}, 0}}, [](const CommitReply&) {});
+}
+
+/// One of the brief's troubles, begun and left to take its course.
+void trouble(Day& d, uint64_t which) {
+  auto& w = d.w;
+  switch (which % 9) {
+    case 0:  // a crowd at once, urgent jobs among it
+      d.c.urgent_share = 15;
+      d.c.traffic(6, w.now() + 4000);
+      w.run(6000);
+      break;
+    case 1:  // replicas replaced one by one
+      for (int i = 1; i <= 4; ++i) {
+        auto n = "model" + std::to_string(i);
+        replica(d, n, Fitness::leaving);
+        w.run(1800);
+        replica(d, n, Fitness::cold);
+        w.run(700);
+      }
+      break;
+    case 2: {  // a worker dies and comes back
+      auto f = d.any(Kind::switchboard);
+      w.kill(f);
+      w.run(4000);
+      w.start(f);
+      w.run(4000);
+      break;
+    }
+    case 3: {  // a store's disk is lost
+      auto s = d.any(Kind::recorder);
+      w.wipe(s);
+      w.run(2000);
+      w.start(s);
+      w.run(12000);
+      break;
+    }
+    case 4: {  // a zone loses power and comes back
+      auto v = of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))));
+      for (auto& s : v) w.power_off(s);
+      w.run(8000);
+      for (auto& s : v) w.start(s);
+      w.run(8000);
+      break;
+    }
+    case 5: {  // an empty core machine at a new address takes a lost one's place
+      auto m = d.any(Kind::marker);
+      w.wipe(m);
+      w.add("marker9", Kind::marker, w.node(m).id.self.zone);
+      w.run(14000);
+      break;
+    }
+    case 6:  // machines are added
+      w.add("recorder9", Kind::recorder, "a");
+      w.add("lineman9", Kind::lineman, "b", "switchboard9");
+      w.add("switchboard9", Kind::switchboard, "b", "lineman9");
+      w.run(8000);
+      break;
+    case 7:  // the seeds are swapped for other core machines
+      w.seeds = {w.names(Kind::marker).back(), "marker77", "marker78"};
+      for (auto& s : w.names(Kind::lineman)) w.kill(s), w.run(300), w.start(s), w.run(900);
+      break;
+    case 8:  // two operators race in a storm
+      for (int i = 0; i < 20; ++i) {
+        auto v = latest(w);
+        auto m = v->manifest;
+        m.cells[0].retention_ms += 1 + i;
+        for (int k = 0; k < 2; ++k) d.c.commit(ApplyManifest{v->revision, m}, [](const CommitReply&) {});
+        w.run(150);
+      }
+      break;
+  }
+}
+
+const char* closing_fault(Day& d, uint64_t which) {
+  auto& w = d.w;
+  switch (which % 7) {
+    case 0: return front_down(d, false), "a front killed";
+    case 1: return front_down(d, true), "a front frozen";
+    case 2: return w.power_off(d.any(Kind::recorder)), "a store lost";
+    case 3: return w.wipe(d.any(Kind::marker)), "a core machine lost";
+    case 4: {
+      auto v = w.names(Kind::marker);
+      for (size_t i = 0; i < majority_of(v.size()); ++i) w.freeze(v[i]);
+      return "a core majority frozen";
+    }
+    case 5:
+      for (auto& s : of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))))) w.power_off(s);
+      return "a zone lost";
+    default: {
+      auto v = of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))));
+      std::set<std::string> in(v.begin(), v.end());
+      for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+        for (auto& s : w.names(k))
+          if (!in.count(s))
+            for (auto& o : v) w.cut(o, s), w.cut(s, o);
+      return "a zone cut off";
+    }
+  }
+}
+
+/// By 12 s after the fault, which stays: a new program on every slot, and old conversations are followed on.
+void must_resume(Day& d, const char* what) {
+  auto& w = d.w;
+  std::vector<std::string> ask;
+  std::set<SlotId> have;
+  for (int i = 0; have.size() < limits::slots; ++i)
+    if (auto n = "after" + std::to_string(i); have.insert(slot_of("news", n)).second) ask.push_back(n);
+  auto old = d.c.programs();
+  for (size_t i = 0; i < old.size() && i < 120; ++i) ask.push_back(old[w.roll() % old.size()]);
+  auto left = std::make_shared<std::map<std::string, int>>();
+  for (auto& p : ask) {
+    ++(*left)[p];
+    w.at(w.now() + w.below(1500), [&d, p, left] {
+      d.c.turn(p, "closing", [p, left](const Turn& t) {
+        if (t.success || t.status == 429) --(*left)[p];
+      });
+    });
+  }
+  auto open = [left] { return std::count_if(left->begin(), left->end(), [](auto& x) { return x.second > 0; }); };
+  if (w.until(6000, [&] { return open() == 0; })) return;
+  std::string who;
+  for (auto& [p, n] : *left)
+    if (n > 0 && who.size() < 60) who += " " + p;
+  w.fail(std::to_string(open()) + " of " + std::to_string(ask.size()) + " programs not served 12 s after " + what + ":" + who);
+}
+
+}  // namespace
+
+void deployment(Day& d, bool election) {
+  auto& w = d.w;
+  d.c.dives = election ? 6 : 12;
+  d.c.traffic(election ? 38 : 83, w.now() + 80000);
+  w.run(2000);
+  auto first = w.roll(), second = w.roll();
+  trouble(d, first);
+  w.run(1000);
+  trouble(d, second % 9 == first % 9 ? second + 1 : second);
+  if (!w.until(20000, [&] { return latest(w)->sequences.empty(); })) w.fail("sequences are stuck before the closing fault");
+  w.run(3000);
+  auto what = closing_fault(d, w.roll());
+  w.run(12000);
+  d.c.only_ready = true;
+  must_resume(d, what);
+}
+
+}  // namespace mosskeel::sim
