A kept answer is given only once its record is on a majority

Cause: a caller that lost its session and asked again under its key was given the settled record that its owner had just appended, before a majority had it. With the owner's zone cut off, the new owner never saw that record: an acknowledged turn was gone. Read-back showed such records too, and a handed-over outcome was confirmed on them. Ruled out: repair and adoption (the trace shows the record on one recorder only, the other two never had it). Now: Keeper::kept; until then the answer is 409, running now.

--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -27,7 +27,7 @@
       return advance(w, now);
     case Stage::queued:
       if (!w.direct && !mine) return route(w, now);
-      if (now >= w.horizon || now - w.asked > limits::queue_patience) return refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
+      if (now >= w.horizon || now - w.asked > limits::queue_patience) return ++tallies_["errands_admitted_refused"], refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
       return;
     case Stage::intending:
       if (!line_held) {
@@ -107,6 +107,8 @@
     auto& r = *i->second;
     if (intents[w.e.key]->body_digest != digest(w.e.body + '\0' + w.e.path))
       return refuse(w, 409, "key: was used with another body", 0, now), false;
+    if (r.kind == RecordKind::settled && !keep_.kept(w.line, r))
+      return refuse(w, 409, "key: this turn is running now", limits::retry_ms * 2, now, Outcome::yes), false;
     if (r.kind == RecordKind::settled) {
       w.end = {w.e.attempt, r.status, r.status == 200 ? Outcome::yes : Outcome::unknown,
                r.status == 200 ? "" : "kept outcome: " + r.output, r.status == 200 ? r.output : "", r.turn, r.tokens, 0, false, 0};
@@ -209,6 +211,7 @@
     else if (last && r.thread == x.record.thread) after = &r;
   }
   if (!last) return say(x.record.status == 0 ? Outcome::yes : Outcome::no);
+  if (last->kind == RecordKind::settled && !keep_.kept(x.line, *last)) return false;
   if (last->kind == RecordKind::settled)
     return say(last->status == x.record.status && last->output == x.record.output ? Outcome::yes : Outcome::no);
   if (last->runner != x.record.runner || after) return say(Outcome::no);
--- a/src/line/keeper.cpp
+++ b/src/line/keeper.cpp
@@ -50,7 +50,7 @@
   i->second.used = now;
   auto& h = i->second;
   if (h.state == State::opening && now - h.since > limits::line_patience) {
-    lines_.erase(i);
+    if (h.reading) lines_.erase(i);
     return State::unavailable;
   }
   return h.state;
@@ -67,6 +67,10 @@
   return i == lines_.end() ? 0 : i->second.committed;
 }
 
+bool Keeper::kept(const LineName& n, const Record& r) const {
+  return static_cast<uint64_t>(&r - records(n).data()) < committed(n);
+}
+
 Epoch Keeper::term(const LineName& n) const {
   auto i = lines_.find(n);
   return i == lines_.end() ? Epoch{} : i->second.term;
--- a/src/line/keeper.hpp
+++ b/src/line/keeper.hpp
@@ -15,6 +15,8 @@
   const Records& records(const LineName& n) const;
   /// Appends to an open line; the number to wait for.
   uint64_t append(const LineName& n, Record r, Millis now);
+  /// Whether a record of the line, one of `records`, lies on a majority; until then nobody may be told of it.
+  bool kept(const LineName& n, const Record& r) const;
   /// How many records a majority has synced.
   uint64_t committed(const LineName& n) const;
   /// The term under which the line is open, to notice a change of ownership.
