A replica's places are shared over the fronts; errands are admitted by the queue's pace

Cause: each front had 8 places on a replica, so their sum grew with the fronts and jumped when a ramp ended; errands waited 5 s (behind their thread 10 s) and were then refused, with the same Retry-After for all. Now: places stand in the replica's record (default 32, 1 to 4096, 400 otherwise) and are shared out by rank over the fronts in the log; while cold one front ramps them for the fleet. Admission multiplies the queue by its measured pace: what would wait over 2.5 s or half its horizon is refused on arrival, Retry-After from the same estimate, spread by up to half. Only errands that would wait here are judged, not those that are proxied.

--- a/src/errand/dispatch.cpp
+++ b/src/errand/dispatch.cpp
@@ -14,6 +14,25 @@
   queue_.push({w.e.urgent, w.seq, w.e.attempt});
 }
 
+/// How long an errand that came now would wait: those before it, at the pace at which the queue was seen to move.
+Millis SwitchboardMachine::expected_wait(const std::string& kind, bool urgent) const {
+  auto i = paces_.find(kind);
+  if (i == paces_.end()) return 0;
+  auto before = std::count_if(works_.begin(), works_.end(), [&](auto& x) {
+    auto& w = x.second;
+    return w.e.kind == kind && (w.stage == Stage::queued || w.stage == Stage::opening) && (!urgent || w.e.urgent);
+  });
+  return static_cast<Millis>(static_cast<double>(before) * i->second.interval);
+}
+
+/// An errand left the queue; the time since the one before it counts while others wait.
+void SwitchboardMachine::paced(const std::string& kind, Millis now) {
+  auto& p = paces_[kind];
+  bool busy = p.last && count(Stage::queued) > 1;
+  if (busy) p.interval += (static_cast<double>(std::min(now - p.last, limits::queue_patience)) - p.interval) * limits::pace_share;
+  p.last = now;
+}
+
 void SwitchboardMachine::drain_queue(Millis now) {
   std::vector<Key> back;
   auto* d = me();
@@ -43,6 +62,7 @@
     }
     w.replica = r->name;
     nom_.took(r->name, w.e);
+    paced(w.e.kind, now);
     if (w.direct) dispatch(w, now);
     else intend(w, now);
   }
@@ -149,6 +169,7 @@
   std::map<std::string, bool> open;
   uint64_t spent = 0;
   for (auto& r : v) {
+    if (!keep_.kept(w.line, r)) break;
     open[r.key] = r.kind == RecordKind::intent;
     if (r.kind == RecordKind::intent) {
       intents[r.key] = &r;
--- a/src/errand/nominate.cpp
+++ b/src/errand/nominate.cpp
@@ -4,22 +4,24 @@
 
 namespace mosskeel {
 
+/// A replica's places are shared out over the fronts in the log; at least one each. While it is cold, one front alone
+/// ramps it up for the whole fleet.
 uint32_t Nominator::places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const {
   if (r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) return 0;
-  if (r.fitness == Fitness::ready) return limits::replica_pressure;
   std::vector<std::pair<uint64_t, DaemonId>> v;
   for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::front && d.state == DaemonState::up && !m.evacuated.count(d.self.zone))
+    if (d.self.role == Role::front && (d.state == DaemonState::up || d.state == DaemonState::draining) && !m.evacuated.count(d.self.zone))
       v.push_back({digest(r.name, id.v + 1), id});
   std::sort(v.begin(), v.end());
-  for (size_t i = 0; i < v.size() && i < limits::cold_fronts; ++i)
-    if (v[i].second == me.id) {
-      auto& c = cold_since_[r.name];
-      if (c.first != r.since) c = {r.since, now};
-      auto grown = (now - c.second) * limits::replica_pressure / limits::cold_ramp;
-      return static_cast<uint32_t>(std::clamp<Millis>(grown, 1, limits::replica_pressure));
-    }
-  return 0;
+  auto at = std::find_if(v.begin(), v.end(), [&](auto& x) { return x.second == me.id; });
+  if (at == v.end()) return 0;
+  auto rank = static_cast<uint32_t>(at - v.begin()), all = static_cast<uint32_t>(v.size());
+  if (r.fitness == Fitness::ready) return std::max(1u, r.places / all + (rank < r.places % all));
+  if (rank >= limits::cold_fronts) return 0;
+  auto& c = cold_since_[r.name];
+  if (c.first != r.since) c = {r.since, now};
+  auto grown = (now - c.second) * r.places / limits::cold_ramp;
+  return static_cast<uint32_t>(std::clamp<Millis>(grown, 1, r.places));
 }
 
 const Replica* Nominator::nominate(const Errand& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
--- a/src/errand/policies.cpp
+++ b/src/errand/policies.cpp
@@ -54,14 +54,19 @@
   }
 };
 
-/// Bounded queues; urgent errands have places of their own, bulk yields first.
+/// Decided on arrival, by the queue before it and the measured pace: what cannot begin in its share of time is refused
+/// at once. Urgent errands have places of their own, bulk yields first.
 class Admit : public Policy {
   int order() const override { return 40; }
   const char* name() const override { return "admit"; }
   std::optional<Refusal> judge(Errand& e, const Situation& s) const override {
     size_t room = e.urgent ? limits::queue_errands + limits::urgent_share : e.bulk ? limits::queue_errands / 4 : limits::queue_errands;
-    if (s.queued >= room) return Refusal{503, "the queue is full", limits::retry_ms * 2};
     if (s.running >= limits::running_errands) return Refusal{503, "too many errands are running", limits::retry_ms * 2};
+    if (!s.here) return std::nullopt;
+    auto wait = e.urgent ? s.urgent_wait : s.wait;
+    auto back = static_cast<uint32_t>(std::clamp<Millis>(wait, limits::retry_ms, limits::queue_patience * 2));
+    if (s.queued >= room) return Refusal{503, "the queue is full", back};
+    if (wait > std::min(limits::queue_patience / 2, e.horizon_ms / 2)) return Refusal{503, "it would wait " + std::to_string(wait) + " ms for a replica", back};
     return std::nullopt;
   }
 };
--- a/src/errand/policy.hpp
+++ b/src/errand/policy.hpp
@@ -12,6 +12,9 @@
   bool in_touch, confirmed, stopping;
   size_t queued, running;
   bool proxied;
+  /// Whether it would wait for a replica here, and how long by the measured pace, with urgent ones first.
+  bool here;
+  Millis wait, urgent_wait;
 };
 
 /// Why an errand is refused; it has not run.
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -15,9 +15,12 @@
          !led_.view()->evacuated.count(d->self.zone);
 }
 
-Situation SwitchboardMachine::situation(Millis now, bool proxied) const {
-  return {*led_.view(), me(), now, in_touch(now), confirmed_, stopping_, count(Stage::queued) + count(Stage::waiting),
-          count(Stage::running) + count(Stage::intending), proxied};
+Situation SwitchboardMachine::situation(Millis now, const Errand& e, bool proxied) const {
+  bool direct = e.kind == "app" && (e.repeatable || e.key.empty());
+  auto* o = direct ? nullptr : owner(slot_of(e.cell, e.program));
+  bool here = direct || proxied || (o && o->self.inc == out_.id().self.inc);
+  return {*led_.view(), me(), now, in_touch(now), confirmed_, stopping_, count(Stage::queued) + count(Stage::waiting) + count(Stage::opening),
+          count(Stage::running) + count(Stage::intending), proxied, here, expected_wait(e.kind, false), expected_wait(e.kind, true)};
 }
 
 size_t SwitchboardMachine::count(Stage s) const {
@@ -162,7 +165,7 @@
     }
   }
   if (!local) out_.send(e.from, ErrandSeen{x.attempt}, e.from_inc);
-  auto s = situation(now, !local);
+  auto s = situation(now, r.e, !local);
   for (auto* p : policies()) {
     if (r.e.kind == "history" && p->order() > 10) break;
     if (auto f = p->judge(r.e, s)) return refuse(r, f->status, f->reason, f->retry_ms, now);
@@ -201,7 +204,7 @@
   w.end.status = status;
   w.end.ran = ran;
   w.end.reason = std::move(reason);
-  w.end.retry_ms = retry;
+  w.end.retry_ms = retry + (retry ? static_cast<uint32_t>(out_.jitter(retry)) / 2 : 0);
   w.end.pieces = w.pieces;
   ++tallies_[ran == Outcome::unknown ? "errands_unknown" : "errands_refused"];
   end(w, now);
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -94,8 +94,13 @@
   bool running_elsewhere(const LineName& n, const Record& intent, Millis now);
   bool running_here(const LineName& n, const std::string& key) const;
   const Daemon* me() const { return led_.view()->find(out_.id().self.inc); }
-  const Daemon* owner(SlotId s) const { return led_.view()->find(led_.view()->slots[s.v].owner); }
-  Situation situation(Millis now, bool proxied) const;
+  const Daemon* owner(SlotId s) const {
+    auto& m = *led_.view();
+    return s.v < m.slots.size() ? m.find(m.slots[s.v].owner) : nullptr;
+  }
+  Situation situation(Millis now, const Errand& e, bool proxied) const;
+  Millis expected_wait(const std::string& kind, bool urgent) const;
+  void paced(const std::string& kind, Millis now);
   void free_replica(Ref w);
   size_t count(Stage s) const;
 
@@ -115,6 +120,12 @@
   Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
   Epoch beaten_{}, ahead_{};
   uint64_t seq_ = 0;
+  /// How fast errands of a kind leave the queue while somebody waits in it.
+  struct Pace {
+    double interval = 0;
+    Millis last = 0;
+  };
+  std::map<std::string, Pace> paces_;
   double retries_ = 10;
   bool confirmed_ = false, stopping_ = false, was_in_touch_ = false;
 };
--- a/src/marker/desk.cpp
+++ b/src/marker/desk.cpp
@@ -156,7 +156,12 @@
     f.push_back({k, "is missing or no string"});
     return "";
   };
-  Replica r{name, text("kind"), text("zone"), text("url"), Fitness::ready, {}};
+  Replica r{name, text("kind"), text("zone"), text("url"), Fitness::ready, {}, limits::replica_places};
+  if (j.contains("places")) {
+    auto& p = j["places"];
+    if (p.is_number_unsigned() && p >= 1 && p <= limits::replica_places_most) r.places = p;
+    else f.push_back({"places", "must be a whole number from 1 to " + std::to_string(limits::replica_places_most)});
+  }
   auto fit = j.contains("fitness") ? text("fitness") : "cold";
   if (fit == "cold") r.fitness = Fitness::cold;
   else if (fit == "leaving") r.fitness = Fitness::leaving;
@@ -169,7 +174,7 @@
   Json j = Json::array();
   auto v = host_.view();
   for (auto& [n, r] : v->replicas)
-    j.push_back({{"name", n}, {"kind", r.kind}, {"zone", r.zone}, {"url", r.url}, {"fitness", name(r.fitness)}, {"epoch", r.since.v}});
+    j.push_back({{"name", n}, {"kind", r.kind}, {"zone", r.zone}, {"url", r.url}, {"fitness", name(r.fitness)}, {"places", r.places}, {"epoch", r.since.v}});
   return body({{"epoch", v->epoch.v}, {"replicas", j}});
 }
 
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -52,6 +52,8 @@
     DaemonId id = d ? d->id : DaemonId{m.next_id++};
     m.directory[id] = {id, c, DaemonState::up, m.epoch};
     if (std::find(m.members.begin(), m.members.end(), id) == m.members.end()) m.members.push_back(id);
+    for (auto old : t.lost)
+      if (auto* o = m.find(old); o && o->self.addr == c.addr) m.succeed(old, id);
   }
   if (m.members.empty()) return no("refound", "no member would be left");
   m.former.push_back(m.cluster);
@@ -74,8 +76,10 @@
   if (r.name.empty()) f.push_back({"name", "is empty"});
   if (r.kind != "model" && r.kind != "app") f.push_back({"kind", "is neither model nor app"});
   if (!r.url.starts_with("http://")) f.push_back({"url", "does not begin with http://"});
+  if (r.places > limits::replica_places_most) f.push_back({"places", "must be from 1 to " + std::to_string(limits::replica_places_most)});
   if (!f.empty()) return f;
   auto c = r;
+  if (c.places == 0) c.places = limits::replica_places;
   auto i = m.replicas.find(r.name);
   c.since = m.epoch;
   if (i != m.replicas.end()) {
@@ -114,7 +118,7 @@
 std::vector<DaemonId> everybody(const Metadata& m) {
   std::vector<DaemonId> v;
   for (auto& [id, d] : m.directory)
-    if (d.state != DaemonState::left) v.push_back(id);
+    if (d.state != DaemonState::left && (d.state != DaemonState::down || m.at(d.self.addr) == &d)) v.push_back(id);
   return v;
 }
 
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -44,6 +44,8 @@
         return no("register", r.self.addr + " belongs to " + who(id) + ", which is not known to be down");
     }
   DaemonId fresh{m.next_id++};
+  for (auto& [id, d] : m.directory)
+    if (d.self.addr == r.self.addr && (d.state == DaemonState::down || d.self.role == Role::front)) m.succeed(id, fresh);
   for (auto& [id, d] : m.directory)
     if (d.self.addr == r.self.addr && d.state != DaemonState::left && d.self.role == Role::front) {
       d.state = DaemonState::left;
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -108,7 +108,7 @@
 /// The next value, or why there is none. Same input, same bytes out.
 Result<Metadata> apply(const Metadata& m, const Entry& e);
 
-/// Everybody in the directory that has not left, as a recount would have it.
+/// Everybody in the directory that has not left nor lost its address to another, as a recount would have it.
 std::vector<DaemonId> everybody(const Metadata& m);
 
 /// A manifest's findings, each with its place.
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -42,9 +42,10 @@
 }
 
 const Daemon* Metadata::at(const Address& a) const {
+  const Daemon* last = nullptr;
   for (auto& [id, d] : directory)
-    if (d.self.addr == a && d.state != DaemonState::left) return &d;
-  return nullptr;
+    if (d.self.addr == a && d.state != DaemonState::left) last = &d;
+  return last;
 }
 
 bool Metadata::member(Incarnation inc) const {
@@ -53,6 +54,14 @@
   return false;
 }
 
+void Metadata::succeed(DaemonId old, DaemonId fresh) {
+  for (auto* v : {&quorum, &incoming}) {
+    std::replace(v->begin(), v->end(), old, fresh);
+    std::sort(v->begin(), v->end());
+    v->erase(std::unique(v->begin(), v->end()), v->end());
+  }
+}
+
 bool Metadata::quorate(const std::function<bool(const Daemon&)>& has) const {
   auto most = [&](const std::vector<DaemonId>& v) {
     auto n = std::count_if(v.begin(), v.end(), [&](auto id) {
@@ -64,6 +73,13 @@
   return most(quorum) && (incoming.empty() || most(incoming));
 }
 
+bool Metadata::heir(const Candidate& c) const {
+  return c.role == Role::marker && std::any_of(members.begin(), members.end(), [&](auto id) {
+    auto* d = find(id);
+    return d && d->self.addr == c.addr && d->self.inc != c.inc;
+  });
+}
+
 std::optional<Epoch> Metadata::outcome(const std::string& commit) const {
   for (auto& r : remembered)
     if (r.id == commit) return r.epoch;
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -33,7 +33,7 @@
 
 struct Replica {
   BOOST_HANA_DEFINE_STRUCT(Replica, (std::string, name), (std::string, kind), (std::string, zone),
-                           (std::string, url), (Fitness, fitness), (Epoch, since));
+                           (std::string, url), (Fitness, fitness), (Epoch, since), (uint32_t, places));
   bool operator==(const Replica&) const = default;
 };
 
@@ -102,8 +102,13 @@
 
   const Daemon* find(DaemonId id) const;
   const Daemon* find(Incarnation inc) const;
+  /// Who has this address now: the last that came there.
   const Daemon* at(const Address& a) const;
   bool member(Incarnation inc) const;
+  /// An empty marker at the address of a member: it may help to found anew a core of which nobody is left.
+  bool heir(const Candidate& c) const;
+  /// Lets a daemon count in place of one that lost its address to it, and so provably runs no more.
+  void succeed(DaemonId old, DaemonId fresh);
   /// Whether those for whom `has` holds are a majority of everybody who counts, before and after a recount.
   bool quorate(const std::function<bool(const Daemon&)>& has) const;
   std::optional<Epoch> outcome(const std::string& commit) const;
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -60,7 +60,7 @@
     for (auto& c : m.manifest.cells) o << c.name << "\n";
   if (s.what == "manifest") o << "revision " << m.revision.v << "\n" << json::write(m.manifest).dump(2) << "\n";
   if (s.what == "replicas")
-    for (auto& [n, r] : m.replicas) o << n << " " << r.kind << " " << name(r.fitness) << " zone " << r.zone << " at " << r.url << "\n";
+    for (auto& [n, r] : m.replicas) o << n << " " << r.kind << " " << name(r.fitness) << " zone " << r.zone << " places " << r.places << " at " << r.url << "\n";
   if (s.what == "slots")
     for (uint32_t i = 0; i < m.slots.size(); ++i) slot_line(o, m, i);
   if (s.what == "sequences")
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -135,7 +135,7 @@
       {MoveSlot{SlotId{1}, store}, "is no front worker"},
       {MoveRoutes{front, front}, "is the same node"},
       {DropReplica{"m"}, "is no replica"},
-      {SetReplica{{"m", "modal", "a", "ftp://x", Fitness::ready, {}}}, "kind: is neither model nor app; url: does not begin with http://"},
+      {SetReplica{{"m", "modal", "a", "ftp://x", Fitness::ready, {}, 0}}, "kind: is neither model nor app; url: does not begin with http://"},
       {ApplyManifest{Revision{3}, {}}, "built on 3, in force is 0"},
       {Found{8, 3, {}}, "is founded already"},
       {Register{who(21, Role::front, "a")}, "is registered already"},
