--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -58,6 +58,30 @@
   for (uint64_t at : {e.v, e.v + 1, e.v + 3, uint64_t{0}}) CHECK_FALSE(ok(apply(f.m, {Epoch{at}, "", RestoreZone{"a"}})));
 }
 
+TEST_CASE("who counts changes by two steps, and between them both sets must agree") {
+  Fleet f;
+  CHECK(f.m.quorum.size() == 3);
+  auto core = [](const Daemon& d) { return d.self.role == Role::marker; };
+  auto most = [](const Daemon& d) { return d.self.role != Role::front; };
+  CHECK(f.m.quorate(core));
+  f.must(Recount{});
+  CHECK(f.m.incoming.size() == 8);
+  CHECK_FALSE(f.m.quorate(core));
+  CHECK(f.m.quorate(most));
+  CHECK_FALSE(f.m.quorate([&](const Daemon& d) { return !core(d); }));
+  CHECK(f.refused(Recount{}).find("is not over") != std::string::npos);
+  auto since = f.m.recounted;
+  f.must(Recounted{since});
+  CHECK(f.m.quorum.size() == 8);
+  f.must(MarkDown{f.id("front21")});
+  CHECK(f.refused(Recount{}).find("nobody came or left") != std::string::npos);
+  auto old = f.id("front21");
+  f.must(Register{{Incarnation{99}, Role::front, "a", "front21", "", ""}});
+  auto fresh = f.id("front21");
+  CHECK(std::count(f.m.quorum.begin(), f.m.quorum.end(), old) == 0);
+  CHECK(std::count(f.m.quorum.begin(), f.m.quorum.end(), fresh) == 1);
+}
+
 TEST_CASE("transformations are pure: the same input gives the same bytes") {
   Fleet a, b;
   for (auto& t : std::vector<Transformation>{EvacuateZone{"a"}, RestoreZone{"a"}, MarkDown{a.id("front21")}}) {
@@ -136,6 +160,8 @@
       {MoveRoutes{front, front}, "is the same node"},
       {DropReplica{"m"}, "is no replica"},
       {SetReplica{{"m", "modal", "a", "ftp://x", Fitness::ready, {}, 0}}, "kind: is neither model nor app; url: does not begin with http://"},
+      {SetReplica{{"m", "model", "a", "http://x", Fitness::ready, {}, 5000}}, "places: must be from 1 to 4096"},
+      {Recounted{Epoch{3}}, "none of epoch 3 is under way"},
       {ApplyManifest{Revision{3}, {}}, "built on 3, in force is 0"},
       {Found{8, 3, {}}, "is founded already"},
       {Register{who(21, Role::front, "a")}, "is registered already"},
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -33,6 +33,21 @@
 expect 409 'in force is' -X PUT -d '{"cells":[]}' "http://$M/v1/manifest?revision=77"
 expect 400 '"place":"url"' -X PUT -d '{"kind":"model","zone":"a"}' "http://$M/v1/replicas/x"
 expect 200 'position 6: expected' -d 'show flet' "http://$M/v1/say"
+# a damaged daemon message is dropped and counted (the 8 bytes before it are nng's own greeting, the next 8 a length)
+L=$(curl -sf "http://$CONTROL/fleet" | tr '{' '\n' | grep '"name":"marker1"' | sed 's/.*"listen":"\([^"]*\)".*/\1/')
+foreign() { curl -sf "http://$M/metrics" | grep messages_foreign | sed 's/.* //'; }
+BEFORE=$(foreign)
+exec 9<>"/dev/tcp/${L%:*}/${L#*:}"
+printf '\x00SP\x00\x00\x50\x00\x00\x00\x00\x00\x00\x00\x00\x00\x05hello' >&9
+await 20 bash -c "[ \"\$(curl -sf http://$M/metrics | grep messages_foreign | sed 's/.* //')\" -gt $BEFORE ]"
+exec 9>&-
+# a change whose outcome cannot be known says so, and the same id gives it later
+harm freeze marker2; harm freeze marker3
+rc=0; say -i op7 set cell lab turn 9 >"$DIR/unknown" || rc=$?
+[ $rc = 3 ] && grep -q '^unknown: retry with op7' "$DIR/unknown" || { echo "expected an unknown outcome, got $rc"; cat "$DIR/unknown"; exit 1; }
+harm wake marker2; harm wake marker3
+await 60 say -i op7 set cell lab turn 9
+say show cell lab | grep -q '"turn_limit": 9'
 # faults of a replica reach the caller as what they are
 for f in cut lost unsealed overlong error skip repeat; do
   for r in model1 model2; do curl -sf -d "{\"fault\":\"$f\",\"left\":1}" "http://$(http_of $r)/control/fault" >/dev/null; done
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -42,6 +42,7 @@
 void retention(Day& d);
 void idle_lines(Day& d);
 void survivor(Day& d);
+void planned(Day& d);
 void deployment(Day& d, bool election);
 
 /// One errand from its asking to its end; a session that is lost gives status 0.
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -148,6 +148,55 @@
 
 }  // namespace
 
+/// Every kind of planned work under load, one after the other: no answer may be unknown.
+void planned(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(50, w.now() + 75000);
+  auto yes = [&](Transformation t, const char* what) {
+    auto got = std::make_shared<bool>(false);
+    d.c.commit(std::move(t), [got](const CommitReply& r) { *got = r.outcome == Outcome::yes; });
+    if (!w.until(10000, [got] { return *got; })) w.fail(std::string(what) + " was not acknowledged");
+    w.run(500);
+  };
+  auto calm = [&](const char* what) {
+    auto good = [&] {
+      auto v = latest(w);
+      if (!v || !v->sequences.empty()) return false;
+      for (auto& [id, x] : v->directory)
+        if (x.state == DaemonState::down || x.state == DaemonState::registered) return false;
+      return true;
+    };
+    if (!w.until(15000, good)) w.fail(std::string("the fleet is not calm after ") + what);
+  };
+  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman})
+    for (auto& s : w.names(k)) {
+      w.stop(s);
+      w.run(300 + w.below(400));
+      w.start(s);
+      w.run(1500);
+      calm("a restart");
+    }
+  w.add("recorder9", Kind::recorder, "a");
+  w.run(3000);
+  calm("a store was added");
+  yes(PrepareDrain{latest(w)->at("recorder1")->id}, "the retirement");
+  if (!w.until(15000, [&] { return latest(w)->sequences.empty(); })) w.fail("the retirement did not end");
+  w.run(1000);
+  w.stop("recorder1");
+  yes(EvacuateZone{"b"}, "the evacuation");
+  w.run(3000);
+  yes(RestoreZone{"b"}, "the restoring");
+  w.run(2000);
+  auto from = latest(w)->at("switchboard1")->id, to = latest(w)->at("switchboard3")->id;
+  yes(MoveRoutes{from, to}, "the move of routes");
+  if (!change(d, 10000)) w.fail("a manifest was not acknowledged");
+  w.run(3000);
+  if (auto n = d.c.unknowns + d.c.count_unknown) {
+    w.fail(std::to_string(n) + " answers were lost in planned work");
+    for (auto& [r, k] : d.c.reasons) w.fail(std::to_string(k) + " times: " + r);
+  }
+}
+
 void deployment(Day& d, bool election) {
   auto& w = d.w;
   d.c.dives = election ? 6 : 12;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -92,6 +92,14 @@
   die(n);
 }
 
+void World::stop(const std::string& name) {
+  auto& n = node(name);
+  if (!n.machine) return;
+  n.disk.in_flight = n.disk.waiting.size();
+  flush(n);
+  die(n);
+}
+
 void World::power_off(const std::string& name) {
   if (node(name).machine) die(node(name));
 }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -72,6 +72,8 @@
   void start(const std::string& name);
   /// The process dies; what was written but not synced survives in part.
   void kill(const std::string& name);
+  /// The process ends in order: what it wrote is synced before it goes.
+  void stop(const std::string& name);
   /// Power is lost; nothing unsynced survives.
   void power_off(const std::string& name);
   void wipe(const std::string& name);
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -15,7 +15,7 @@
     {"markers", {1, 2}},   {"havoc", {1, 2, 3}},   {"faults", {1, 2}},  {"storm", {1, 2}},     {"drains", {1, 2}},
     {"split", {1, 12}}, {"zone", {1, 2}}, {"coreless", {1}}, {"cold", {1}}, {"rush", {1}}, {"powerack", {1, 2}},
     {"lostcore", {1, 2}}, {"rebuild", {1, 3, 7}}, {"seeds", {1}}, {"slow", {1, 2}}, {"helpers", {1}}, {"carousel", {1, 2}},
-    {"stores", {1, 2}},    {"core", {1, 2}},       {"rolling", {1, 2, 3}}, {"corecut", {1, 2, 3}}, {"retention", {1, 2}}, {"idle", {1, 3, 9}},
+    {"stores", {1, 2}},    {"core", {1, 2}},       {"rolling", {1, 2, 3}}, {"planned", {1, 2}}, {"corecut", {1, 2, 3}}, {"retention", {1, 2}}, {"idle", {1, 3, 9}},
     {"survivor", {1, 2, 3, 4, 5}}, {"survivor5", {1, 2, 3}}, {"kjortala", {1, 7, 29}}, {"catania", {7, 53}},
 };
 }  // namespace
