--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -41,6 +41,9 @@
   double rate = 1;
 };
 
+/// What a replay wants to know of messages about lines.
+std::string detail(const Message& m);
+
 struct Net {
   Millis delay = 2;
   double loss = 0, twice = 0;
