--- a/include/mosskeel.hpp
+++ b/include/mosskeel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The project's one common header: strong typedefs, results, findings.
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -31,7 +32,9 @@
 using Millis = int64_t;
 using Address = std::string;
 
-inline Epoch next(Epoch e) { return Epoch{e.v + 1}; }
+inline Epoch next(Epoch e) {
+  return Epoch{e.v + 1};
+}
 
 /// One thing that is wrong, and where.
 struct Finding {
@@ -45,17 +48,25 @@
 using Result = std::variant<T, Findings>;
 
 template <class T>
-bool ok(const Result<T>& r) { return r.index() == 0; }
+bool ok(const Result<T>& r) {
+  return r.index() == 0;
+}
 template <class T>
-const T& value(const Result<T>& r) { return std::get<0>(r); }
+const T& value(const Result<T>& r) {
+  return std::get<0>(r);
+}
 template <class T>
-const Findings& findings(const Result<T>& r) { return std::get<1>(r); }
+const Findings& findings(const Result<T>& r) {
+  return std::get<1>(r);
+}
 
 /// All findings on one line each, "place: reason".
 std::string render(const Findings& f);
 
 template <class... F>
-struct overload : F... { using F::operator()...; };
+struct overload : F... {
+  using F::operator()...;
+};
 template <class... F>
 overload(F...) -> overload<F...>;
 
--- a/src/attendant/main.cpp
+++ b/src/attendant/main.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-int code_of(const std::string& s) { return s.starts_with("yes") ? 0 : s.starts_with("no") ? 1 : 3; }
+int code_of(const std::string& s) {
+  return s.starts_with("yes") ? 0 : s.starts_with("no") ? 1 : 3;
+}
 
 int usage(const char* why) {
   fprintf(stderr, "attendant: %s; see attendant --help\n", why);
@@ -40,12 +42,14 @@
 int main(int argc, const char** argv) {
   char *markers = nullptr, *id = nullptr;
   int version = 0;
-  poptOption table[] = {{"markers", 'm', POPT_ARG_STRING, &markers, 0, "HTTP addresses of markers, tried in turn (default 127.0.0.1:8101)", "A,B,C"},
+  poptOption table[] = {{"markers", 'm', POPT_ARG_STRING, &markers, 0,
+                         "HTTP addresses of markers, tried in turn (default 127.0.0.1:8101)", "A,B,C"},
                         {"id", 'i', POPT_ARG_STRING, &id, 0, "the id of a change whose outcome was unknown", "ID"},
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
   poptContext c = poptGetContext("attendant", argc, argv, table, 0);
-  poptSetOtherOptionHelp(c, "[OPTIONS] SENTENCE...\nAsks or commands the fleet. Exit: 0 yes, 1 no, 2 usage, 3 unknown.");
+  poptSetOtherOptionHelp(c,
+                         "[OPTIONS] SENTENCE...\nAsks or commands the fleet. Exit: 0 yes, 1 no, 2 usage, 3 unknown.");
   if (int rc = poptGetNextOpt(c); rc < -1) return usage(poptStrerror(rc));
   if (version) return printf("attendant (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
   std::string s;
--- a/src/consensus/in_force.cpp
+++ b/src/consensus/in_force.cpp
@@ -18,10 +18,12 @@
   std::string who;
   for (auto& [id, d] : m.directory)
     if (d.state != DaemonState::left && !knows(d)) who += " " + std::to_string(id.v);
-  if (static_cast<size_t>(core) < majority_of(m.members.size())) return "no majority of the core has it; missing:" + who;
+  if (static_cast<size_t>(core) < majority_of(m.members.size()))
+    return "no majority of the core has it; missing:" + who;
   if (!m.quorate(knows)) return "no majority of the fleet has it; missing:" + who;
   for (auto& [id, d] : m.directory)
-    if (d.self.role != Role::front && d.state == DaemonState::up && hear_.silence(d, now) < limits::silence && !knows(d))
+    if (d.self.role != Role::front && d.state == DaemonState::up && hear_.silence(d, now) < limits::silence &&
+        !knows(d))
       return "a disk in touch lacks it; missing:" + who;
   return "";
 }
--- a/src/consensus/marker_machine.cpp
+++ b/src/consensus/marker_machine.cpp
@@ -5,8 +5,13 @@
 namespace mosskeel {
 
 MarkerMachine::MarkerMachine(const Identity& id, const Recovered& r, Millis now)
-    : out_(id), acc_(out_, led_), hear_(now), duty_(out_, led_, hear_, now), sup_(out_, led_, hear_, duty_),
-      prop_(out_, led_, acc_, [this](const Entry& e) { enact(e); }), born_(now) {
+    : out_(id),
+      acc_(out_, led_),
+      hear_(now),
+      duty_(out_, led_, hear_, now),
+      sup_(out_, led_, hear_, duty_),
+      prop_(out_, led_, acc_, [this](const Entry& e) { enact(e); }),
+      born_(now) {
   if (r.checkpoint)
     if (auto c = codec::unpack<MarkerCheckpoint>(*r.checkpoint)) {
       led_.jump(c->metadata);
@@ -15,14 +20,15 @@
   for (auto& s : r.journal) {
     auto x = codec::unpack<MarkerRecord>(s);
     if (!x) continue;
-    std::visit(overload{[&](const PromiseRecord& p) { acc_.recover(p); }, [&](const AcceptRecord& a) { acc_.recover(a); },
-                        [&](const DecidedRecord& d) {
-                          if (!led_.add(d.entry).empty()) acc_.moved_on();
-                        },
-                        [&](const JumpRecord& j) {
-                          if (led_.jump(j.metadata)) acc_.moved_on();
-                        }},
-               *x);
+    std::visit(
+        overload{[&](const PromiseRecord& p) { acc_.recover(p); }, [&](const AcceptRecord& a) { acc_.recover(a); },
+                 [&](const DecidedRecord& d) {
+                   if (!led_.add(d.entry).empty()) acc_.moved_on();
+                 },
+                 [&](const JumpRecord& j) {
+                   if (led_.jump(j.metadata)) acc_.moved_on();
+                 }},
+        *x);
   }
   out_.cluster = led_.view()->cluster;
   out_.epoch = led_.epoch();
@@ -75,11 +81,13 @@
 
 bool MarkerMachine::known_sender(const Envelope& e) const {
   if (e.to_inc.v && e.to_inc != out_.id().self.inc) return false;
-  if (e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster || succeeds(*led_.view(), e.cluster)) return true;
+  if (e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster || succeeds(*led_.view(), e.cluster))
+    return true;
   auto& f = led_.view()->former;
   auto* d = led_.view()->find(e.from_inc);
   bool kin = std::find(f.begin(), f.end(), e.cluster) != f.end() && (!d || d->state != DaemonState::left);
-  return kin && (std::holds_alternative<Heartbeat>(e.body) || std::holds_alternative<Catchup>(e.body) || std::holds_alternative<Discover>(e.body));
+  return kin && (std::holds_alternative<Heartbeat>(e.body) || std::holds_alternative<Catchup>(e.body) ||
+                 std::holds_alternative<Discover>(e.body));
 }
 
 HeartbeatReply MarkerMachine::reply_to(const Heartbeat& h) const {
@@ -90,8 +98,10 @@
 Actions MarkerMachine::step(const Envelope& e, Millis now) {
   if (!known_sender(e)) {
     auto& f = led_.view()->former;
-    if (std::count(f.begin(), f.end(), e.cluster)) out_.send(e.from, DiscoverReply{out_.id().self, out_.cluster, led_.epoch(), {}, {}});
-    else out_.note(Event::foreign, "from " + e.from);
+    if (std::count(f.begin(), f.end(), e.cluster))
+      out_.send(e.from, DiscoverReply{out_.id().self, out_.cluster, led_.epoch(), {}, {}});
+    else
+      out_.note(Event::foreign, "from " + e.from);
     return done();
   }
   if (!out_.cluster && e.cluster) {
@@ -115,68 +125,76 @@
   if (e.epoch > led_.epoch() && e.cluster == out_.cluster && out_.cluster && !std::holds_alternative<Decided>(e.body) &&
       !std::holds_alternative<CatchupReply>(e.body) && !std::holds_alternative<HeartbeatReply>(e.body))
     out_.send(e.from, Catchup{led_.epoch()});
-  std::visit(
-      overload{
-          [&](const Discover& d) {
-            DiscoverReply r{self, out_.cluster, led_.epoch(), {}, {}};
-            if (out_.cluster)
-              for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
-            else
-              for (auto& [i, f] : fellows_) r.candidates.push_back(f.first);
-            if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
-            out_.send(e.from, r);
-          },
-          [&](const DiscoverReply& d) {
-            if (out_.cluster) {
-              if (d.cluster != out_.cluster && succeeds(*led_.view(), d.cluster) && !outdated_) {
-                outdated_ = true;
-                out_.note(Event::lost_identity, "the core was founded anew without this marker; empty its folder");
-              }
-              if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
-              return;
-            }
-            if (d.cluster) return out_.send(e.from, Catchup{led_.epoch()});
-            if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
-            for (auto& c : d.candidates)
-              if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
-          },
-          [&](const Prepare& p) {
-            if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, p);
-          },
-          [&](const Accept& a) {
-            if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, a);
-          },
-          [&](const Rebuild& r) { on(e, r, now); },
-          [&](const Promise& p) { prop_.on(e, p, now); }, [&](const Accepted& a) { prop_.on(e, a, now); },
-          [&](const Decided& d) {
-            learn({d.entry}, std::nullopt);
-            if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
-          },
-          [&](const Catchup& c) {
-            auto [m, v] = led_.since(c.known);
-            out_.send(e.from, CatchupReply{led_.epoch(), m, v});
-          },
-          [&](const CatchupReply& c) { learn(c.entries, c.checkpoint); },
-          [&](const QuorumRead& q) {
-            if (led_.view()->member(self.inc)) out_.send_synced(e.from, QuorumReadReply{q.id, led_.epoch(), acc_.open()}, e.from_inc);
-          },
-          [&](const QuorumReadReply& q) { prop_.on(e, q, now); }, [&](const Commit& c) {
-            if (outdated_) return out_.send(e.from, CommitReply{c.id, Outcome::unknown, "this marker belongs to an earlier generation", led_.epoch(), std::nullopt, {}});
-            prop_.on(e, c, now);
-          },
-          [&](const CommitReply& c) {
-            sup_.on(c);
-            learn(c.entries, c.checkpoint);
-          },
-          [&](const Heartbeat& h) {
-            hear_.hear(h, now);
-            prop_.heard(now);
-            if (e.from_inc != self.inc) out_.send_synced(e.from, reply_to(h));
-          },
-          [&](const HeartbeatReply& h) { learn(h.entries, h.checkpoint); },
-          [&](const DutyAsk& a) { duty_.on(e, a, now); }, [&](const DutyGrant& g) { duty_.on(e, g, now); },
-          [&](const auto&) {}},
-      e.body);
+  std::visit(overload{[&](const Discover& d) {
+                        DiscoverReply r{self, out_.cluster, led_.epoch(), {}, {}};
+                        if (out_.cluster)
+                          for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
+                        else
+                          for (auto& [i, f] : fellows_) r.candidates.push_back(f.first);
+                        if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+                        out_.send(e.from, r);
+                      },
+                      [&](const DiscoverReply& d) {
+                        if (out_.cluster) {
+                          if (d.cluster != out_.cluster && succeeds(*led_.view(), d.cluster) && !outdated_) {
+                            outdated_ = true;
+                            out_.note(Event::lost_identity,
+                                      "the core was founded anew without this marker; empty its folder");
+                          }
+                          if (d.self.role == Role::marker && d.self.inc != self.inc)
+                            fellows_[d.self.inc] = {d.self, now};
+                          return;
+                        }
+                        if (d.cluster) return out_.send(e.from, Catchup{led_.epoch()});
+                        if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+                        for (auto& c : d.candidates)
+                          if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
+                      },
+                      [&](const Prepare& p) {
+                        if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, p);
+                      },
+                      [&](const Accept& a) {
+                        if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, a);
+                      },
+                      [&](const Rebuild& r) { on(e, r, now); }, [&](const Promise& p) { prop_.on(e, p, now); },
+                      [&](const Accepted& a) { prop_.on(e, a, now); },
+                      [&](const Decided& d) {
+                        learn({d.entry}, std::nullopt);
+                        if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
+                      },
+                      [&](const Catchup& c) {
+                        auto [m, v] = led_.since(c.known);
+                        out_.send(e.from, CatchupReply{led_.epoch(), m, v});
+                      },
+                      [&](const CatchupReply& c) { learn(c.entries, c.checkpoint); },
+                      [&](const QuorumRead& q) {
+                        if (led_.view()->member(self.inc))
+                          out_.send_synced(e.from, QuorumReadReply{q.id, led_.epoch(), acc_.open()}, e.from_inc);
+                      },
+                      [&](const QuorumReadReply& q) { prop_.on(e, q, now); },
+                      [&](const Commit& c) {
+                        if (outdated_)
+                          return out_.send(e.from, CommitReply{c.id,
+                                                               Outcome::unknown,
+                                                               "this marker belongs to an earlier generation",
+                                                               led_.epoch(),
+                                                               std::nullopt,
+                                                               {}});
+                        prop_.on(e, c, now);
+                      },
+                      [&](const CommitReply& c) {
+                        sup_.on(c);
+                        learn(c.entries, c.checkpoint);
+                      },
+                      [&](const Heartbeat& h) {
+                        hear_.hear(h, now);
+                        prop_.heard(now);
+                        if (e.from_inc != self.inc) out_.send_synced(e.from, reply_to(h));
+                      },
+                      [&](const HeartbeatReply& h) { learn(h.entries, h.checkpoint); },
+                      [&](const DutyAsk& a) { duty_.on(e, a, now); }, [&](const DutyGrant& g) { duty_.on(e, g, now); },
+                      [&](const auto&) {}},
+             e.body);
 }
 
 void MarkerMachine::discover(Millis now) {
--- a/src/consensus/marker_machine.hpp
+++ b/src/consensus/marker_machine.hpp
@@ -44,7 +44,8 @@
   Supervisor sup_;
   Proposer prop_;
   std::map<Incarnation, std::pair<Candidate, Millis>> fellows_;
-  Millis born_, evidence_ = INT64_MIN / 2, survey_since_ = 0, next_survey_ = 0, open_since_ = 0, next_discover_ = 0, next_beat_ = 0, next_register_ = 0;
+  Millis born_, evidence_ = INT64_MIN / 2, survey_since_ = 0, next_survey_ = 0, open_since_ = 0, next_discover_ = 0,
+                next_beat_ = 0, next_register_ = 0;
   Epoch beaten_{}, open_at_{};
   size_t grown_ = 0;
   bool outdated_ = false;
--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -17,7 +17,8 @@
 void Proposer::on(const Envelope& e, const Commit& c, Millis now) {
   auto join = [&](Waiting& w) {
     if (w.id != c.id) return false;
-    if (std::none_of(w.askers.begin(), w.askers.end(), [&](auto& a) { return a.first == e.from; })) w.askers.push_back({e.from, c.known});
+    if (std::none_of(w.askers.begin(), w.askers.end(), [&](auto& a) { return a.first == e.from; }))
+      w.askers.push_back({e.from, c.known});
     w.horizon = now + out_.id().tcm_rpc;
     return true;
   };
--- a/src/consensus/refounding.cpp
+++ b/src/consensus/refounding.cpp
@@ -7,7 +7,8 @@
 
 bool MarkerMachine::core_lives(Millis now) const {
   auto& m = *led_.view();
-  auto n = std::count_if(m.members.begin(), m.members.end(), [&](auto id) { return hear_.silence(*m.find(id), now) < limits::core_loss; });
+  auto n = std::count_if(m.members.begin(), m.members.end(),
+                         [&](auto id) { return hear_.silence(*m.find(id), now) < limits::core_loss; });
   return static_cast<size_t>(n) >= majority_of(m.members.size());
 }
 
@@ -34,8 +35,10 @@
     bool replaced = d->self.addr == self.addr && d->self.inc != self.inc;
     for (auto& [inc, f] : fellows_)
       if (f.first.addr == d->self.addr && inc != d->self.inc) replaced = true, heir = std::min(heir, inc);
-    if (replaced) lost.push_back(id);
-    else accounted = false;
+    if (replaced)
+      lost.push_back(id);
+    else
+      accounted = false;
   }
   bool mine = first ? first->self.inc == self.inc : heir == self.inc;
   if (!accounted || !mine || lost.size() <= m.members.size() - majority_of(m.members.size())) {
@@ -45,7 +48,8 @@
   if (survey_since_ == 0) {
     survey_since_ = now;
     for (auto& [id, d] : m.directory)
-      if (d.state != DaemonState::left) out_.send(d.self.agent.empty() ? d.self.addr : d.self.agent, Catchup{led_.epoch()});
+      if (d.state != DaemonState::left)
+        out_.send(d.self.agent.empty() ? d.self.addr : d.self.agent, Catchup{led_.epoch()});
   }
   if (now - survey_since_ >= limits::survey && !prop_.refounding()) refound(lost, now);
 }
@@ -64,21 +68,27 @@
   if (!m.member(out_.id().self.inc)) r.fresh.push_back(out_.id().self);
   for (auto& [inc, f] : fellows_)
     if (!m.member(inc)) r.fresh.push_back(f.first), elect(f.first);
-  out_.note(Event::refounding, std::to_string(lost.size()) + " of " + std::to_string(m.members.size()) + " members are lost at epoch " + std::to_string(m.epoch.v));
+  out_.note(Event::refounding, std::to_string(lost.size()) + " of " + std::to_string(m.members.size()) +
+                                   " members are lost at epoch " + std::to_string(m.epoch.v));
   prop_.refound(r, survivors, now);
 }
 
 void MarkerMachine::on(const Envelope& e, const Rebuild& r, Millis now) {
-  auto say = [&](Outcome o, const std::string& why) { out_.send(e.from, CommitReply{r.id, o, why, led_.epoch(), std::nullopt, {}}); };
+  auto say = [&](Outcome o, const std::string& why) {
+    out_.send(e.from, CommitReply{r.id, o, why, led_.epoch(), std::nullopt, {}});
+  };
   auto& m = *led_.view();
   if (!m.cluster) return say(Outcome::no, "this marker holds no log");
   if (core_lives(now)) return say(Outcome::no, "a majority of the core lives; use replace core");
   for (auto id : r.lost) {
-    if (std::find(m.members.begin(), m.members.end(), id) == m.members.end()) return say(Outcome::no, "daemon " + std::to_string(id.v) + " is no core member");
-    if (hear_.silence(*m.find(id), now) < limits::core_loss) return say(Outcome::no, "daemon " + std::to_string(id.v) + " lives");
+    if (std::find(m.members.begin(), m.members.end(), id) == m.members.end())
+      return say(Outcome::no, "daemon " + std::to_string(id.v) + " is no core member");
+    if (hear_.silence(*m.find(id), now) < limits::core_loss)
+      return say(Outcome::no, "daemon " + std::to_string(id.v) + " lives");
   }
   for (auto id : m.members)
-    if (std::find(r.lost.begin(), r.lost.end(), id) == r.lost.end() && hear_.silence(*m.find(id), now) >= limits::core_loss)
+    if (std::find(r.lost.begin(), r.lost.end(), id) == r.lost.end() &&
+        hear_.silence(*m.find(id), now) >= limits::core_loss)
       return say(Outcome::no, "daemon " + std::to_string(id.v) + " is silent too, but was not named as lost");
   refound(r.lost, now);
   say(Outcome::yes, "");
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -23,8 +23,7 @@
   size_t n = 0;
   for (auto& [inc, s] : duty_.observers()) {
     auto i = s.second.find(d.id);
-    if (now - s.first < limits::duty_lease && led_.view()->member(inc) && i != s.second.end() &&
-        i->second >= limit)
+    if (now - s.first < limits::duty_lease && led_.view()->member(inc) && i != s.second.end() && i->second >= limit)
       ++n;
   }
   return n >= majority_of(led_.view()->members.size());
@@ -90,7 +89,8 @@
     auto& b = barrier_[id];
     if (b.first != q.last) b = {q.last, now};
     if (passed(q, now)) {
-      out_.note(Event::sequence_step, std::string(name(q.due)) + " of the " + name(q.kind) + " of daemon " + std::to_string(id.v));
+      out_.note(Event::sequence_step,
+                std::string(name(q.due)) + " of the " + name(q.kind) + " of daemon " + std::to_string(id.v));
       return Advance{id, q.due};
     }
     auto* d = m.find(id);
--- a/src/errand/dispatch.cpp
+++ b/src/errand/dispatch.cpp
@@ -29,7 +29,9 @@
 void SwitchboardMachine::paced(const std::string& kind, Millis now) {
   auto& p = paces_[kind];
   bool busy = p.last && count(Stage::queued) > 1;
-  if (busy) p.interval += (static_cast<double>(std::min(now - p.last, limits::queue_patience)) - p.interval) * limits::pace_share;
+  if (busy)
+    p.interval +=
+        (static_cast<double>(std::min(now - p.last, limits::queue_patience)) - p.interval) * limits::pace_share;
   p.last = now;
 }
 
@@ -45,8 +47,10 @@
     bool any = false;
     auto* r = in_touch(now) ? nom_.nominate(w.e, *led_.view(), *d, now, any) : nullptr;
     if (!r) {
-      if (any) back.push_back(k);
-      else refuse(w, 503, "no replica serves this route now", limits::retry_ms * 2, now);
+      if (any)
+        back.push_back(k);
+      else
+        refuse(w, 503, "no replica serves this route now", limits::retry_ms * 2, now);
       continue;
     }
     if (!w.direct) {
@@ -63,8 +67,10 @@
     w.replica = r->name;
     nom_.took(r->name, w.e);
     paced(w.e.kind, now);
-    if (w.direct) dispatch(w, now);
-    else intend(w, now);
+    if (w.direct)
+      dispatch(w, now);
+    else
+      intend(w, now);
   }
   for (auto& k : back) queue_.push(k);
 }
@@ -88,8 +94,10 @@
     std::map<std::string, std::string> input;
     for (auto& r : keep_.records(w.line)) {
       if (r.thread != w.e.thread) continue;
-      if (r.kind == RecordKind::intent) input[r.key] = r.input;
-      else if (r.status == 200) chain.push_back({input[r.key], r.output});
+      if (r.kind == RecordKind::intent)
+        input[r.key] = r.input;
+      else if (r.status == 200)
+        chain.push_back({input[r.key], r.output});
     }
     a.method = "POST";
     a.url += "/turn";
@@ -132,7 +140,8 @@
     return settle(w, 200, Outcome::yes, "", w.tokens, now);
   }
   ++tallies_["replica_faults"];
-  out_.note(Event::replica_fault, w.replica + ": " + (r.reason.empty() ? "status " + std::to_string(r.status) : r.reason));
+  out_.note(Event::replica_fault,
+            w.replica + ": " + (r.reason.empty() ? "status " + std::to_string(r.status) : r.reason));
   if (!r.sent || w.e.repeatable) {
     nom_.shun(w.replica, now);
     if (retries_ >= 1 && w.pieces == 0 && now < w.horizon) {
@@ -156,7 +165,9 @@
   }
   if (r.sealed && r.status >= 400 && r.status < 500)
     return settle(w, r.status, Outcome::yes, "the replica refused: " + r.body, 0, now);
-  settle(w, 502, Outcome::unknown, "the replica's answer was not whole and sealed" + (r.reason.empty() ? "" : ": " + r.reason), w.reservation, now);
+  settle(w, 502, Outcome::unknown,
+         "the replica's answer was not whole and sealed" + (r.reason.empty() ? "" : ": " + r.reason), w.reservation,
+         now);
 }
 
 void SwitchboardMachine::history(Ref w, Millis now) {
@@ -176,14 +187,20 @@
       continue;
     }
     spent += r.tokens;
-    j["turns"].push_back({{"thread", r.thread}, {"turn", r.turn}, {"key", r.key}, {"status", r.status}, {"tokens", r.tokens},
-                          {"input", intents.count(r.key) ? intents[r.key]->input : ""}, {"output", r.output}});
+    j["turns"].push_back({{"thread", r.thread},
+                          {"turn", r.turn},
+                          {"key", r.key},
+                          {"status", r.status},
+                          {"tokens", r.tokens},
+                          {"input", intents.count(r.key) ? intents[r.key]->input : ""},
+                          {"output", r.output}});
   }
   uint64_t reserved = 0;
   for (auto& [k, o] : open)
     if (o) reserved += intents[k]->tokens;
   j["tokens"] = {{"spent", spent}, {"reserved", reserved}, {"budget", c ? c->budget : 0}};
-  w.end = {w.e.attempt, 200, Outcome::yes, "", j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), 0, 0, 0, false, 0};
+  w.end = {w.e.attempt, 200, Outcome::yes, "", j.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), 0,
+           0,           0,   false,        0};
   end(w, now);
 }
 
--- a/src/errand/ending.cpp
+++ b/src/errand/ending.cpp
@@ -19,7 +19,8 @@
   if (s != Keeper::State::open) return;
   auto& v = keep_.records(x.line);
   if (keep_.ended(x.line)) {
-    if (keep_.committed(x.line) >= v.size()) out_.send(e.from, LineBury{x.line, x.slot, keep_.term(x.line)}, e.from_inc);
+    if (keep_.committed(x.line) >= v.size())
+      out_.send(e.from, LineBury{x.line, x.slot, keep_.term(x.line)}, e.from_inc);
     return;
   }
   auto& said = aged_[x.line];
--- a/src/errand/nominate.cpp
+++ b/src/errand/nominate.cpp
@@ -10,7 +10,8 @@
   if (r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) return 0;
   std::vector<std::pair<uint64_t, DaemonId>> v;
   for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::front && (d.state == DaemonState::up || d.state == DaemonState::draining) && !m.evacuated.count(d.self.zone))
+    if (d.self.role == Role::front && (d.state == DaemonState::up || d.state == DaemonState::draining) &&
+        !m.evacuated.count(d.self.zone))
       v.push_back({digest(r.name, id.v + 1), id});
   std::sort(v.begin(), v.end());
   auto at = std::find_if(v.begin(), v.end(), [&](auto& x) { return x.second == me.id; });
@@ -36,7 +37,9 @@
   std::tuple<int, int, int, uint64_t> top;
   for (auto& [n, r] : m.replicas) {
     if (r.kind != e.kind) continue;
-    if (!route->replicas.empty() && std::find(route->replicas.begin(), route->replicas.end(), n) == route->replicas.end()) continue;
+    if (!route->replicas.empty() &&
+        std::find(route->replicas.begin(), route->replicas.end(), n) == route->replicas.end())
+      continue;
     auto room = places(r, m, me, now);
     if (room == 0) continue;
     any = true;
@@ -50,7 +53,8 @@
     int high = p * 2 >= room;
     int far = r.zone != me.self.zone;
     auto affinity = digest(n, digest(e.prefix.empty() ? e.program : e.prefix));
-    auto key = e.kind == "model" ? std::make_tuple(shun, high, 0, affinity) : std::make_tuple(shun, high, far, affinity);
+    auto key =
+        e.kind == "model" ? std::make_tuple(shun, high, 0, affinity) : std::make_tuple(shun, high, far, affinity);
     if (!best || key < top) best = &r, top = key;
   }
   return best;
@@ -64,6 +68,8 @@
   if (auto& p = pressure_[n]; p) --p;
   if (auto& b = bulk_[n]; e.bulk && b) --b;
 }
-void Nominator::shun(const std::string& n, Millis now) { shunned_[n] = now + limits::replica_shun; }
+void Nominator::shun(const std::string& n, Millis now) {
+  shunned_[n] = now + limits::replica_shun;
+}
 
 }  // namespace mosskeel
--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -16,18 +16,24 @@
     case Stage::opening:
       if (!mine) return route(w, now);
       switch (keep_.open(w.line, now)) {
-        case Keeper::State::open: return opened(w, now);
-        case Keeper::State::unavailable: return refuse(w, 503, "too few stores answer", limits::retry_ms * 2, now);
-        default: return;
+        case Keeper::State::open:
+          return opened(w, now);
+        case Keeper::State::unavailable:
+          return refuse(w, 503, "too few stores answer", limits::retry_ms * 2, now);
+        default:
+          return;
       }
     case Stage::waiting:
       if (!mine) return route(w, now);
-      if (now - w.born > limits::queue_patience) return refuse(w, 503, "the turn before this one is still running", limits::retry_ms * 2, now);
+      if (now - w.born > limits::queue_patience)
+        return refuse(w, 503, "the turn before this one is still running", limits::retry_ms * 2, now);
       w.stage = Stage::opening;
       return advance(w, now);
     case Stage::queued:
       if (!w.direct && !mine) return route(w, now);
-      if (now >= w.horizon || now - w.asked > limits::queue_patience) return ++tallies_["errands_admitted_refused"], refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
+      if (now >= w.horizon || now - w.asked > limits::queue_patience)
+        return ++tallies_["errands_admitted_refused"],
+               refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
       return;
     case Stage::intending:
       if (!line_held) {
@@ -52,7 +58,8 @@
       if (keep_.committed(w.line) >= w.mark) return end(w, now);
       return;
     case Stage::handing:
-      if (now - w.asked > limits::handover_patience) return refuse(w, 502, "the outcome could not be kept", 0, now, Outcome::unknown);
+      if (now - w.asked > limits::handover_patience)
+        return refuse(w, 502, "the outcome could not be kept", 0, now, Outcome::unknown);
       if (now - w.last >= limits::line_retry) hand_over(w, now);
       return;
     case Stage::proxying: {
@@ -70,7 +77,8 @@
 
 bool SwitchboardMachine::running_elsewhere(const LineName& n, const Record& r, Millis now) {
   auto* d = led_.view()->find(r.runner);
-  if (!d || d->self.inc == out_.id().self.inc || d->state == DaemonState::down || d->state == DaemonState::left) return false;
+  if (!d || d->self.inc == out_.id().self.inc || d->state == DaemonState::down || d->state == DaemonState::left)
+    return false;
   auto& x = runners_[{n, r.key, r.runner}];
   if (!x.over && now - x.at >= limits::line_retry) {
     x.at = now;
@@ -103,21 +111,31 @@
     last[r.key] = &r;
     if (r.kind == RecordKind::intent) intents[r.key] = &r;
   }
-  if (auto i = last.find(w.e.key); i != last.end() && !(i->second->kind == RecordKind::settled && i->second->status == 0)) {
+  if (auto i = last.find(w.e.key);
+      i != last.end() && !(i->second->kind == RecordKind::settled && i->second->status == 0)) {
     auto& r = *i->second;
     if (intents[w.e.key]->body_digest != digest(w.e.body + '\0' + w.e.path))
       return refuse(w, 409, "key: was used with another body", 0, now), false;
     if (r.kind == RecordKind::settled && !keep_.kept(w.line, r))
       return refuse(w, 409, "key: this turn is running now", limits::retry_ms * 2, now, Outcome::yes), false;
     if (r.kind == RecordKind::settled) {
-      w.end = {w.e.attempt, r.status, r.status == 200 ? Outcome::yes : Outcome::unknown,
-               r.status == 200 ? "" : "kept outcome: " + r.output, r.status == 200 ? r.output : "", r.turn, r.tokens, 0, false, 0};
+      w.end = {w.e.attempt,
+               r.status,
+               r.status == 200 ? Outcome::yes : Outcome::unknown,
+               r.status == 200 ? "" : "kept outcome: " + r.output,
+               r.status == 200 ? r.output : "",
+               r.turn,
+               r.tokens,
+               0,
+               false,
+               0};
       return complete(w, now), false;
     }
     if (running_here(w.line, w.e.key) || running_elsewhere(w.line, r, now))
       return refuse(w, 409, "key: this turn is running now", limits::retry_ms * 2, now, Outcome::yes), false;
     out_.note(Event::in_doubt, w.line.program + " key " + w.e.key);
-    return refuse(w, 502, "the outcome of this turn is unknown; it will not be run again", 0, now, Outcome::unknown), false;
+    return refuse(w, 502, "the outcome of this turn is unknown; it will not be run again", 0, now, Outcome::unknown),
+           false;
   }
   uint64_t spent = 0;
   uint32_t turns = 0;
@@ -132,8 +150,10 @@
   if (w.e.kind == "model" && w.e.after && *w.e.after > 0 && turns == 0)
     return refuse(w, 404, "the conversation is missing: a majority of its stores keeps no such turns", 0, now), false;
   if (busy) {
-    auto waiting = std::count_if(works_.begin(), works_.end(), [&](auto& x) { return x.second.line == w.line && x.second.stage == Stage::waiting; });
-    if (static_cast<uint32_t>(waiting) >= limits::thread_queue) return refuse(w, 503, "too many turns wait for the one before them", limits::retry_ms * 2, now), false;
+    auto waiting = std::count_if(works_.begin(), works_.end(),
+                                 [&](auto& x) { return x.second.line == w.line && x.second.stage == Stage::waiting; });
+    if (static_cast<uint32_t>(waiting) >= limits::thread_queue)
+      return refuse(w, 503, "too many turns wait for the one before them", limits::retry_ms * 2, now), false;
     w.stage = Stage::waiting;
     return false;
   }
@@ -165,7 +185,8 @@
 
 void SwitchboardMachine::settle(Ref w, uint32_t status, Outcome ran, std::string reason, uint64_t tokens, Millis now) {
   free_replica(w);
-  w.end = {w.e.attempt, status ? status : 503, ran, reason, status == 200 ? w.text : "", w.turn, tokens, status ? 0 : limits::retry_ms, false, w.pieces};
+  w.end = {w.e.attempt, status ? status : 503,         ran,   reason,  status == 200 ? w.text : "", w.turn,
+           tokens,      status ? 0 : limits::retry_ms, false, w.pieces};
   if (w.direct) return end(w, now);
   auto& r = w.settled;
   r.kind = RecordKind::settled;
@@ -207,8 +228,10 @@
   if (l.mark && l.term == keep_.term(x.line)) return keep_.committed(x.line) >= l.mark ? say(Outcome::yes) : false;
   const Record *last = nullptr, *after = nullptr;
   for (auto& r : keep_.records(x.line)) {
-    if (r.key == x.record.key) last = &r, after = nullptr;
-    else if (last && r.thread == x.record.thread) after = &r;
+    if (r.key == x.record.key)
+      last = &r, after = nullptr;
+    else if (last && r.thread == x.record.thread)
+      after = &r;
   }
   if (!last) return say(x.record.status == 0 ? Outcome::yes : Outcome::no);
   if (last->kind == RecordKind::settled && !keep_.kept(x.line, *last)) return false;
--- a/src/errand/policies.cpp
+++ b/src/errand/policies.cpp
@@ -19,7 +19,8 @@
     if (s.stopping && !s.proxied) return Refusal{503, "this worker is stopping", limits::retry_ms};
     if (!s.in_touch) return Refusal{503, "this worker is out of touch with the fleet", limits::retry_ms * 2};
     if (s.m.evacuated.count(s.me->self.zone)) return Refusal{503, "this worker's zone is evacuated", limits::retry_ms};
-    if (s.me->state == DaemonState::down || s.me->state == DaemonState::left) return Refusal{503, "this worker is marked down", limits::retry_ms};
+    if (s.me->state == DaemonState::down || s.me->state == DaemonState::left)
+      return Refusal{503, "this worker is marked down", limits::retry_ms};
     return std::nullopt;
   }
 };
@@ -60,13 +61,16 @@
   int order() const override { return 40; }
   const char* name() const override { return "admit"; }
   std::optional<Refusal> judge(Errand& e, const Situation& s) const override {
-    size_t room = e.urgent ? limits::queue_errands + limits::urgent_share : e.bulk ? limits::queue_errands / 4 : limits::queue_errands;
+    size_t room = e.urgent ? limits::queue_errands + limits::urgent_share
+                  : e.bulk ? limits::queue_errands / 4
+                           : limits::queue_errands;
     if (s.running >= limits::running_errands) return Refusal{503, "too many errands are running", limits::retry_ms * 2};
     if (!s.here) return std::nullopt;
     auto wait = e.urgent ? s.urgent_wait : s.wait;
     auto back = static_cast<uint32_t>(std::clamp<Millis>(wait, limits::retry_ms, limits::queue_patience * 2));
     if (s.queued >= room) return Refusal{503, "the queue is full", back};
-    if (wait > std::min(limits::queue_patience / 2, e.horizon_ms / 2)) return Refusal{503, "it would wait " + std::to_string(wait) + " ms for a replica", back};
+    if (wait > std::min(limits::queue_patience / 2, e.horizon_ms / 2))
+      return Refusal{503, "it would wait " + std::to_string(wait) + " ms for a replica", back};
     return std::nullopt;
   }
 };
@@ -76,7 +80,9 @@
 
 }  // namespace
 
-Enrolled::Enrolled(std::unique_ptr<Policy> p) { registry().push_back(std::move(p)); }
+Enrolled::Enrolled(std::unique_ptr<Policy> p) {
+  registry().push_back(std::move(p));
+}
 
 const std::vector<const Policy*>& policies() {
   static const std::vector<const Policy*> v = [] {
--- a/src/errand/relay.cpp
+++ b/src/errand/relay.cpp
@@ -51,7 +51,8 @@
     auto& b = w.end.body;
     if (!b.starts_with(w.text)) {
       out_.note(Event::proxied_lost, w.e.attempt + " streamed another text than was kept");
-      return refuse(w, 502, "the stream broke; the answer is kept under the key", limits::retry_ms, now, Outcome::unknown);
+      return refuse(w, 502, "the stream broke; the answer is kept under the key", limits::retry_ms, now,
+                    Outcome::unknown);
     }
     if (b.size() > w.text.size()) {
       ++tallies_["streams_filled"];
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -7,7 +7,9 @@
 SwitchboardMachine::SwitchboardMachine(const Identity& id, Millis now)
     : out_(id), fol_(out_, led_, now), keep_(out_, led_) {}
 
-bool SwitchboardMachine::in_touch(Millis now) const { return now - touched_ <= limits::isolation && led_.epoch() >= ahead_; }
+bool SwitchboardMachine::in_touch(Millis now) const {
+  return now - touched_ <= limits::isolation && led_.epoch() >= ahead_;
+}
 
 bool SwitchboardMachine::ready(Millis now) const {
   auto* d = me();
@@ -19,8 +21,18 @@
   bool direct = e.kind == "app" && (e.repeatable || e.key.empty());
   auto* o = direct ? nullptr : owner(slot_of(e.cell, e.program));
   bool here = direct || proxied || (o && o->self.inc == out_.id().self.inc);
-  return {*led_.view(), me(), now, in_touch(now), confirmed_, stopping_, count(Stage::queued) + count(Stage::waiting) + count(Stage::opening),
-          count(Stage::running) + count(Stage::intending), proxied, here, expected_wait(e.kind, false), expected_wait(e.kind, true)};
+  return {*led_.view(),
+          me(),
+          now,
+          in_touch(now),
+          confirmed_,
+          stopping_,
+          count(Stage::queued) + count(Stage::waiting) + count(Stage::opening),
+          count(Stage::running) + count(Stage::intending),
+          proxied,
+          here,
+          expected_wait(e.kind, false),
+          expected_wait(e.kind, true)};
 }
 
 size_t SwitchboardMachine::count(Stage s) const {
@@ -49,9 +61,10 @@
                         if (d && d->self.inc == e.from_inc) i->second.seen = true;
                       },
                       [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
-                      [&](const LateSettle& x) { on(e, x, now); },
-                      [&](const LineAged& x) { on(e, x, now); },
-                      [&](const RunnerAsk& x) { out_.send(e.from, RunnerWord{x.line, x.key, running_here(x.line, x.key)}, e.from_inc); },
+                      [&](const LateSettle& x) { on(e, x, now); }, [&](const LineAged& x) { on(e, x, now); },
+                      [&](const RunnerAsk& x) {
+                        out_.send(e.from, RunnerWord{x.line, x.key, running_here(x.line, x.key)}, e.from_inc);
+                      },
                       [&](const RunnerWord& x) {
                         auto* d = led_.view()->find(e.from_inc);
                         auto i = d ? runners_.find({x.line, x.key, d->id}) : runners_.end();
@@ -65,8 +78,11 @@
                           w.again = false;
                           return route(w, now);
                         }
-                        if (x.outcome == Outcome::yes) out_.note(Event::handed_over, x.attempt);
-                        else w.end = {x.attempt, 502, Outcome::unknown, "the outcome came too late to be kept", "", 0, 0, 0, false, w.pieces};
+                        if (x.outcome == Outcome::yes)
+                          out_.note(Event::handed_over, x.attempt);
+                        else
+                          w.end = {x.attempt, 502,   Outcome::unknown, "the outcome came too late to be kept", "", 0, 0,
+                                   0,         false, w.pieces};
                         end(w, now);
                       },
                       [&](const ReplicaPiece& x) { on(x, now); }, [&](const ReplicaEnd& x) { on(x, now); },
@@ -103,8 +119,14 @@
 void SwitchboardMachine::beat(Millis now) {
   next_beat_ = now + limits::agent_beat;
   beaten_ = led_.epoch();
-  Heartbeat h{out_.id().self, led_.epoch(), static_cast<uint32_t>(works_.size()), {},
-              static_cast<uint32_t>(works_.size()), now, stopping_, 0};
+  Heartbeat h{out_.id().self,
+              led_.epoch(),
+              static_cast<uint32_t>(works_.size()),
+              {},
+              static_cast<uint32_t>(works_.size()),
+              now,
+              stopping_,
+              0};
   out_.send(out_.id().self.agent, h);
 }
 
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -5,12 +5,15 @@
 namespace mosskeel {
 namespace {
 
-const Address& ear(const Daemon& d) { return d.self.agent.empty() ? d.self.addr : d.self.agent; }
+const Address& ear(const Daemon& d) {
+  return d.self.agent.empty() ? d.self.addr : d.self.agent;
+}
 
 }  // namespace
 
 /// The time by which a majority of these daemons, ourselves left out, had been heard.
-Millis Follower::majority_time(const Metadata& m, const std::vector<DaemonId>& v, const Voices& heard, const Candidate& but) {
+Millis Follower::majority_time(const Metadata& m, const std::vector<DaemonId>& v, const Voices& heard,
+                               const Candidate& but) {
   std::vector<Millis> t;
   for (auto id : v) {
     auto* d = m.find(id);
@@ -25,8 +28,10 @@
 }
 
 void Follower::tell(const Address& to, Message m) {
-  if (durable_) out_.send_synced(to, std::move(m));
-  else out_.send(to, std::move(m));
+  if (durable_)
+    out_.send_synced(to, std::move(m));
+  else
+    out_.send(to, std::move(m));
 }
 
 bool Follower::foreign(const Envelope& e) const {
@@ -47,49 +52,50 @@
 }
 
 bool Follower::handle(const Envelope& e, Millis now) {
-  return std::visit(
-      overload{[&](const Discover&) {
-                 DiscoverReply r{out_.id().self, out_.cluster, led_.epoch(), {}, {}};
-                 for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
-                 out_.send(e.from, r);
-                 return true;
-               },
-               [&](const DiscoverReply& d) {
-                 if (out_.cluster || !d.cluster) return true;
-                 out_.send(e.from, Catchup{led_.epoch()});
-                 for (auto& a : d.core)
-                   if (a != e.from) out_.send(a, Catchup{led_.epoch()});
-                 return true;
-               },
-               [&](const Decided& d) {
-                 learn({d.entry}, std::nullopt);
-                 if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
-                 return true;
-               },
-               [&](const Catchup& c) {
-                 auto [m, v] = led_.since(c.known);
-                 if (m || !v.empty()) out_.send(e.from, CatchupReply{led_.epoch(), m, v});
-                 return true;
-               },
-               [&](const CatchupReply& c) { return learn(c.entries, c.checkpoint), true; },
-               [&](const CommitReply& c) { return learn(c.entries, c.checkpoint), true; },
-               [&](const Heartbeat& h) {
-                 auto [c, v] = led_.since(h.known);
-                 tell(e.from, HeartbeatReply{led_.epoch(), c, v, now - touched(now), steady(), h.sent});
-                 if (h.known > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
-                 return true;
-               },
-               [&](const HeartbeatReply& h) {
-                 learn(h.entries, h.checkpoint);
-                 if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
-                 if (!h.confirmed || h.epoch > led_.epoch()) return true;
-                 if (auto& x = heard_[e.from]; x.inc != e.from_inc || x.sent < h.sent) x = {h.sent, e.from_inc};
-                 if (!confirmed_ && led_.view()->cluster)
-                   confirmed_ = majority_time(*led_.view(), led_.view()->members, heard_, out_.id().self) >= born_;
-                 return true;
-               },
-               [&](const auto&) { return false; }},
-      e.body);
+  return std::visit(overload{[&](const Discover&) {
+                               DiscoverReply r{out_.id().self, out_.cluster, led_.epoch(), {}, {}};
+                               for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
+                               out_.send(e.from, r);
+                               return true;
+                             },
+                             [&](const DiscoverReply& d) {
+                               if (out_.cluster || !d.cluster) return true;
+                               out_.send(e.from, Catchup{led_.epoch()});
+                               for (auto& a : d.core)
+                                 if (a != e.from) out_.send(a, Catchup{led_.epoch()});
+                               return true;
+                             },
+                             [&](const Decided& d) {
+                               learn({d.entry}, std::nullopt);
+                               if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
+                               return true;
+                             },
+                             [&](const Catchup& c) {
+                               auto [m, v] = led_.since(c.known);
+                               if (m || !v.empty()) out_.send(e.from, CatchupReply{led_.epoch(), m, v});
+                               return true;
+                             },
+                             [&](const CatchupReply& c) { return learn(c.entries, c.checkpoint), true; },
+                             [&](const CommitReply& c) { return learn(c.entries, c.checkpoint), true; },
+                             [&](const Heartbeat& h) {
+                               auto [c, v] = led_.since(h.known);
+                               tell(e.from, HeartbeatReply{led_.epoch(), c, v, now - touched(now), steady(), h.sent});
+                               if (h.known > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+                               return true;
+                             },
+                             [&](const HeartbeatReply& h) {
+                               learn(h.entries, h.checkpoint);
+                               if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+                               if (!h.confirmed || h.epoch > led_.epoch()) return true;
+                               if (auto& x = heard_[e.from]; x.inc != e.from_inc || x.sent < h.sent)
+                                 x = {h.sent, e.from_inc};
+                               if (!confirmed_ && led_.view()->cluster)
+                                 confirmed_ =
+                                     majority_time(*led_.view(), led_.view()->members, heard_, out_.id().self) >= born_;
+                               return true;
+                             },
+                             [&](const auto&) { return false; }},
+                    e.body);
 }
 
 Millis Follower::touched(Millis) const {
@@ -129,7 +135,8 @@
   auto* d = m.find(c.inc);
   auto state = d ? std::optional(d->state) : std::nullopt;
   if (state && state != enrolled_ && (!enrolled_ || *state == DaemonState::left))
-    out_.note(*state == DaemonState::left ? Event::lost_identity : Event::registered, c.addr + " is daemon " + std::to_string(d->id.v));
+    out_.note(*state == DaemonState::left ? Event::lost_identity : Event::registered,
+              c.addr + " is daemon " + std::to_string(d->id.v));
   enrolled_ = state;
   if ((d && d->state != DaemonState::left) || now < next_enroll_ || m.members.empty()) return;
   if (d) return;
@@ -150,15 +157,18 @@
   next_beat_ = now + limits::heartbeat;
   beaten_ = led_.epoch();
   Heartbeat h{};
-  if (mine) h = *mine;
-  else h.self = out_.id().self;
+  if (mine)
+    h = *mine;
+  else
+    h.self = out_.id().self;
   h.known = led_.epoch();
   h.sent = now;
   for (auto id : m.members) tell(m.find(id)->self.addr, h);
   if (now < next_peers_) return;
   next_peers_ = now + limits::heartbeat * 2;
   for (auto& [id, d] : m.directory)
-    if (d.self.role != Role::marker && d.state != DaemonState::left && d.state != DaemonState::down && ear(d) != out_.id().self.addr)
+    if (d.self.role != Role::marker && d.state != DaemonState::left && d.state != DaemonState::down &&
+        ear(d) != out_.id().self.addr)
       tell(ear(d), h);
 }
 
--- a/src/follow/follower.hpp
+++ b/src/follow/follower.hpp
@@ -38,7 +38,8 @@
     Incarnation inc{};
   };
   using Voices = std::map<Address, Voice>;
-  static Millis majority_time(const Metadata& m, const std::vector<DaemonId>& v, const Voices& heard, const Candidate& but);
+  static Millis majority_time(const Metadata& m, const std::vector<DaemonId>& v, const Voices& heard,
+                              const Candidate& but);
   void tell(const Address& to, Message m);
   void discover(Millis now);
   void enroll(Millis now, const Candidate& c);
--- a/src/follow/lineman_machine.cpp
+++ b/src/follow/lineman_machine.cpp
@@ -30,7 +30,8 @@
   fol_.tick(now, fresh ? &*mine_ : nullptr);
   auto& m = *led_.view();
   auto* d = mine_ ? m.find(mine_->self.inc) : nullptr;
-  if (fresh && mine_->leaving && d && now >= next_leave_ && (d->state == DaemonState::up || d->state == DaemonState::registered)) {
+  if (fresh && mine_->leaving && d && now >= next_leave_ &&
+      (d->state == DaemonState::up || d->state == DaemonState::registered)) {
     next_leave_ = now + limits::tcm_rpc / 4;
     for (auto id : m.members)
       if (auto* c = m.find(id); c->state != DaemonState::down) {
--- a/src/kernel/codec.hpp
+++ b/src/kernel/codec.hpp
@@ -20,25 +20,41 @@
   }
 };
 
-template <class T> struct is_strong : std::false_type {};
-template <class G, class T> struct is_strong<Strong<G, T>> : std::true_type {};
+template <class T>
+struct is_strong : std::false_type {};
+template <class G, class T>
+struct is_strong<Strong<G, T>> : std::true_type {};
 
-template <class T> void put(std::string& o, const T& x);
-template <class T> bool get(Reader& r, T& x);
+template <class T>
+void put(std::string& o, const T& x);
+template <class T>
+bool get(Reader& r, T& x);
 void put(std::string& o, const std::string& x);
 bool get(Reader& r, std::string& x);
-template <class A, class B> void put(std::string& o, const std::pair<A, B>& x);
-template <class A, class B> bool get(Reader& r, std::pair<A, B>& x);
-template <class T> void put(std::string& o, const std::vector<T>& x);
-template <class T> bool get(Reader& r, std::vector<T>& x);
-template <class T> void put(std::string& o, const std::set<T>& x);
-template <class T> bool get(Reader& r, std::set<T>& x);
-template <class K, class V> void put(std::string& o, const std::map<K, V>& x);
-template <class K, class V> bool get(Reader& r, std::map<K, V>& x);
-template <class T> void put(std::string& o, const std::optional<T>& x);
-template <class T> bool get(Reader& r, std::optional<T>& x);
-template <class... T> void put(std::string& o, const std::variant<T...>& x);
-template <class... T> bool get(Reader& r, std::variant<T...>& x);
+template <class A, class B>
+void put(std::string& o, const std::pair<A, B>& x);
+template <class A, class B>
+bool get(Reader& r, std::pair<A, B>& x);
+template <class T>
+void put(std::string& o, const std::vector<T>& x);
+template <class T>
+bool get(Reader& r, std::vector<T>& x);
+template <class T>
+void put(std::string& o, const std::set<T>& x);
+template <class T>
+bool get(Reader& r, std::set<T>& x);
+template <class K, class V>
+void put(std::string& o, const std::map<K, V>& x);
+template <class K, class V>
+bool get(Reader& r, std::map<K, V>& x);
+template <class T>
+void put(std::string& o, const std::optional<T>& x);
+template <class T>
+bool get(Reader& r, std::optional<T>& x);
+template <class... T>
+void put(std::string& o, const std::variant<T...>& x);
+template <class... T>
+bool get(Reader& r, std::variant<T...>& x);
 
 inline void put(std::string& o, const std::string& x) {
   put(o, static_cast<uint32_t>(x.size()));
@@ -53,18 +69,32 @@
 }
 
 template <class A, class B>
-void put(std::string& o, const std::pair<A, B>& x) { put(o, x.first); put(o, x.second); }
+void put(std::string& o, const std::pair<A, B>& x) {
+  put(o, x.first);
+  put(o, x.second);
+}
 template <class A, class B>
-bool get(Reader& r, std::pair<A, B>& x) { return get(r, x.first) && get(r, x.second); }
+bool get(Reader& r, std::pair<A, B>& x) {
+  return get(r, x.first) && get(r, x.second);
+}
 
 template <class C>
 void put_all(std::string& o, const C& c) {
   put(o, static_cast<uint32_t>(c.size()));
   for (auto& e : c) put(o, e);
 }
-template <class T> void put(std::string& o, const std::vector<T>& x) { put_all(o, x); }
-template <class T> void put(std::string& o, const std::set<T>& x) { put_all(o, x); }
-template <class K, class V> void put(std::string& o, const std::map<K, V>& x) { put_all(o, x); }
+template <class T>
+void put(std::string& o, const std::vector<T>& x) {
+  put_all(o, x);
+}
+template <class T>
+void put(std::string& o, const std::set<T>& x) {
+  put_all(o, x);
+}
+template <class K, class V>
+void put(std::string& o, const std::map<K, V>& x) {
+  put_all(o, x);
+}
 template <class T>
 void put(std::string& o, const std::optional<T>& x) {
   put(o, static_cast<uint8_t>(x.has_value()));
@@ -105,7 +135,10 @@
 bool get(Reader& r, std::optional<T>& x) {
   uint8_t b;
   if (!get(r, b) || b > 1) return false;
-  if (!b) { x.reset(); return true; }
+  if (!b) {
+    x.reset();
+    return true;
+  }
   x.emplace();
   return get(r, *x);
 }
--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -16,7 +16,9 @@
 
 std::string metrics_of(const Host& h, const char* program, const std::map<std::string, double>& more) {
   std::ostringstream o;
-  auto line = [&](const std::string& n, double v) { o << "mosskeel_" << n << "{program=\"" << program << "\"} " << v << "\n"; };
+  auto line = [&](const std::string& n, double v) {
+    o << "mosskeel_" << n << "{program=\"" << program << "\"} " << v << "\n";
+  };
   o.precision(15);
   auto v = h.view();
   line("epoch", static_cast<double>(v->epoch.v));
@@ -45,7 +47,9 @@
 }
 
 int cannot_start(const char* program, const Findings& f) {
-  for (auto& x : f) fprintf(stderr, "%s: event=%d %s: %s: %s\n", program, static_cast<int>(Event::bad_props), meaning(Event::bad_props), x.place.c_str(), x.reason.c_str());
+  for (auto& x : f)
+    fprintf(stderr, "%s: event=%d %s: %s: %s\n", program, static_cast<int>(Event::bad_props), meaning(Event::bad_props),
+            x.place.c_str(), x.reason.c_str());
   return 2;
 }
 
--- a/src/kernel/disk.cpp
+++ b/src/kernel/disk.cpp
@@ -66,7 +66,9 @@
 
 }  // namespace
 
-std::string Disk::path(const char* kind, uint64_t seq) const { return folder_ + "/" + kind + "-" + hex(seq); }
+std::string Disk::path(const char* kind, uint64_t seq) const {
+  return folder_ + "/" + kind + "-" + hex(seq);
+}
 
 Result<std::shared_ptr<Disk>> Disk::open(const std::string& folder, uint64_t dice) {
   std::shared_ptr<Disk> d(new Disk(folder));
@@ -93,7 +95,8 @@
   fs::create_directories(folder_, ec);
   if (ec) return {{folder_, "cannot be created: " + ec.message()}};
   lock_ = Fd(::open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644));
-  if (!lock_ || ::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0) return {{folder_, "is not writable or another daemon holds it"}};
+  if (!lock_ || ::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0)
+    return {{folder_, "is not writable or another daemon holds it"}};
   auto id = folder_ + "/identity";
   if (!fs::exists(id) && !write_whole(id, hex(dice ? dice : 1))) return {{id, "cannot be written"}};
   auto inc = unhex(slurp(id));
@@ -113,7 +116,9 @@
     auto s = slurp(path("checkpoint", from));
     codec::Reader r{s};
     auto x = unframe(r);
-    if (!x || !r.s.empty()) return {{path("checkpoint", from), "is damaged; restore the disk or empty the folder so that this machine joins as a new member"}};
+    if (!x || !r.s.empty())
+      return {{path("checkpoint", from),
+               "is damaged; restore the disk or empty the folder so that this machine joins as a new member"}};
     found_.checkpoint = std::move(*x);
   }
   std::erase_if(segs, [&](auto s) { return s < from; });
@@ -142,11 +147,13 @@
       if (auto x = unframe(p); x && !x->empty()) later = true;
     }
     if (later)
-      return {{path("log", seq), "is damaged at byte " + std::to_string(at) +
-               "; restore the disk or empty the folder so that this machine joins as a new member"}};
+      return {
+          {path("log", seq), "is damaged at byte " + std::to_string(at) +
+                                 "; restore the disk or empty the folder so that this machine joins as a new member"}};
     cut_ = r.s.size();
     Fd f(::open(path("log", seq).c_str(), O_WRONLY | O_CLOEXEC));
-    if (!f || ::ftruncate(f.get(), static_cast<off_t>(at)) != 0 || ::fsync(f.get()) != 0) return {{path("log", seq), "its torn tail cannot be cut"}};
+    if (!f || ::ftruncate(f.get(), static_cast<off_t>(at)) != 0 || ::fsync(f.get()) != 0)
+      return {{path("log", seq), "its torn tail cannot be cut"}};
     break;
   }
   return {};
--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -52,8 +52,10 @@
   }
   auto colon = e.to.find(':');
   auto i = routes_.find(e.to.substr(0, colon));
-  if (i != routes_.end()) i->second(e);
-  else post_->send(e);
+  if (i != routes_.end())
+    i->second(e);
+  else
+    post_->send(e);
 }
 
 void Host::act(Actions a) {
@@ -76,8 +78,10 @@
       next = now + limits::tick;
     }
     for (auto& x : in_.take(std::max<Millis>(1, next - process_now()))) {
-      if (auto* e = std::get_if<Envelope>(&x)) act(machine_->step(*e, process_now()));
-      else std::get<Call>(x)(*machine_, process_now());
+      if (auto* e = std::get_if<Envelope>(&x))
+        act(machine_->step(*e, process_now()));
+      else
+        std::get<Call>(x)(*machine_, process_now());
     }
     auto v = machine_->view();
     if (v != view_) std::atomic_store(&view_, v);
--- a/src/kernel/http.cpp
+++ b/src/kernel/http.cpp
@@ -28,9 +28,14 @@
   auto& s = *static_cast<std::pair<HttpAnswer, std::string>*>(cls);
   while (s.second.empty()) {
     switch (s.first.next(s.second)) {
-      case HttpAnswer::Flow::more: break;
-      case HttpAnswer::Flow::end: if (s.second.empty()) return MHD_CONTENT_READER_END_OF_STREAM; break;
-      case HttpAnswer::Flow::broken: if (s.second.empty()) return MHD_CONTENT_READER_END_WITH_ERROR; break;
+      case HttpAnswer::Flow::more:
+        break;
+      case HttpAnswer::Flow::end:
+        if (s.second.empty()) return MHD_CONTENT_READER_END_OF_STREAM;
+        break;
+      case HttpAnswer::Flow::broken:
+        if (s.second.empty()) return MHD_CONTENT_READER_END_WITH_ERROR;
+        break;
     }
   }
   auto n = std::min(max, s.second.size());
@@ -68,13 +73,16 @@
   }
   auto& t = *static_cast<Talk*>(*ctx);
   if (*size) {
-    if (t.ask.body.size() + *size > limits::body_bytes) t.too_long = true;
-    else t.ask.body.append(data, *size);
+    if (t.ask.body.size() + *size > limits::body_bytes)
+      t.too_long = true;
+    else
+      t.ask.body.append(data, *size);
     *size = 0;
     return MHD_YES;
   }
   if (t.too_long)
-    return queue(c, HttpAnswer::error(413, "too_long", "body: exceeds " + std::to_string(limits::body_bytes) + " bytes"));
+    return queue(c,
+                 HttpAnswer::error(413, "too_long", "body: exceeds " + std::to_string(limits::body_bytes) + " bytes"));
   MHD_get_connection_values(c, MHD_HEADER_KIND, collect, &t.ask.headers);
   MHD_get_connection_values(c, MHD_GET_ARGUMENT_KIND, collect, &t.ask.query);
   return queue(c, static_cast<HttpServer*>(cls)->handler()(t.ask));
@@ -116,10 +124,11 @@
   a.sin_family = AF_INET;
   a.sin_port = htons(p->second);
   if (inet_pton(AF_INET, p->first.c_str(), &a.sin_addr) != 1) return Findings{{at, "is no IP:port"}};
-  s->mhd_ = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, p->second, nullptr, nullptr,
-                             on_ask, s.get(), MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&a),
-                             MHD_OPTION_NOTIFY_COMPLETED, on_done, nullptr, MHD_OPTION_CONNECTION_LIMIT, limits::http_sessions,
-                             MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_THREAD_STACK_SIZE, size_t{256 << 10}, MHD_OPTION_END);
+  s->mhd_ = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, p->second, nullptr,
+                             nullptr, on_ask, s.get(), MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&a),
+                             MHD_OPTION_NOTIFY_COMPLETED, on_done, nullptr, MHD_OPTION_CONNECTION_LIMIT,
+                             limits::http_sessions, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+                             MHD_OPTION_THREAD_STACK_SIZE, size_t{256 << 10}, MHD_OPTION_END);
   if (!s->mhd_) return Findings{{at, "cannot be listened on"}};
   return s;
 }
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -12,7 +12,8 @@
 const char* meaning(Event e) {
   switch (e) {
 #define X(name, number, text) \
-  case Event::name: return text;
+  case Event::name:           \
+    return text;
     MOSSKEEL_EVENTS(X)
 #undef X
   }
@@ -22,8 +23,10 @@
 void note(Event e, const std::string& text) {
   auto n = static_cast<int>(e);
   bool grave = e == Event::corrupt || e == Event::disk_failed || e == Event::bad_props;
-  if (grave) LOG(ERROR) << "event=" << n << " " << meaning(e) << ": " << text;
-  else LOG(INFO) << "event=" << n << " " << meaning(e) << ": " << text;
+  if (grave)
+    LOG(ERROR) << "event=" << n << " " << meaning(e) << ": " << text;
+  else
+    LOG(INFO) << "event=" << n << " " << meaning(e) << ": " << text;
 }
 
 }  // namespace mosskeel
--- a/src/kernel/machine.hpp
+++ b/src/kernel/machine.hpp
@@ -37,6 +37,10 @@
   uint32_t core_size = 3;
   uint64_t dice = 1;
   Millis tcm_rpc = limits::tcm_rpc;
+  /// Forbids founding: an empty disk at a later start joins or waits.
+  bool later_start = false;
+  /// As in `Found`.
+  uint32_t core_most = 0, copies = 0;
 };
 
 /// One interface for all daemons, driven alike by the hosts and the simulator.
@@ -56,7 +60,9 @@
   const Identity& id() const { return id_; }
   uint64_t roll() { return dice_(); }
   Millis jitter(Millis upto) { return static_cast<Millis>(dice_() % static_cast<uint64_t>(upto)); }
-  void send(const Address& to, Message m, Incarnation to_inc = {}) { act.now.push_back(wrap(to, std::move(m), to_inc)); }
+  void send(const Address& to, Message m, Incarnation to_inc = {}) {
+    act.now.push_back(wrap(to, std::move(m), to_inc));
+  }
   void send_synced(const Address& to, Message m, Incarnation to_inc = {}) {
     act.synced.push_back(wrap(to, std::move(m), to_inc));
   }
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -18,8 +18,8 @@
 };
 /// Who is here: a founded daemon names the core, an unfounded marker its fellow candidates.
 struct DiscoverReply {
-  BOOST_HANA_DEFINE_STRUCT(DiscoverReply, (Candidate, self), (uint64_t, cluster), (Epoch, epoch),
-                           (Addresses, core), (Candidates, candidates));
+  BOOST_HANA_DEFINE_STRUCT(DiscoverReply, (Candidate, self), (uint64_t, cluster), (Epoch, epoch), (Addresses, core),
+                           (Candidates, candidates));
 };
 struct Prepare {
   BOOST_HANA_DEFINE_STRUCT(Prepare, (Epoch, epoch), (Ballot, ballot));
@@ -80,9 +80,10 @@
 /// An `intent` is there before dispatch with its token reservation, a `settled` before success; `ended` closes a line.
 enum class RecordKind : uint8_t { intent, settled, ended };
 struct Record {
-  BOOST_HANA_DEFINE_STRUCT(Record, (RecordKind, kind), (std::string, key), (std::string, thread), (uint64_t, body_digest), (uint64_t, tokens),
-                           (uint32_t, turn), (uint32_t, status), (DaemonId, runner), (int64_t, keep_ms),
-                           (std::string, input), (std::string, output));
+  BOOST_HANA_DEFINE_STRUCT(Record, (RecordKind, kind), (std::string, key), (std::string, thread),
+                           (uint64_t, body_digest), (uint64_t, tokens), (uint32_t, turn), (uint32_t, status),
+                           (DaemonId, runner), (int64_t, keep_ms), (std::string, input), (std::string, output),
+                           (std::string, parent));
   bool operator==(const Record&) const = default;
 };
 using Records = std::vector<Record>;
@@ -140,7 +141,8 @@
   BOOST_HANA_DEFINE_STRUCT(LineMark, (LineName, line), (Epoch, term), (uint64_t, length));
 };
 struct SlotListReply {
-  BOOST_HANA_DEFINE_STRUCT(SlotListReply, (SlotId, slot), (LineName, after), (std::vector<LineMark>, marks), (bool, more));
+  BOOST_HANA_DEFINE_STRUCT(SlotListReply, (SlotId, slot), (LineName, after), (std::vector<LineMark>, marks),
+                           (bool, more));
 };
 struct LinesFetch {
   BOOST_HANA_DEFINE_STRUCT(LinesFetch, (SlotId, slot), (std::vector<LineName>, names));
@@ -152,9 +154,10 @@
 /// A caller's errand, from HTTP or proxied by another switchboard.
 struct Errand {
   BOOST_HANA_DEFINE_STRUCT(Errand, (std::string, attempt), (std::string, cell), (std::string, route),
-                           (std::string, program), (std::string, thread), (std::string, key), (std::string, kind), (std::string, method),
-                           (std::string, path), (std::string, prefix), (std::string, body), (uint64_t, max_tokens),
-                           (std::optional<uint32_t>, after), (bool, urgent), (bool, bulk), (bool, repeatable), (int64_t, horizon_ms));
+                           (std::string, program), (std::string, thread), (std::string, key), (std::string, kind),
+                           (std::string, method), (std::string, path), (std::string, prefix), (std::string, body),
+                           (uint64_t, max_tokens), (std::optional<uint32_t>, after), (bool, urgent), (bool, bulk),
+                           (bool, repeatable), (int64_t, horizon_ms));
 };
 struct ErrandSeen {
   BOOST_HANA_DEFINE_STRUCT(ErrandSeen, (std::string, attempt));
@@ -181,7 +184,8 @@
                            (std::string, method), (std::string, body), (int64_t, horizon_ms), (bool, repeatable));
 };
 struct ReplicaPiece {
-  BOOST_HANA_DEFINE_STRUCT(ReplicaPiece, (std::string, attempt), (uint32_t, n), (std::string, text), (uint64_t, tokens));
+  BOOST_HANA_DEFINE_STRUCT(ReplicaPiece, (std::string, attempt), (uint32_t, n), (std::string, text),
+                           (uint64_t, tokens));
 };
 /// `sent` tells whether anything may have reached the replica; `sealed` its own closing word.
 struct ReplicaEnd {
@@ -204,13 +208,42 @@
   BOOST_HANA_DEFINE_STRUCT(Rebuild, (std::string, id), (std::vector<DaemonId>, lost));
 };
 
+/// A front that has a caller's turn asks the program's owner for it: budget, chain, and a durable reservation.
+struct TurnAsk {
+  BOOST_HANA_DEFINE_STRUCT(TurnAsk, (std::string, attempt), (std::string, program), (std::string, parent),
+                           (std::string, input), (uint64_t, budget), (uint64_t, most), (bool, kept),
+                           (int64_t, retention_ms), (int64_t, horizon_ms));
+};
+/// 200 means go, with the text of the chain before the input; anything else is final: the turn has not run.
+struct TurnGrant {
+  BOOST_HANA_DEFINE_STRUCT(TurnGrant, (std::string, attempt), (uint32_t, status), (uint32_t, retry_ms),
+                           (std::string, reason), (std::string, chain));
+};
+/// What became of a granted turn: 200 whole, 0 not run, 502 unknown or broken off. `tokens` were handed to the caller.
+struct TurnSettle {
+  BOOST_HANA_DEFINE_STRUCT(TurnSettle, (std::string, attempt), (std::string, program), (uint32_t, status),
+                           (uint64_t, tokens), (bool, kept), (std::string, output));
+};
+/// The outcome lies on a majority, or `kept` is false and it can't be there any more.
+struct TurnSettled {
+  BOOST_HANA_DEFINE_STRUCT(TurnSettled, (std::string, attempt), (bool, kept));
+};
+/// Asks a recorder for the chain that ends with this turn, whichever program it was of.
+struct ChainFind {
+  BOOST_HANA_DEFINE_STRUCT(ChainFind, (std::string, turn));
+};
+struct ChainFound {
+  BOOST_HANA_DEFINE_STRUCT(ChainFound, (std::string, turn), (bool, found), (std::string, text));
+};
+
 using Message =
     std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
                  CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
-                 DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
-                 SlotStreamReply, Errand, ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled,
-                 ReplicaAsk, ReplicaPiece, ReplicaEnd, ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged,
-                 LineBury, SlotCheck, SlotCheckReply, SlotList, SlotListReply, LinesFetch, LinesFetched>;
+                 DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream, SlotStreamReply, Errand,
+                 ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled, ReplicaAsk, ReplicaPiece, ReplicaEnd,
+                 ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged, LineBury, SlotCheck, SlotCheckReply, SlotList,
+                 SlotListReply, LinesFetch, LinesFetched, TurnAsk, TurnGrant, TurnSettle, TurnSettled, ChainFind,
+                 ChainFound>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
 struct Envelope {
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -63,7 +63,8 @@
 }
 
 std::variant<Props, int> read_props(int argc, const char** argv, const Needs& n) {
-  char *file = nullptr, *listen = nullptr, *http = nullptr, *agent = nullptr, *zone = nullptr, *seeds = nullptr, *data = nullptr;
+  char *file = nullptr, *listen = nullptr, *http = nullptr, *agent = nullptr, *zone = nullptr, *seeds = nullptr,
+       *data = nullptr;
   int core = 0, version = 0, check = 0;
   long await = 0, rpc = 0;
   poptOption table[] = {
@@ -109,8 +110,8 @@
         if (!whole.tcm_await_ms) whole.tcm_await_ms = p.tcm_await_ms;
         if (!whole.tcm_rpc_ms) whole.tcm_rpc_ms = p.tcm_rpc_ms;
         p = whole;
-      }
-      else for (auto& x : findings(r)) f.push_back({std::string(file) + ": " + x.place, x.reason});
+      } else
+        for (auto& x : findings(r)) f.push_back({std::string(file) + ": " + x.place, x.reason});
     }
   }
   auto set = [](std::string& to, char* from) {
@@ -131,12 +132,17 @@
   if (n.zone && p.zone.empty()) f.push_back({"zone", "is missing"});
   if (n.data && p.data.empty()) f.push_back({"data", "is missing"});
   if (n.seeds && p.seeds.empty()) f.push_back({"seeds", "are missing"});
-  for (size_t i = 0; n.seeds && i < p.seeds.size(); ++i) address(f, ("seeds[" + std::to_string(i) + "]").c_str(), p.seeds[i]);
-  if (n.core_size && (p.core_size < 1 || p.core_size > 9 || p.core_size % 2 == 0)) f.push_back({"core_size", "must be an odd number from 1 to 9"});
+  for (size_t i = 0; n.seeds && i < p.seeds.size(); ++i)
+    address(f, ("seeds[" + std::to_string(i) + "]").c_str(), p.seeds[i]);
+  if (n.core_size && (p.core_size < 1 || p.core_size > 9 || p.core_size % 2 == 0))
+    f.push_back({"core_size", "must be an odd number from 1 to 9"});
   if (p.tcm_rpc_ms < 100 || p.tcm_rpc_ms > 30000) f.push_back({"tcm_rpc_ms", "must be from 100 to 30000"});
-  if (p.tcm_await_ms < p.tcm_rpc_ms || p.tcm_await_ms > 60000) f.push_back({"tcm_await_ms", "must be from tcm_rpc_ms to 60000"});
+  if (p.tcm_await_ms < p.tcm_rpc_ms || p.tcm_await_ms > 60000)
+    f.push_back({"tcm_await_ms", "must be from tcm_rpc_ms to 60000"});
   if (!f.empty()) {
-    for (auto& x : f) fprintf(stderr, "%s: event=%d %s: %s: %s\n", n.program, static_cast<int>(Event::bad_props), meaning(Event::bad_props), x.place.c_str(), x.reason.c_str());
+    for (auto& x : f)
+      fprintf(stderr, "%s: event=%d %s: %s: %s\n", n.program, static_cast<int>(Event::bad_props),
+              meaning(Event::bad_props), x.place.c_str(), x.reason.c_str());
     return 2;
   }
   if (check) {
--- a/src/kernel/props.hpp
+++ b/src/kernel/props.hpp
@@ -6,12 +6,18 @@
 
 namespace mosskeel {
 
+/// `ready` is where a switchboard tells if it is ready, empty for its own HTTP; `dialect` names the plug-in that
+/// speaks for a platform, empty for the product's own interface; `list` is where the replicas are listed;
+/// `later_start` forbids founding; `core_most` and `copies` as in `Found`.
 struct Props {
   BOOST_HANA_DEFINE_STRUCT(Props, (std::string, listen), (std::string, http), (std::string, agent), (std::string, zone),
                            (std::vector<std::string>, seeds), (std::string, data), (uint32_t, core_size),
-                           (int64_t, tcm_await_ms), (int64_t, tcm_rpc_ms));
+                           (int64_t, tcm_await_ms), (int64_t, tcm_rpc_ms), (std::string, machine), (std::string, ready),
+                           (std::string, dialect), (std::string, list), (bool, later_start), (uint32_t, core_most),
+                           (uint32_t, copies));
   static std::set<std::string> optional_fields() {
-    return {"listen", "http", "agent", "zone", "seeds", "data", "core_size", "tcm_await_ms", "tcm_rpc_ms"};
+    return {"listen",     "http",    "agent", "zone",    "seeds", "data",        "core_size", "tcm_await_ms",
+            "tcm_rpc_ms", "machine", "ready", "dialect", "list",  "later_start", "core_most", "copies"};
   }
 };
 
--- a/src/kernel/upstream.cpp
+++ b/src/kernel/upstream.cpp
@@ -41,11 +41,10 @@
       } else if (end.sealed) {
         return why = "pieces came after the seal", false;
       } else {
-        (*hear)(ReplicaPiece{ask.attempt, j.at("n").get<uint32_t>(), j.at("text").get<std::string>(), j.at("tokens").get<uint64_t>()});
+        (*hear)(ReplicaPiece{ask.attempt, j.at("n").get<uint32_t>(), j.at("text").get<std::string>(),
+                             j.at("tokens").get<uint64_t>()});
       }
-    } catch (const nlohmann::json::exception& x) {
-      return why = "a line of the stream lacks a field", false;
-    }
+    } catch (const nlohmann::json::exception& x) { return why = "a line of the stream lacks a field", false; }
     return true;
   }
 
@@ -63,7 +62,9 @@
   }
 };
 
-size_t on_body(char* p, size_t s, size_t n, void* c) { return static_cast<Call*>(c)->take(p, s * n); }
+size_t on_body(char* p, size_t s, size_t n, void* c) {
+  return static_cast<Call*>(c)->take(p, s * n);
+}
 
 size_t on_header(char* p, size_t s, size_t n, void* c) {
   std::string h(p, s * n);
@@ -149,8 +150,10 @@
   void run() {
     while (!halt) {
       for (auto& x : in.take(0)) {
-        if (auto* a = std::get_if<ReplicaAsk>(&x)) begin(*a);
-        else drop(std::get<std::string>(x));
+        if (auto* a = std::get_if<ReplicaAsk>(&x))
+          begin(*a);
+        else
+          drop(std::get<std::string>(x));
       }
       int n = 0;
       curl_multi_perform(multi.get(), &n);
--- a/src/line/expiry.cpp
+++ b/src/line/expiry.cpp
@@ -30,7 +30,8 @@
   if (i == slots_.end() || !o) return;
   size_t n = 0;
   for (auto& [name, l] : i->second.lines)
-    if (aged(l) && n++ < limits::expiry_batch) out_.send(o->self.addr, LineAged{name, expiring_, l.records.size()}, o->self.inc);
+    if (aged(l) && n++ < limits::expiry_batch)
+      out_.send(o->self.addr, LineAged{name, expiring_, l.records.size()}, o->self.inc);
 }
 
 void RecorderMachine::on(const Envelope& e, const LineBury& b) {
--- a/src/line/graves.cpp
+++ b/src/line/graves.cpp
@@ -27,6 +27,8 @@
   return v;
 }
 
-uint64_t grave_of(const LineName& n) { return digest(n.program, digest(n.cell)); }
+uint64_t grave_of(const LineName& n) {
+  return digest(n.program, digest(n.cell));
+}
 
 }  // namespace mosskeel
--- a/src/line/keeper.cpp
+++ b/src/line/keeper.cpp
@@ -143,7 +143,8 @@
   std::sort(marks.rbegin(), marks.rend());
   for (auto k : marks) {
     if (k < h.committed || (k == h.committed && h.state == State::open)) break;
-    if (!enough(h, [&](DaemonId id) { return h.peers.count(id) && h.peers[id].adopted && h.peers[id].acked >= k; })) continue;
+    if (!enough(h, [&](DaemonId id) { return h.peers.count(id) && h.peers[id].adopted && h.peers[id].acked >= k; }))
+      continue;
     h.committed = k;
     break;
   }
--- a/src/line/recorder_machine.cpp
+++ b/src/line/recorder_machine.cpp
@@ -4,7 +4,8 @@
 
 namespace mosskeel {
 
-RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now) : out_(id), fol_(out_, led_, now), rep_(out_, led_, slots_), born_(now), now_(now) {
+RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now)
+    : out_(id), fol_(out_, led_, now), rep_(out_, led_, slots_), born_(now), now_(now) {
   rep_.take = [this](const StreamRecord& q) {
     merge(slots_[q.slot], q);
     journal(q);
@@ -33,7 +34,9 @@
   fol_.on_jump = [this](const Metadata& m) { journal(m); };
 }
 
-std::string RecorderMachine::checkpoint() const { return codec::pack(RecorderCheckpoint{*led_.view(), slots_, uptime()}); }
+std::string RecorderMachine::checkpoint() const {
+  return codec::pack(RecorderCheckpoint{*led_.view(), slots_, uptime()});
+}
 
 size_t RecorderMachine::kept_lines() const {
   size_t n = 0;
@@ -80,7 +83,8 @@
   bool yes = placed(e, r.slot) && fence(r.slot, r.term);
   auto& s = slots_[r.slot];
   LineReadReply a{r.line, r.term, yes, {}, s.graves.has(grave_of(r.line)), {}};
-  if (auto i = s.lines.find(r.line); yes && i != s.lines.end()) a.line_term = i->second.term, a.records = i->second.records;
+  if (auto i = s.lines.find(r.line); yes && i != s.lines.end())
+    a.line_term = i->second.term, a.records = i->second.records;
   out_.send_synced(e.from, a, e.from_inc);
 }
 
@@ -91,7 +95,8 @@
   if (w.adopt) {
     auto& l = s.lines[w.line];
     if (l.term > w.term) return {w.line, w.term, false, false, 0};
-    if (l.term < w.term || w.records.size() >= l.records.size()) l = {w.term, w.records, l.records.size() == w.records.size() ? l.touched : uptime()};
+    if (l.term < w.term || w.records.size() >= l.records.size())
+      l = {w.term, w.records, l.records.size() == w.records.size() ? l.touched : uptime()};
     return {w.line, w.term, true, false, l.records.size()};
   }
   if (i == s.lines.end() || i->second.term != w.term || i->second.records.size() < w.from)
@@ -178,7 +183,8 @@
   for (uint32_t i = 0; i < m.slots.size(); ++i) {
     auto& s = m.slots[i];
     SlotId id{i};
-    bool in = std::count(s.pending.begin(), s.pending.end(), me->id), old = std::count(s.recorders.begin(), s.recorders.end(), me->id);
+    bool in = std::count(s.pending.begin(), s.pending.end(), me->id),
+         old = std::count(s.recorders.begin(), s.recorders.end(), me->id);
     if (!in || old) {
       streams_.erase(id);
       continue;
@@ -189,7 +195,8 @@
     if (x.complete || now - x.last < limits::line_retry) continue;
     x.last = now;
     for (auto r : s.recorders)
-      if (auto* d = m.find(r); d && !x.done.count(r)) out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].grave}, d->self.inc);
+      if (auto* d = m.find(r); d && !x.done.count(r))
+        out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].grave}, d->self.inc);
   }
 }
 
@@ -207,8 +214,8 @@
   if (fol_.park(e)) return;
   if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
-                      [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); }, [&](const SlotStreamReply& r) { on(e, r, now); },
-                      [&](const auto&) {}},
+                      [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); },
+                      [&](const SlotStreamReply& r) { on(e, r, now); }, [&](const auto&) {}},
              e.body);
 }
 
--- a/src/line/repair.cpp
+++ b/src/line/repair.cpp
@@ -58,7 +58,8 @@
   j.asked = now;
   if (j.want.empty()) return out_.send(d->self.addr, SlotList{j.pair.first, j.after}, d->self.inc);
   auto n = std::min(j.want.size(), limits::repair_lines);
-  out_.send(d->self.addr, LinesFetch{j.pair.first, {j.want.begin(), j.want.begin() + static_cast<ptrdiff_t>(n)}}, d->self.inc);
+  out_.send(d->self.addr, LinesFetch{j.pair.first, {j.want.begin(), j.want.begin() + static_cast<ptrdiff_t>(n)}},
+            d->self.inc);
 }
 
 void Repair::tick(Millis now) {
@@ -82,7 +83,8 @@
   return std::visit(
       overload{[&](const SlotCheck& c) {
                  auto& m = *led_.view();
-                 bool same = c.slot.v < m.slots.size() && m.slots[c.slot.v].changed == c.changed && sum(c.slot) == c.sum;
+                 bool same =
+                     c.slot.v < m.slots.size() && m.slots[c.slot.v].changed == c.changed && sum(c.slot) == c.sum;
                  out_.send(e.from, SlotCheckReply{c.slot, c.changed, same}, e.from_inc);
                  return true;
                },
@@ -129,7 +131,8 @@
     uint64_t length = 0;
     if (i != slots_.end()) {
       if (i->second.graves.has(grave_of(x.line))) continue;
-      if (auto l = i->second.lines.find(x.line); l != i->second.lines.end()) term = l->second.term, length = l->second.records.size();
+      if (auto l = i->second.lines.find(x.line); l != i->second.lines.end())
+        term = l->second.term, length = l->second.records.size();
     }
     if (std::make_pair(term, length) < std::make_pair(x.term, x.length)) job_->want.push_back(x.line);
   }
--- a/src/manifest/json.hpp
+++ b/src/manifest/json.hpp
@@ -9,8 +9,10 @@
 using Json = nlohmann::json;
 namespace hana = boost::hana;
 
-template <class T> void read(const Json& j, const std::string& at, T& x, Findings& f);
-template <class T> void read(const Json& j, const std::string& at, std::vector<T>& v, Findings& f);
+template <class T>
+void read(const Json& j, const std::string& at, T& x, Findings& f);
+template <class T>
+void read(const Json& j, const std::string& at, std::vector<T>& v, Findings& f);
 
 template <class T>
 void read(const Json& j, const std::string& at, std::vector<T>& v, Findings& f) {
@@ -25,15 +27,27 @@
 template <class T>
 void read(const Json& j, const std::string& at, T& x, Findings& f) {
   if constexpr (std::is_same_v<T, std::string>) {
-    if (j.is_string()) x = j.get<std::string>();
-    else f.push_back({at, "must be a string"});
+    if (j.is_string())
+      x = j.get<std::string>();
+    else
+      f.push_back({at, "must be a string"});
   } else if constexpr (std::is_same_v<T, bool>) {
-    if (j.is_boolean()) x = j.get<bool>();
-    else f.push_back({at, "must be true or false"});
+    if (j.is_boolean())
+      x = j.get<bool>();
+    else
+      f.push_back({at, "must be true or false"});
   } else if constexpr (std::is_integral_v<T>) {
-    if (!j.is_number_integer() || (std::is_unsigned_v<T> && !j.is_number_unsigned())) f.push_back({at, "must be a whole number"});
-    else if (static_cast<Json::number_unsigned_t>(j.get<T>()) != j.get<Json::number_unsigned_t>()) f.push_back({at, "is out of range"});
-    else x = j.get<T>();
+    if (!j.is_number_integer() || (std::is_unsigned_v<T> && !j.is_number_unsigned()))
+      f.push_back({at, "must be a whole number"});
+    else if (static_cast<Json::number_unsigned_t>(j.get<T>()) != j.get<Json::number_unsigned_t>())
+      f.push_back({at, "is out of range"});
+    else
+      x = j.get<T>();
+  } else if constexpr (std::is_floating_point_v<T>) {
+    if (j.is_number())
+      x = j.get<T>();
+    else
+      f.push_back({at, "must be a number"});
   } else if constexpr (codec::is_strong<T>::value) {
     read(j, at, x.v, f);
   } else {
@@ -44,15 +58,18 @@
       known.insert(n);
       auto p = at.empty() ? n : at + "." + n;
       auto i = j.find(n);
-      if (i != j.end()) read(*i, p, hana::second(a)(x), f);
-      else if (!T::optional_fields().count(n)) f.push_back({p, "is missing"});
+      if (i != j.end())
+        read(*i, p, hana::second(a)(x), f);
+      else if (!T::optional_fields().count(n))
+        f.push_back({p, "is missing"});
     });
     for (auto& [n, v] : j.items())
       if (!known.count(n)) f.push_back({at.empty() ? n : at + "." + n, "is not known"});
   }
 }
 
-template <class T> Json write(const std::vector<T>& v);
+template <class T>
+Json write(const std::vector<T>& v);
 template <class T>
 Json write(const T& x) {
   if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
@@ -61,7 +78,8 @@
     return x.v;
   } else {
     Json j = Json::object();
-    hana::for_each(hana::accessors<T>(), [&](auto a) { j[hana::to<char const*>(hana::first(a))] = write(hana::second(a)(x)); });
+    hana::for_each(hana::accessors<T>(),
+                   [&](auto a) { j[hana::to<char const*>(hana::first(a))] = write(hana::second(a)(x)); });
     return j;
   }
 }
--- a/src/marker/desk.cpp
+++ b/src/marker/desk.cpp
@@ -47,8 +47,10 @@
     for (auto& [id, x] : v->directory) {
       if (x.self.role != Role::recorder || x.state != DaemonState::up) continue;
       auto* o = h.of(x.self.inc);
-      if (!o || now - o->last > limits::silence) s += " daemon " + std::to_string(id.v) + " is silent;";
-      else if (o->lacking) s += " daemon " + std::to_string(id.v) + " lacks copies in " + std::to_string(o->lacking) + " comparisons;";
+      if (!o || now - o->last > limits::silence)
+        s += " daemon " + std::to_string(id.v) + " is silent;";
+      else if (o->lacking)
+        s += " daemon " + std::to_string(id.v) + " lacks copies in " + std::to_string(o->lacking) + " comparisons;";
     }
   });
   return s.empty() ? "" : "copies are lacking:" + s + " wait for the repair (metric slots_lacking must be 0)";
@@ -99,8 +101,11 @@
 HttpAnswer Desk::change(const Transformation& t, const HttpAsk& a) {
   auto r = commit(t, id_of(a));
   Json j{{"outcome", r.outcome == Outcome::yes ? "yes" : r.outcome == Outcome::no ? "no" : "unknown"}, {"id", r.id}};
-  if (r.outcome == Outcome::yes) j["epoch"] = r.epoch.v, j["revision"] = host_.view()->revision.v;
-  else j["reason"] = r.outcome == Outcome::no ? r.reason : "retry with the same id" + (r.reason.empty() ? "" : ": " + r.reason);
+  if (r.outcome == Outcome::yes)
+    j["epoch"] = r.epoch.v, j["revision"] = host_.view()->revision.v;
+  else
+    j["reason"] =
+        r.outcome == Outcome::no ? r.reason : "retry with the same id" + (r.reason.empty() ? "" : ": " + r.reason);
   auto x = body(j);
   x.status = r.outcome == Outcome::yes ? 200 : r.outcome == Outcome::no ? 409 : 503;
   if (x.status == 503) x.headers["Retry-After"] = "1";
@@ -139,8 +144,10 @@
 
 HttpAnswer Desk::put_manifest(const HttpAsk& a) {
   auto q = a.query.find("revision");
-  if (q == a.query.end() || q->second.empty() || q->second.size() > 18 || q->second.find_first_not_of("0123456789") != std::string::npos)
-    return HttpAnswer::error(400, "invalid", Findings{{"revision", "the revision that this manifest is built on is missing"}});
+  if (q == a.query.end() || q->second.empty() || q->second.size() > 18 ||
+      q->second.find_first_not_of("0123456789") != std::string::npos)
+    return HttpAnswer::error(400, "invalid",
+                             Findings{{"revision", "the revision that this manifest is built on is missing"}});
   auto m = json::parse<Manifest>(a.body);
   if (!ok(m)) return HttpAnswer::error(400, "invalid", findings(m));
   if (auto f = check(value(m)); !f.empty()) return HttpAnswer::error(400, "invalid", f);
@@ -159,13 +166,18 @@
   Replica r{name, text("kind"), text("zone"), text("url"), Fitness::ready, {}, limits::replica_places};
   if (j.contains("places")) {
     auto& p = j["places"];
-    if (p.is_number_unsigned() && p >= 1 && p <= limits::replica_places_most) r.places = p;
-    else f.push_back({"places", "must be a whole number from 1 to " + std::to_string(limits::replica_places_most)});
+    if (p.is_number_unsigned() && p >= 1 && p <= limits::replica_places_most)
+      r.places = p;
+    else
+      f.push_back({"places", "must be a whole number from 1 to " + std::to_string(limits::replica_places_most)});
   }
   auto fit = j.contains("fitness") ? text("fitness") : "cold";
-  if (fit == "cold") r.fitness = Fitness::cold;
-  else if (fit == "leaving") r.fitness = Fitness::leaving;
-  else if (fit != "ready") f.push_back({"fitness", "is none of cold, ready, leaving"});
+  if (fit == "cold")
+    r.fitness = Fitness::cold;
+  else if (fit == "leaving")
+    r.fitness = Fitness::leaving;
+  else if (fit != "ready")
+    f.push_back({"fitness", "is none of cold, ready, leaving"});
   if (!f.empty()) return HttpAnswer::error(400, "invalid", f);
   return change(SetReplica{r}, a);
 }
@@ -174,7 +186,13 @@
   Json j = Json::array();
   auto v = host_.view();
   for (auto& [n, r] : v->replicas)
-    j.push_back({{"name", n}, {"kind", r.kind}, {"zone", r.zone}, {"url", r.url}, {"fitness", name(r.fitness)}, {"places", r.places}, {"epoch", r.since.v}});
+    j.push_back({{"name", n},
+                 {"kind", r.kind},
+                 {"zone", r.zone},
+                 {"url", r.url},
+                 {"fitness", name(r.fitness)},
+                 {"places", r.places},
+                 {"epoch", r.since.v}});
   return body({{"epoch", v->epoch.v}, {"replicas", j}});
 }
 
@@ -187,9 +205,13 @@
       if (d.self.role != Role::front || d.state == DaemonState::left) continue;
       auto* x = h.of(d.self.inc);
       bool fresh = x && now - x->last < limits::heartbeat * 4;
-      j.push_back({{"id", id.v}, {"http", d.self.http}, {"zone", d.self.zone}, {"state", name(d.state)},
+      j.push_back({{"id", id.v},
+                   {"http", d.self.http},
+                   {"zone", d.self.zone},
+                   {"state", name(d.state)},
                    {"ready", fresh && d.state == DaemonState::up && !v->evacuated.count(d.self.zone)},
-                   {"pressure", x ? x->pressure : 0}, {"epoch", x ? x->known.v : 0}});
+                   {"pressure", x ? x->pressure : 0},
+                   {"epoch", x ? x->known.v : 0}});
     }
   });
   return body({{"epoch", v->epoch.v}, {"fronts", j}});
@@ -199,7 +221,9 @@
   double duty = 0;
   host_.ask([&](Machine& m, Millis now) { duty = static_cast<MarkerMachine&>(m).on_duty(now); });
   auto v = host_.view();
-  std::map<std::string, double> more{{"duty_held", duty}, {"sequences", static_cast<double>(v->sequences.size())}, {"daemons", static_cast<double>(v->directory.size())}};
+  std::map<std::string, double> more{{"duty_held", duty},
+                                     {"sequences", static_cast<double>(v->sequences.size())},
+                                     {"daemons", static_cast<double>(v->directory.size())}};
   return plain(metrics_of(host_, "marker", more));
 }
 
@@ -207,9 +231,12 @@
   auto v = host_.view();
   bool old = false;
   host_.ask([&](Machine& m, Millis) { old = static_cast<MarkerMachine&>(m).outdated(); });
-  if (old) return HttpAnswer::error(503, "earlier_generation", "the core was founded anew without this marker; empty its folder");
+  if (old)
+    return HttpAnswer::error(503, "earlier_generation",
+                             "the core was founded anew without this marker; empty its folder");
   if (a.path == "/v1/say" && a.method == "POST") return say(a);
-  if (a.path == "/v1/manifest" && a.method == "GET") return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"manifest", json::write(v->manifest)}});
+  if (a.path == "/v1/manifest" && a.method == "GET")
+    return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"manifest", json::write(v->manifest)}});
   if (a.path == "/v1/manifest" && a.method == "PUT") return put_manifest(a);
   if (a.path == "/v1/replicas" && a.method == "GET") return replicas();
   if (a.path.starts_with("/v1/replicas/")) {
@@ -219,7 +246,9 @@
   }
   if (a.path == "/v1/fronts" && a.method == "GET") return fronts();
   if (a.path == "/metrics") return metrics();
-  if (a.path == "/ready") return v->cluster ? body({{"ready", true}, {"epoch", v->epoch.v}}) : HttpAnswer::error(503, "not_ready", "the cluster is not founded yet", limits::retry_ms);
+  if (a.path == "/ready")
+    return v->cluster ? body({{"ready", true}, {"epoch", v->epoch.v}})
+                      : HttpAnswer::error(503, "not_ready", "the cluster is not founded yet", limits::retry_ms);
   return HttpAnswer::error(404, "unknown_path", a.method + " " + a.path + " is nothing here");
 }
 
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -9,6 +9,8 @@
   if (m.cluster) return no("found", "this cluster is founded already");
   m.cluster = f.cluster;
   m.core_size = f.core_size;
+  m.core_most = std::max(f.core_most, f.core_size);
+  m.copies = f.copies ? f.copies : limits::copies;
   m.generation = 1;
   m.next_id = 1;
   m.slots.resize(limits::slots);
@@ -25,8 +27,10 @@
   auto* d = m.find(a.fresh);
   if (!d || d->self.role != Role::marker) return no(who(a.fresh), "is not a registered marker");
   if (m.member(d->self.inc)) return no(who(a.fresh), "is a core member already");
-  if (m.members.size() >= m.core_size) return no(who(a.fresh), "the core has its full number of members");
+  if (m.members.size() >= std::max(m.core_size, m.core_most))
+    return no(who(a.fresh), "the core has its full number of members");
   m.members.push_back(a.fresh);
+  m.core_size = std::max(m.core_size, static_cast<uint32_t>(m.members.size()));
   return m;
 }
 
@@ -42,10 +46,12 @@
 }
 
 R go(Metadata m, const Refound& t) {
-  if (t.generation != m.generation) return no("generation", "is " + std::to_string(m.generation) + ", not " + std::to_string(t.generation));
+  if (t.generation != m.generation)
+    return no("generation", "is " + std::to_string(m.generation) + ", not " + std::to_string(t.generation));
   std::erase_if(m.members, [&](auto id) { return std::find(t.lost.begin(), t.lost.end(), id) != t.lost.end(); });
   for (auto id : t.lost)
-    if (auto i = m.directory.find(id); i != m.directory.end()) i->second.state = DaemonState::left, i->second.since = m.epoch;
+    if (auto i = m.directory.find(id); i != m.directory.end())
+      i->second.state = DaemonState::left, i->second.since = m.epoch;
   for (auto& c : t.fresh) {
     if (m.members.size() >= m.core_size) break;
     auto* d = m.find(c.inc);
@@ -65,8 +71,34 @@
   if (t.base != m.revision)
     return no("revision", "built on " + std::to_string(t.base.v) + ", in force is " + std::to_string(m.revision.v));
   if (auto f = check(t.manifest); !f.empty()) return f;
+  if (t.revision.v && t.revision <= m.revision) return no("revision", "is not above " + std::to_string(m.revision.v));
   m.manifest = t.manifest;
-  ++m.revision.v;
+  m.revision = t.revision.v ? t.revision : Revision{m.revision.v + 1};
+  return m;
+}
+
+R go(Metadata m, const ListReplicas& t) {
+  auto before = m.replicas;
+  for (auto& n : t.gone) m.replicas.erase(n);
+  for (auto r : t.set) {
+    if (r.name.empty() || r.service.empty() || !r.url.starts_with("http://"))
+      return no(r.name, "lacks a name, a service or an address");
+    auto i = m.replicas.find(r.name);
+    r.since = i != m.replicas.end() && i->second.fitness == r.fitness ? i->second.since : m.epoch;
+    m.replicas[r.name] = r;
+  }
+  if (m.replicas == before) return no("replicas", "are so already");
+  return m;
+}
+
+R go(Metadata m, const DropCore& t) {
+  auto i = std::find(m.members.begin(), m.members.end(), t.old);
+  auto* o = m.find(t.old);
+  if (i == m.members.end() || !o) return no(who(t.old), "is not a core member");
+  if (o->state != DaemonState::down) return no(who(t.old), std::string("is a live member (") + name(o->state) + ")");
+  if (m.members.size() <= 3) return no(who(t.old), "the core would be too small without it");
+  m.members.erase(i);
+  m.directory[t.old].state = DaemonState::left;
   return m;
 }
 
@@ -76,7 +108,8 @@
   if (r.name.empty()) f.push_back({"name", "is empty"});
   if (r.kind != "model" && r.kind != "app") f.push_back({"kind", "is neither model nor app"});
   if (!r.url.starts_with("http://")) f.push_back({"url", "does not begin with http://"});
-  if (r.places > limits::replica_places_most) f.push_back({"places", "must be from 1 to " + std::to_string(limits::replica_places_most)});
+  if (r.places > limits::replica_places_most)
+    f.push_back({"places", "must be from 1 to " + std::to_string(limits::replica_places_most)});
   if (!f.empty()) return f;
   auto c = r;
   if (c.places == 0) c.places = limits::replica_places;
@@ -106,7 +139,8 @@
 }
 
 R go(Metadata m, const Recounted& t) {
-  if (m.incoming.empty() || m.recounted != t.since) return no("recount", "none of epoch " + std::to_string(t.since.v) + " is under way");
+  if (m.incoming.empty() || m.recounted != t.since)
+    return no("recount", "none of epoch " + std::to_string(t.since.v) + " is under way");
   m.quorum = std::exchange(m.incoming, {});
   return m;
 }
--- a/src/metadata/describe.cpp
+++ b/src/metadata/describe.cpp
@@ -2,15 +2,58 @@
 
 namespace mosskeel {
 namespace {
-std::string id(DaemonId d) { return "daemon " + std::to_string(d.v); }
+std::string id(DaemonId d) {
+  return "daemon " + std::to_string(d.v);
+}
+
+/// Places of one path or service in the findings: "paths[3].host".
+std::string at(const char* list, size_t i, const char* field) {
+  return std::string(list) + "[" + std::to_string(i) + "]." + field;
+}
+
+void check_paths(const Manifest& m, Findings& f) {
+  std::set<std::string> services, names;
+  std::set<std::pair<std::string, std::string>> places;
+  for (size_t i = 0; i < m.services.size(); ++i) {
+    auto& s = m.services[i];
+    if (s.name.empty()) f.push_back({at("services", i, "name"), "is empty"});
+    if (!services.insert(s.name).second) f.push_back({at("services", i, "name"), "'" + s.name + "' is there twice"});
+    if (s.cold_ms < 0) f.push_back({at("services", i, "cold_ms"), "is below 0"});
+    if (!(s.cold_per_s >= 0)) f.push_back({at("services", i, "cold_per_s"), "is below 0"});
+  }
+  for (size_t i = 0; i < m.paths.size(); ++i) {
+    auto& p = m.paths[i];
+    if (p.name.empty()) f.push_back({at("paths", i, "name"), "is empty"});
+    if (!names.insert(p.name).second) f.push_back({at("paths", i, "name"), "'" + p.name + "' is there twice"});
+    if (p.host.empty()) f.push_back({at("paths", i, "host"), "is empty"});
+    if (!p.prefix.starts_with("/") || !p.prefix.ends_with("/"))
+      f.push_back({at("paths", i, "prefix"), "must begin and end with '/'"});
+    if (!places.insert({p.host, p.prefix}).second)
+      f.push_back({at("paths", i, "prefix"), "another path has this host and prefix"});
+    if (p.kind != "safe" && p.kind != "unsafe" && p.kind != "streaming")
+      f.push_back({at("paths", i, "kind"), "is none of safe, unsafe, streaming"});
+    if (p.timeout_ms <= 0) f.push_back({at("paths", i, "timeout_ms"), "must be above 0 ms"});
+    if (p.retention_ms < 0) f.push_back({at("paths", i, "retention_ms"), "is below 0"});
+    uint64_t sum = 0;
+    for (auto& s : p.shares) {
+      sum += s.weight;
+      if (!services.count(s.service)) f.push_back({at("paths", i, "shares"), "service '" + s.service + "' is unknown"});
+    }
+    if (sum == 0) f.push_back({at("paths", i, "shares"), "the weights add up to 0"});
+  }
+}
 }  // namespace
 
 std::string describe(const Transformation& t) {
   return std::visit(
       overload{
           [](const std::monostate&) -> std::string { return "no change"; },
-          [](const Found& x) { return "found cluster " + hex(x.cluster) + " with " + std::to_string(x.members.size()) + " core members"; },
-          [](const Register& x) { return std::string("register ") + name(x.self.role) + " at " + x.self.addr + " in zone " + x.self.zone; },
+          [](const Found& x) {
+            return "found cluster " + hex(x.cluster) + " with " + std::to_string(x.members.size()) + " core members";
+          },
+          [](const Register& x) {
+            return std::string("register ") + name(x.self.role) + " at " + x.self.addr + " in zone " + x.self.zone;
+          },
           [](const AdmitCore& x) { return "admit " + id(x.fresh) + " to the core"; },
           [](const ReplaceCore& x) { return "replace core " + id(x.old) + " by " + id(x.fresh); },
           [](const MarkDown& x) { return "mark " + id(x.node) + " down"; },
@@ -19,15 +62,25 @@
           [](const PrepareDrain& x) { return "prepare the drain of " + id(x.node); },
           [](const Advance& x) { return std::string(name(x.step)) + " the sequence of " + id(x.node); },
           [](const CancelSequence& x) { return "cancel the sequence of " + id(x.node) + ": " + x.reason; },
-          [](const ApplyManifest& x) { return "apply a manifest of " + std::to_string(x.manifest.cells.size()) + " cells on revision " + std::to_string(x.base.v); },
+          [](const ApplyManifest& x) {
+            return "apply a manifest of " + std::to_string(x.manifest.cells.size()) + " cells on revision " +
+                   std::to_string(x.base.v);
+          },
           [](const SetReplica& x) { return "replica " + x.replica.name + " is " + name(x.replica.fitness); },
           [](const DropReplica& x) { return "forget replica " + x.name; },
           [](const EvacuateZone& x) { return "evacuate zone " + x.zone; },
           [](const RestoreZone& x) { return "restore zone " + x.zone; },
           [](const MoveRoutes& x) { return "move the routes of " + id(x.from) + " to " + id(x.to); },
-          [](const Refound& x) { return "found the core anew as generation " + std::to_string(x.generation + 1) + " without " + std::to_string(x.lost.size()) + " lost members"; },
+          [](const Refound& x) {
+            return "found the core anew as generation " + std::to_string(x.generation + 1) + " without " +
+                   std::to_string(x.lost.size()) + " lost members";
+          },
           [](const Recount&) -> std::string { return "recount who counts in touch and acknowledgements"; },
           [](const Recounted& x) { return "end the recount of epoch " + std::to_string(x.since.v); },
+          [](const ListReplicas& x) {
+            return "list " + std::to_string(x.set.size()) + " replicas, forget " + std::to_string(x.gone.size());
+          },
+          [](const DropCore& x) { return "take " + id(x.old) + " out of the core"; },
           [](const MoveSlot& x) { return "move slot " + std::to_string(x.slot.v) + " to " + id(x.owner); },
       },
       t);
@@ -39,7 +92,8 @@
   for (size_t i = 0; i < m.cells.size(); ++i) {
     auto& c = m.cells[i];
     auto at = "cells[" + std::to_string(i) + "]";
-    if (c.name.empty() || c.name.find('/') != std::string::npos) f.push_back({at + ".name", "must be a word without '/'"});
+    if (c.name.empty() || c.name.find('/') != std::string::npos)
+      f.push_back({at + ".name", "must be a word without '/'"});
     if (!seen.insert(c.name).second) f.push_back({at + ".name", "'" + c.name + "' is there twice"});
     if (c.budget == 0) f.push_back({at + ".budget", "must be above 0 tokens"});
     if (c.turn_limit == 0) f.push_back({at + ".turn_limit", "must be above 0 tokens"});
@@ -54,6 +108,7 @@
       if (r.kind != "model" && r.kind != "app") f.push_back({p + ".kind", "is neither model nor app"});
     }
   }
+  check_paths(m, f);
   return f;
 }
 
--- a/src/metadata/places.cpp
+++ b/src/metadata/places.cpp
@@ -28,8 +28,7 @@
 }
 
 int same_zone(const Metadata& m, const std::vector<DaemonId>& v, const std::string& z, DaemonId but) {
-  return static_cast<int>(
-      std::count_if(v.begin(), v.end(), [&](auto id) { return id != but && zone(m, id) == z; }));
+  return static_cast<int>(std::count_if(v.begin(), v.end(), [&](auto id) { return id != but && zone(m, id) == z; }));
 }
 
 std::vector<Move> join_front(const Metadata& m, const Daemon& d) {
@@ -128,7 +127,8 @@
     auto& s = m.slots[i];
     if (d.self.role == Role::front && s.owner == d.id) {
       auto to = least_owner(m, own, d.id);
-      if (to.v == 0) return Findings{{"daemon " + std::to_string(d.id.v), "no other front worker could take its slots"}};
+      if (to.v == 0)
+        return Findings{{"daemon " + std::to_string(d.id.v), "no other front worker could take its slots"}};
       ++own[to];
       v.push_back({SlotId{i}, to, s.recorders});
     }
@@ -142,9 +142,9 @@
       if (best.v == 0 || key(id) < key(best)) best = id;
     }
     if (best.v == 0)
-      return Findings{{"slot " + std::to_string(i), "retiring this store would leave " +
-                       std::to_string(set.size() - 1) + " of " + std::to_string(limits::copies) +
-                       " copies and no other store can take its place"}};
+      return Findings{{"slot " + std::to_string(i),
+                       "retiring this store would leave " + std::to_string(set.size() - 1) + " of " +
+                           std::to_string(limits::copies) + " copies and no other store can take its place"}};
     *w = best;
     ++n[best];
     v.push_back({SlotId{i}, s.owner, set});
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -34,7 +34,9 @@
   }
 }
 
-R go(Metadata m, const std::monostate&) { return m; }
+R go(Metadata m, const std::monostate&) {
+  return m;
+}
 
 R go(Metadata m, const Register& r) {
   if (m.find(r.self.inc)) return no("register", "incarnation " + hex(r.self.inc.v) + " is registered already");
@@ -45,7 +47,8 @@
     }
   DaemonId fresh{m.next_id++};
   for (auto& [id, d] : m.directory)
-    if (d.self.addr == r.self.addr && (d.state == DaemonState::down || d.self.role == Role::front)) m.succeed(id, fresh);
+    if (d.self.addr == r.self.addr && (d.state == DaemonState::down || d.self.role == Role::front))
+      m.succeed(id, fresh);
   for (auto& [id, d] : m.directory)
     if (d.self.addr == r.self.addr && d.state != DaemonState::left && d.self.role == Role::front) {
       d.state = DaemonState::left;
@@ -53,7 +56,8 @@
       unlock(m, id);
       scatter(m, id);
     }
-  m.directory[fresh] = {fresh, r.self, r.self.role == Role::marker ? DaemonState::up : DaemonState::registered, m.epoch};
+  m.directory[fresh] = {fresh, r.self, r.self.role == Role::marker ? DaemonState::up : DaemonState::registered,
+                        m.epoch};
   return m;
 }
 
@@ -61,7 +65,8 @@
   auto i = m.directory.find(t.node);
   if (i == m.directory.end()) return no(who(t.node), "is unknown");
   auto& d = i->second;
-  if (d.state == DaemonState::down || d.state == DaemonState::left) return no(who(t.node), std::string("is ") + name(d.state) + " already");
+  if (d.state == DaemonState::down || d.state == DaemonState::left)
+    return no(who(t.node), std::string("is ") + name(d.state) + " already");
   bool leaves = d.state == DaemonState::draining && d.self.role == Role::front && !m.sequences.count(t.node);
   d.state = leaves ? DaemonState::left : DaemonState::down;
   d.since = m.epoch;
@@ -85,7 +90,8 @@
   if (!d || d->self.role == Role::marker) return no(who(node), "is no front worker or store");
   if (m.sequences.count(node)) return no(who(node), "has a sequence in progress");
   if (d->state == DaemonState::left) return no(who(node), "has left");
-  if (k == SequenceKind::join && (d->state == DaemonState::down || d->state == DaemonState::draining)) return no(who(node), std::string("is ") + name(d->state));
+  if (k == SequenceKind::join && (d->state == DaemonState::down || d->state == DaemonState::draining))
+    return no(who(node), std::string("is ") + name(d->state));
   std::vector<Move> moves;
   if (k == SequenceKind::join) {
     moves = places::for_join(m, *d);
@@ -102,8 +108,12 @@
   m.sequences[node] = {node, k, Step::start, m.epoch, m.epoch, moves};
   return m;
 }
-R go(Metadata m, const PrepareJoin& t) { return prepare(std::move(m), t.node, SequenceKind::join); }
-R go(Metadata m, const PrepareDrain& t) { return prepare(std::move(m), t.node, SequenceKind::drain); }
+R go(Metadata m, const PrepareJoin& t) {
+  return prepare(std::move(m), t.node, SequenceKind::join);
+}
+R go(Metadata m, const PrepareDrain& t) {
+  return prepare(std::move(m), t.node, SequenceKind::drain);
+}
 
 R go(Metadata m, const Advance& t) {
   auto i = m.sequences.find(t.node);
@@ -122,7 +132,8 @@
     auto& s = m.slots[x.slot.v];
     if (!s.pending.empty()) recorders_to(m, s, x.recorders);
     auto* o = m.find(x.owner);
-    if (s.owner != x.owner && o && o->state != DaemonState::down && o->state != DaemonState::left) owner_to(m, s, x.owner);
+    if (s.owner != x.owner && o && o->state != DaemonState::down && o->state != DaemonState::left)
+      owner_to(m, s, x.owner);
   }
   auto& d = m.directory[t.node];
   bool join = q.kind == SequenceKind::join;
@@ -134,7 +145,8 @@
   std::set<DaemonId> kept;
   for (auto& s : m.slots) kept.insert(s.recorders.begin(), s.recorders.end());
   for (auto& [id, x] : m.directory)
-    if (x.self.role == Role::recorder && x.state == DaemonState::down && !kept.count(id)) x.state = DaemonState::left, x.since = m.epoch;
+    if (x.self.role == Role::recorder && x.state == DaemonState::down && !kept.count(id))
+      x.state = DaemonState::left, x.since = m.epoch;
   return m;
 }
 
@@ -170,9 +182,11 @@
 
 R go(Metadata m, const MoveSlot& t) {
   if (t.slot.v >= m.slots.size()) return no("slot " + std::to_string(t.slot.v), "is unknown");
-  if (auto l = m.locks.find(t.slot); l != m.locks.end()) return no("slot " + std::to_string(t.slot.v), "is locked by the sequence of " + who(l->second));
+  if (auto l = m.locks.find(t.slot); l != m.locks.end())
+    return no("slot " + std::to_string(t.slot.v), "is locked by the sequence of " + who(l->second));
   if (!places::owned(m).count(t.owner)) return no(who(t.owner), "is no front worker that may own slots");
-  if (m.slots[t.slot.v].owner == t.owner) return no("slot " + std::to_string(t.slot.v), "is owned by " + who(t.owner) + " already");
+  if (m.slots[t.slot.v].owner == t.owner)
+    return no("slot " + std::to_string(t.slot.v), "is owned by " + who(t.owner) + " already");
   owner_to(m, m.slots[t.slot.v], t.owner);
   return m;
 }
@@ -182,7 +196,8 @@
   if (t.from == t.to) return no(who(t.to), "is the same node");
   if (!places::owned(m).count(t.to)) return no(who(t.to), "is no front worker that may own slots");
   for (auto& [s, l] : m.locks)
-    if (m.slots[s.v].owner == t.from) return no("slot " + std::to_string(s.v), "is locked by the sequence of " + who(l));
+    if (m.slots[s.v].owner == t.from)
+      return no("slot " + std::to_string(s.v), "is locked by the sequence of " + who(l));
   size_t n = 0;
   for (auto& s : m.slots)
     if (s.owner == t.from) owner_to(m, s, t.to), ++n;
@@ -193,7 +208,8 @@
 }  // namespace
 
 Result<Metadata> apply(const Metadata& m, const Entry& e) {
-  if (e.epoch != next(m.epoch)) return no("epoch", std::to_string(e.epoch.v) + " does not follow " + std::to_string(m.epoch.v));
+  if (e.epoch != next(m.epoch))
+    return no("epoch", std::to_string(e.epoch.v) + " does not follow " + std::to_string(m.epoch.v));
   auto c = m;
   c.epoch = e.epoch;
   if (!e.commit.empty()) {
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -4,9 +4,11 @@
 
 namespace mosskeel {
 
+/// `core_most` lets further markers be admitted up to that number (0: core_size); `copies` is how many recorders
+/// keep a line (0: the default).
 struct Found {
-  BOOST_HANA_DEFINE_STRUCT(Found, (uint64_t, cluster), (uint32_t, core_size),
-                           (std::vector<Candidate>, members));
+  BOOST_HANA_DEFINE_STRUCT(Found, (uint64_t, cluster), (uint32_t, core_size), (std::vector<Candidate>, members),
+                           (uint32_t, core_most), (uint32_t, copies));
   bool operator==(const Found&) const = default;
 };
 struct Register {
@@ -46,8 +48,9 @@
   BOOST_HANA_DEFINE_STRUCT(CancelSequence, (DaemonId, node), (std::string, reason));
   bool operator==(const CancelSequence&) const = default;
 };
+/// `revision` is the number that the operator gave; 0 stands for the next one.
 struct ApplyManifest {
-  BOOST_HANA_DEFINE_STRUCT(ApplyManifest, (Revision, base), (Manifest, manifest));
+  BOOST_HANA_DEFINE_STRUCT(ApplyManifest, (Revision, base), (Manifest, manifest), (Revision, revision));
   bool operator==(const ApplyManifest&) const = default;
 };
 struct SetReplica {
@@ -80,7 +83,8 @@
 
 /// Founds the core anew from its survivors: the lost members never vote again, the cluster's id changes.
 struct Refound {
-  BOOST_HANA_DEFINE_STRUCT(Refound, (uint64_t, generation), (std::vector<DaemonId>, lost), (std::vector<Candidate>, fresh));
+  BOOST_HANA_DEFINE_STRUCT(Refound, (uint64_t, generation), (std::vector<DaemonId>, lost),
+                           (std::vector<Candidate>, fresh));
   bool operator==(const Refound&) const = default;
 };
 
@@ -94,11 +98,22 @@
   bool operator==(const Recounted&) const = default;
 };
 
+/// What a list of replicas says that the log does not have yet, in one epoch; names in `gone` are dropped.
+struct ListReplicas {
+  BOOST_HANA_DEFINE_STRUCT(ListReplicas, (std::vector<Replica>, set), (std::vector<std::string>, gone));
+  bool operator==(const ListReplicas&) const = default;
+};
+/// Takes a member that is down out of a core that keeps a majority without it.
+struct DropCore {
+  BOOST_HANA_DEFINE_STRUCT(DropCore, (DaemonId, old));
+  bool operator==(const DropCore&) const = default;
+};
+
 /// Append only: the index is what the log keeps.
 using Transformation =
-    std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin,
-                 PrepareDrain, Advance, CancelSequence, ApplyManifest, SetReplica, DropReplica,
-                 EvacuateZone, RestoreZone, MoveSlot, MoveRoutes, Refound, Recount, Recounted>;
+    std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin, PrepareDrain,
+                 Advance, CancelSequence, ApplyManifest, SetReplica, DropReplica, EvacuateZone, RestoreZone, MoveSlot,
+                 MoveRoutes, Refound, Recount, Recounted, ListReplicas, DropCore>;
 
 struct Entry {
   BOOST_HANA_DEFINE_STRUCT(Entry, (Epoch, epoch), (std::string, commit), (Transformation, change));
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -18,18 +18,31 @@
   static const char* const n[] = {"cold", "ready", "leaving"};
   return n[static_cast<int>(f)];
 }
-const char* name(SequenceKind k) { return k == SequenceKind::join ? "join" : "drain"; }
+const char* name(SequenceKind k) {
+  return k == SequenceKind::join ? "join" : "drain";
+}
 const char* name(Step s) {
   static const char* const n[] = {"start", "mid", "finish"};
   return n[static_cast<int>(s)];
 }
 
+const char* name(PathKind k) {
+  static const char* const n[] = {"safe", "unsafe", "streaming"};
+  return n[static_cast<int>(k)];
+}
+
 const Cell* Manifest::cell(const std::string& n) const {
   for (auto& c : cells)
     if (c.name == n) return &c;
   return nullptr;
 }
 
+const Service* Manifest::service(const std::string& n) const {
+  for (auto& s : services)
+    if (s.name == n) return &s;
+  return nullptr;
+}
+
 const Daemon* Metadata::find(DaemonId id) const {
   auto i = directory.find(id);
   return i == directory.end() ? nullptr : &i->second;
@@ -75,9 +88,9 @@
 
 bool Metadata::heir(const Candidate& c) const {
   return c.role == Role::marker && std::any_of(members.begin(), members.end(), [&](auto id) {
-    auto* d = find(id);
-    return d && d->self.addr == c.addr && d->self.inc != c.inc;
-  });
+           auto* d = find(id);
+           return d && d->self.addr == c.addr && d->self.inc != c.inc;
+         });
 }
 
 std::optional<Epoch> Metadata::outcome(const std::string& commit) const {
@@ -86,7 +99,9 @@
   return std::nullopt;
 }
 
-uint64_t successor(uint64_t cluster, uint64_t generation) { return digest(hex(cluster), generation); }
+uint64_t successor(uint64_t cluster, uint64_t generation) {
+  return digest(hex(cluster), generation);
+}
 
 bool succeeds(const Metadata& m, uint64_t later) {
   auto c = m.cluster;
@@ -101,6 +116,8 @@
   return SlotId{static_cast<uint32_t>(digest(program, digest(cell)) % limits::slots)};
 }
 
-size_t majority_of(size_t n) { return n / 2 + 1; }
+size_t majority_of(size_t n) {
+  return n / 2 + 1;
+}
 
 }  // namespace mosskeel
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -20,20 +20,22 @@
 
 /// What a daemon says of itself before the log knows it.
 struct Candidate {
-  BOOST_HANA_DEFINE_STRUCT(Candidate, (Incarnation, inc), (Role, role), (std::string, zone),
-                           (Address, addr), (Address, agent), (Address, http));
+  BOOST_HANA_DEFINE_STRUCT(Candidate, (Incarnation, inc), (Role, role), (std::string, zone), (Address, addr),
+                           (Address, agent), (Address, http), (std::string, machine));
   bool operator==(const Candidate&) const = default;
 };
 
 struct Daemon {
-  BOOST_HANA_DEFINE_STRUCT(Daemon, (DaemonId, id), (Candidate, self), (DaemonState, state),
-                           (Epoch, since));
+  BOOST_HANA_DEFINE_STRUCT(Daemon, (DaemonId, id), (Candidate, self), (DaemonState, state), (Epoch, since));
   bool operator==(const Daemon&) const = default;
 };
 
+/// `service` names the service of the manifest that it belongs to, empty for a cell's own replica; `cold_ms` is how
+/// much longer it is cold, counted from when its list said so.
 struct Replica {
-  BOOST_HANA_DEFINE_STRUCT(Replica, (std::string, name), (std::string, kind), (std::string, zone),
-                           (std::string, url), (Fitness, fitness), (Epoch, since), (uint32_t, places));
+  BOOST_HANA_DEFINE_STRUCT(Replica, (std::string, name), (std::string, kind), (std::string, zone), (std::string, url),
+                           (Fitness, fitness), (Epoch, since), (uint32_t, places), (std::string, service),
+                           (int64_t, cold_ms));
   bool operator==(const Replica&) const = default;
 };
 
@@ -45,21 +47,19 @@
 };
 
 struct Move {
-  BOOST_HANA_DEFINE_STRUCT(Move, (SlotId, slot), (DaemonId, owner),
-                           (std::vector<DaemonId>, recorders));
+  BOOST_HANA_DEFINE_STRUCT(Move, (SlotId, slot), (DaemonId, owner), (std::vector<DaemonId>, recorders));
   bool operator==(const Move&) const = default;
 };
 
 /// A join or a drain under way; `last` is the epoch that enacted the previous step.
 struct Sequence {
-  BOOST_HANA_DEFINE_STRUCT(Sequence, (DaemonId, node), (SequenceKind, kind), (Step, due),
-                           (Epoch, started), (Epoch, last), (std::vector<Move>, moves));
+  BOOST_HANA_DEFINE_STRUCT(Sequence, (DaemonId, node), (SequenceKind, kind), (Step, due), (Epoch, started),
+                           (Epoch, last), (std::vector<Move>, moves));
   bool operator==(const Sequence&) const = default;
 };
 
 struct Route {
-  BOOST_HANA_DEFINE_STRUCT(Route, (std::string, name), (std::string, kind),
-                           (std::vector<std::string>, replicas));
+  BOOST_HANA_DEFINE_STRUCT(Route, (std::string, name), (std::string, kind), (std::vector<std::string>, replicas));
   bool operator==(const Route&) const = default;
   static std::set<std::string> optional_fields() { return {"replicas"}; }
 };
@@ -71,11 +71,61 @@
   static std::set<std::string> optional_fields() { return {}; }
 };
 
+/// How often an errand of a path may run: as often as need be, or once; a stream runs once unless it may be resumed.
+enum class PathKind : uint8_t { safe, unsafe, streaming };
+const char* name(PathKind k);
+
+/// A service's part of a path's errands, by weight.
+struct Share {
+  BOOST_HANA_DEFINE_STRUCT(Share, (std::string, service), (uint32_t, weight));
+  bool operator==(const Share&) const = default;
+  static std::set<std::string> optional_fields() { return {}; }
+};
+
+/// Routes plain HTTP by host and longest prefix. Times in ms; `rank` 0 is the most urgent; `attempts` counts the
+/// replicas that one errand may be sent to; `kept` keeps turns and their chains for `retention_ms`.
+struct Path {
+  BOOST_HANA_DEFINE_STRUCT(Path, (std::string, name), (std::string, host), (std::string, prefix), (std::string, kind),
+                           (int64_t, timeout_ms), (int64_t, target_ms), (uint32_t, rank), (uint32_t, attempts),
+                           (bool, kept), (int64_t, retention_ms), (bool, sticky), (bool, resumable), (int64_t, gap_ms),
+                           (std::vector<Share>, shares));
+  bool operator==(const Path&) const = default;
+  static std::set<std::string> optional_fields() {
+    return {"target_ms", "rank", "attempts", "kept", "retention_ms", "sticky", "resumable", "gap_ms"};
+  }
+  PathKind nature() const {
+    return kind == "safe" ? PathKind::safe : kind == "unsafe" ? PathKind::unsafe : PathKind::streaming;
+  }
+};
+
+/// What replicas of one service bear: sessions each, errands a second while cold for `cold_ms`; `slots`,
+/// `cache_tokens` and `event_tokens` tell of a model's batches, its memory and the tokens in one event.
+struct Service {
+  BOOST_HANA_DEFINE_STRUCT(Service, (std::string, name), (std::string, fitness_path), (uint32_t, sessions),
+                           (int64_t, cold_ms), (double, cold_per_s), (uint32_t, slots), (uint64_t, cache_tokens),
+                           (uint32_t, event_tokens));
+  bool operator==(const Service&) const = default;
+  static std::set<std::string> optional_fields() {
+    return {"fitness_path", "sessions", "cold_ms", "cold_per_s", "slots", "cache_tokens", "event_tokens"};
+  }
+};
+
+/// What a caller may send (bytes) and how long it may take over a head or stay idle (ms).
+struct CallerLimits {
+  BOOST_HANA_DEFINE_STRUCT(CallerLimits, (uint32_t, head_bytes), (uint32_t, body_bytes), (int64_t, head_ms),
+                           (int64_t, idle_ms));
+  bool operator==(const CallerLimits&) const = default;
+  static std::set<std::string> optional_fields() { return {"head_bytes", "body_bytes", "head_ms", "idle_ms"}; }
+};
+
+/// `document` is what the operator sent, word for word, where that was not this JSON.
 struct Manifest {
-  BOOST_HANA_DEFINE_STRUCT(Manifest, (std::vector<Cell>, cells));
+  BOOST_HANA_DEFINE_STRUCT(Manifest, (std::vector<Cell>, cells), (std::vector<Path>, paths),
+                           (std::vector<Service>, services), (CallerLimits, callers), (std::string, document));
   bool operator==(const Manifest&) const = default;
-  static std::set<std::string> optional_fields() { return {}; }
+  static std::set<std::string> optional_fields() { return {"paths", "services", "callers", "document"}; }
   const Cell* cell(const std::string& n) const;
+  const Service* service(const std::string& n) const;
 };
 
 /// What became of a commit id.
@@ -90,14 +140,13 @@
 using Sequences = std::map<DaemonId, Sequence>;
 
 struct Metadata {
-  BOOST_HANA_DEFINE_STRUCT(Metadata, (Epoch, epoch), (uint64_t, cluster), (uint32_t, core_size),
-                           (uint64_t, generation), (std::vector<DaemonId>, members),
-                           (Directory, directory), (uint64_t, next_id), (Replicas, replicas),
-                           (std::vector<Slot>, slots), (Locks, locks), (Sequences, sequences),
-                           (Revision, revision), (Manifest, manifest),
-                           (std::set<std::string>, evacuated), (std::vector<Remembered>, remembered),
-                           (std::vector<uint64_t>, former), (std::vector<DaemonId>, quorum),
-                           (std::vector<DaemonId>, incoming), (Epoch, recounted));
+  BOOST_HANA_DEFINE_STRUCT(Metadata, (Epoch, epoch), (uint64_t, cluster), (uint32_t, core_size), (uint64_t, generation),
+                           (std::vector<DaemonId>, members), (Directory, directory), (uint64_t, next_id),
+                           (Replicas, replicas), (std::vector<Slot>, slots), (Locks, locks), (Sequences, sequences),
+                           (Revision, revision), (Manifest, manifest), (std::set<std::string>, evacuated),
+                           (std::vector<Remembered>, remembered), (std::vector<uint64_t>, former),
+                           (std::vector<DaemonId>, quorum), (std::vector<DaemonId>, incoming), (Epoch, recounted),
+                           (uint32_t, core_most), (uint32_t, copies));
   bool operator==(const Metadata&) const = default;
 
   const Daemon* find(DaemonId id) const;
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -31,20 +31,21 @@
 }
 
 bool about(const Transformation& t, DaemonId id) {
-  return std::visit(overload{[&](const MarkDown& x) { return x.node == id; }, [&](const MarkUp& x) { return x.node == id; },
-                             [&](const PrepareJoin& x) { return x.node == id; }, [&](const PrepareDrain& x) { return x.node == id; },
-                             [&](const Advance& x) { return x.node == id; }, [&](const CancelSequence& x) { return x.node == id; },
-                             [&](const AdmitCore& x) { return x.fresh == id; },
-                             [&](const ReplaceCore& x) { return x.old == id || x.fresh == id; },
-                             [&](const MoveSlot& x) { return x.owner == id; },
-                             [&](const MoveRoutes& x) { return x.from == id || x.to == id; }, [](const auto&) { return false; }},
-                    t);
+  return std::visit(
+      overload{[&](const MarkDown& x) { return x.node == id; }, [&](const MarkUp& x) { return x.node == id; },
+               [&](const PrepareJoin& x) { return x.node == id; }, [&](const PrepareDrain& x) { return x.node == id; },
+               [&](const Advance& x) { return x.node == id; }, [&](const CancelSequence& x) { return x.node == id; },
+               [&](const AdmitCore& x) { return x.fresh == id; },
+               [&](const ReplaceCore& x) { return x.old == id || x.fresh == id; },
+               [&](const MoveSlot& x) { return x.owner == id; },
+               [&](const MoveRoutes& x) { return x.from == id || x.to == id; }, [](const auto&) { return false; }},
+      t);
 }
 
 void slot_line(std::ostream& o, const Metadata& m, uint32_t i) {
   auto& s = m.slots[i];
-  o << "slot " << i << ": owned by daemon " << s.owner.v << " since epoch " << s.term.v << ", kept by " << ids(s.recorders)
-    << " since epoch " << s.changed.v;
+  o << "slot " << i << ": owned by daemon " << s.owner.v << " since epoch " << s.term.v << ", kept by "
+    << ids(s.recorders) << " since epoch " << s.changed.v;
   if (!s.pending.empty()) o << ", moving to " << ids(s.pending);
   if (auto l = m.locks.find(SlotId{i}); l != m.locks.end()) o << ", locked by the sequence of daemon " << l->second.v;
   o << "\n";
@@ -54,18 +55,22 @@
 
 std::string show(const Show& s, const Metadata& m) {
   std::ostringstream o;
-  if (s.what == "epoch") o << "epoch " << m.epoch.v << " revision " << m.revision.v << " cluster " << hex(m.cluster) << "\n";
+  if (s.what == "epoch")
+    o << "epoch " << m.epoch.v << " revision " << m.revision.v << " cluster " << hex(m.cluster) << "\n";
   if (s.what == "fleet") fleet(o, m);
   if (s.what == "cells")
     for (auto& c : m.manifest.cells) o << c.name << "\n";
   if (s.what == "manifest") o << "revision " << m.revision.v << "\n" << json::write(m.manifest).dump(2) << "\n";
   if (s.what == "replicas")
-    for (auto& [n, r] : m.replicas) o << n << " " << r.kind << " " << name(r.fitness) << " zone " << r.zone << " places " << r.places << " at " << r.url << "\n";
+    for (auto& [n, r] : m.replicas)
+      o << n << " " << r.kind << " " << name(r.fitness) << " zone " << r.zone << " places " << r.places << " at "
+        << r.url << "\n";
   if (s.what == "slots")
     for (uint32_t i = 0; i < m.slots.size(); ++i) slot_line(o, m, i);
   if (s.what == "sequences")
     for (auto& [id, q] : m.sequences)
-      o << name(q.kind) << " of daemon " << id.v << " since epoch " << q.started.v << ", next step " << name(q.due) << ", " << q.moves.size() << " slots\n";
+      o << name(q.kind) << " of daemon " << id.v << " since epoch " << q.started.v << ", next step " << name(q.due)
+        << ", " << q.moves.size() << " slots\n";
   if (s.what == "cell") {
     auto* c = m.manifest.cell(s.name);
     if (!c) return "no: cell " + s.name + " is unknown";
@@ -84,13 +89,16 @@
     slot_line(o, m, s.v);
     return "yes\n" + o.str();
   }
-  if (x.name.empty() || x.name.size() > 18 || x.name.find_first_not_of("0123456789") != std::string::npos) return "no: '" + x.name + "' is no number";
+  if (x.name.empty() || x.name.size() > 18 || x.name.find_first_not_of("0123456789") != std::string::npos)
+    return "no: '" + x.name + "' is no number";
   auto n = std::stoull(x.name);
   if (x.what == "node") {
     auto* d = m.find(DaemonId{n});
     if (!d) return "no: daemon " + x.name + " is unknown";
-    o << name(d->self.role) << " " << name(d->state) << " since epoch " << d->since.v << " at " << d->self.addr << " zone " << d->self.zone << "\n";
-    if (auto q = m.sequences.find(d->id); q != m.sequences.end()) o << "its " << name(q->second.kind) << " waits for step " << name(q->second.due) << "\n";
+    o << name(d->self.role) << " " << name(d->state) << " since epoch " << d->since.v << " at " << d->self.addr
+      << " zone " << d->self.zone << "\n";
+    if (auto q = m.sequences.find(d->id); q != m.sequences.end())
+      o << "its " << name(q->second.kind) << " waits for step " << name(q->second.due) << "\n";
     for (auto& e : recent)
       if (about(e.change, d->id)) line(e);
   }
@@ -102,7 +110,8 @@
   }
   if (x.what == "epoch") {
     auto i = std::find_if(recent.begin(), recent.end(), [&](auto& e) { return e.epoch.v == n; });
-    if (i == recent.end()) return "no: epoch " + x.name + (n > m.epoch.v ? " is not reached yet" : " lies behind the checkpoint");
+    if (i == recent.end())
+      return "no: epoch " + x.name + (n > m.epoch.v ? " is not reached yet" : " lies behind the checkpoint");
     line(*i);
   }
   return "yes\n" + o.str();
--- a/src/operator/language.cpp
+++ b/src/operator/language.cpp
@@ -56,7 +56,8 @@
     std::string s;
     for (size_t k = 0; k < hopes_.size(); ++k) s += (k ? (k + 1 == hopes_.size() ? " or " : ", ") : "") + hopes_[k];
     auto at = i_ < v_.size() ? v_[i_].at : end_;
-    return {{"position " + std::to_string(at), "expected " + s + (i_ < v_.size() ? ", found '" + v_[i_].s + "'" : ", found the end")}};
+    return {{"position " + std::to_string(at),
+             "expected " + s + (i_ < v_.size() ? ", found '" + v_[i_].s + "'" : ", found the end")}};
   }
 
  private:
@@ -80,15 +81,19 @@
 std::optional<Command> explain_sentence(Parser& p) {
   std::string n;
   for (auto* w : {"node", "slot", "epoch", "program"})
-    if (p.take(w)) return p.word(n, std::string(w) == "program" ? "CELL/PROGRAM" : "a number") && p.end() ? std::optional<Command>(Explain{w, n}) : std::nullopt;
+    if (p.take(w))
+      return p.word(n, std::string(w) == "program" ? "CELL/PROGRAM" : "a number") && p.end()
+                 ? std::optional<Command>(Explain{w, n})
+                 : std::nullopt;
   return std::nullopt;
 }
 
 std::optional<Command> cell_sentence(Parser& p) {
   Cell c{};
   uint64_t keep = 0;
-  if (!(p.take("cell") && p.word(c.name, "a cell's name") && p.take("budget") && p.number(c.budget, "tokens") && p.take("turn") &&
-        p.number(c.turn_limit, "tokens") && p.take("retention") && p.number(keep, "milliseconds") && p.end()))
+  if (!(p.take("cell") && p.word(c.name, "a cell's name") && p.take("budget") && p.number(c.budget, "tokens") &&
+        p.take("turn") && p.number(c.turn_limit, "tokens") && p.take("retention") && p.number(keep, "milliseconds") &&
+        p.end()))
     return std::nullopt;
   c.retention_ms = static_cast<int64_t>(keep);
   c.routes = {{"chat", "model", {}}, {"app", "app", {}}};
@@ -100,18 +105,35 @@
   DaemonId a, b;
   uint64_t n;
   if (p.take("drain")) {
-    if (p.take("zone")) return p.word(z, "a zone's name") && p.end() ? std::optional<Command>(Change{EvacuateZone{z}}) : std::nullopt;
+    if (p.take("zone"))
+      return p.word(z, "a zone's name") && p.end() ? std::optional<Command>(Change{EvacuateZone{z}}) : std::nullopt;
     if (p.take("node") && p.node(a) && p.end()) return Change{PrepareDrain{a}};
     return std::nullopt;
   }
-  if (p.take("restore")) return p.take("zone") && p.word(z, "a zone's name") && p.end() ? std::optional<Command>(Change{RestoreZone{z}}) : std::nullopt;
-  if (p.take("retire")) return p.take("store") && p.node(a) && p.end() ? std::optional<Command>(Change{PrepareDrain{a}}) : std::nullopt;
-  if (p.take("cancel")) return p.take("sequence") && p.node(a) && p.end() ? std::optional<Command>(Change{CancelSequence{a, "the operator asked"}}) : std::nullopt;
-  if (p.take("replace")) return p.take("core") && p.node(a) && p.take("with") && p.node(b) && p.end() ? std::optional<Command>(Change{ReplaceCore{a, b}}) : std::nullopt;
-  if (p.take("forget")) return p.take("replica") && p.word(z, "a replica's name") && p.end() ? std::optional<Command>(Change{DropReplica{z}}) : std::nullopt;
+  if (p.take("restore"))
+    return p.take("zone") && p.word(z, "a zone's name") && p.end() ? std::optional<Command>(Change{RestoreZone{z}})
+                                                                   : std::nullopt;
+  if (p.take("retire"))
+    return p.take("store") && p.node(a) && p.end() ? std::optional<Command>(Change{PrepareDrain{a}}) : std::nullopt;
+  if (p.take("cancel"))
+    return p.take("sequence") && p.node(a) && p.end()
+               ? std::optional<Command>(Change{CancelSequence{a, "the operator asked"}})
+               : std::nullopt;
+  if (p.take("replace"))
+    return p.take("core") && p.node(a) && p.take("with") && p.node(b) && p.end()
+               ? std::optional<Command>(Change{ReplaceCore{a, b}})
+               : std::nullopt;
+  if (p.take("forget"))
+    return p.take("replica") && p.word(z, "a replica's name") && p.end()
+               ? std::optional<Command>(Change{DropReplica{z}})
+               : std::nullopt;
   if (p.take("move")) {
-    if (p.take("routes")) return p.take("from") && p.node(a) && p.take("to") && p.node(b) && p.end() ? std::optional<Command>(Change{MoveRoutes{a, b}}) : std::nullopt;
-    if (p.take("slot") && p.number(n, "a slot's number") && p.take("to") && p.node(b) && p.end()) return Change{MoveSlot{SlotId{static_cast<uint32_t>(n)}, b}};
+    if (p.take("routes"))
+      return p.take("from") && p.node(a) && p.take("to") && p.node(b) && p.end()
+                 ? std::optional<Command>(Change{MoveRoutes{a, b}})
+                 : std::nullopt;
+    if (p.take("slot") && p.number(n, "a slot's number") && p.take("to") && p.node(b) && p.end())
+      return Change{MoveSlot{SlotId{static_cast<uint32_t>(n)}, b}};
     return std::nullopt;
   }
   return std::nullopt;
@@ -124,9 +146,12 @@
   std::optional<Command> c;
   std::string n, f;
   uint64_t x = 0;
-  if (p.take("show")) c = show_sentence(p);
-  else if (p.take("explain")) c = explain_sentence(p);
-  else if (p.take("create")) c = cell_sentence(p);
+  if (p.take("show"))
+    c = show_sentence(p);
+  else if (p.take("explain"))
+    c = explain_sentence(p);
+  else if (p.take("create"))
+    c = cell_sentence(p);
   else if (p.take("drop")) {
     if (p.take("cell") && p.word(n, "a cell's name") && p.end()) c = DropCell{n};
   } else if (p.take("set")) {
--- a/src/recorder/main.cpp
+++ b/src/recorder/main.cpp
@@ -4,7 +4,8 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  auto r = read_props(argc, argv, {"recorder", "A storage daemon: keeps the histories.", true, true, false, true, true, true, false});
+  auto r = read_props(
+      argc, argv, {"recorder", "A storage daemon: keeps the histories.", true, true, false, true, true, true, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Props>(r);
   start_log("recorder");
@@ -14,7 +15,10 @@
   auto disk = std::get<0>(d);
   Identity id{{disk->recovered().inc, Role::recorder, p.zone, p.listen, "", p.http}, p.seeds, 0, dice(), p.tcm_rpc_ms};
   Host host(disk, p.listen);
-  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<RecorderMachine>(id, r, now); }); !f.empty()) return cannot_start("recorder", f);
+  if (auto f =
+          host.start([&](const Recovered& r, Millis now) { return std::make_unique<RecorderMachine>(id, r, now); });
+      !f.empty())
+    return cannot_start("recorder", f);
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) {
     HttpAnswer x;
     if (a.path == "/metrics") {
@@ -25,13 +29,18 @@
         lacking = static_cast<RecorderMachine&>(m).repair().lacking();
         fetched = static_cast<RecorderMachine&>(m).repair().fetched();
       });
-      x.body = metrics_of(host, "recorder", {{"lines", static_cast<double>(n)}, {"graves", static_cast<double>(g)}, {"slots_lacking", static_cast<double>(lacking)}, {"lines_repaired", static_cast<double>(fetched)}});
+      x.body = metrics_of(host, "recorder",
+                          {{"lines", static_cast<double>(n)},
+                           {"graves", static_cast<double>(g)},
+                           {"slots_lacking", static_cast<double>(lacking)},
+                           {"lines_repaired", static_cast<double>(fetched)}});
       x.headers["Content-Type"] = "text/plain";
       return x;
     }
     if (a.path != "/ready") return HttpAnswer::error(404, "unknown_path", a.method + " " + a.path + " is nothing here");
     auto* me = host.view()->find(disk->recovered().inc);
-    if (!me || me->state != DaemonState::up) return HttpAnswer::error(503, "not_ready", "this store is not in the directory yet", limits::retry_ms);
+    if (!me || me->state != DaemonState::up)
+      return HttpAnswer::error(503, "not_ready", "this store is not in the directory yet", limits::retry_ms);
     x.body = "{\"ready\":true}\n";
     return x;
   });
--- a/src/switchboard/callers.cpp
+++ b/src/switchboard/callers.cpp
@@ -13,24 +13,37 @@
   return i == a.headers.end() ? "" : i->second;
 }
 
-std::string dump(const Json& j) { return j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n"; }
+std::string dump(const Json& j) {
+  return j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
 
 const char* code(const ErrandEnd& e) {
   if (e.status == 410) return "ended";
   if (e.ran == Outcome::unknown) return "outcome_unknown";
   switch (e.status) {
-    case 400: return "invalid";
-    case 404: return "unknown_or_missing";
-    case 409: return "conflict";
-    case 429: return "budget_spent";
-    case 503: return "not_run";
-    case 504: return "late";
-    default: return "refused";
+    case 400:
+      return "invalid";
+    case 404:
+      return "unknown_or_missing";
+    case 409:
+      return "conflict";
+    case 429:
+      return "budget_spent";
+    case 503:
+      return "not_run";
+    case 504:
+      return "late";
+    default:
+      return "refused";
   }
 }
 
 Json verdict(const ErrandEnd& e) {
-  Json j{{"error", code(e)}, {"reason", e.reason}, {"ran", e.ran == Outcome::yes ? "yes" : e.ran == Outcome::no ? "no" : "unknown"}};
+  Json j{{"error", code(e)},
+         {"reason", e.reason},
+         {"ran", e.ran == Outcome::yes  ? "yes"
+                 : e.ran == Outcome::no ? "no"
+                                        : "unknown"}};
   if (e.retry_ms) j["retry_after_ms"] = e.retry_ms;
   return j;
 }
@@ -43,7 +56,9 @@
   return a;
 }
 
-Json done(const ErrandEnd& e) { return {{"done", true}, {"turn", e.turn}, {"tokens", e.tokens}, {"pieces", e.pieces}}; }
+Json done(const ErrandEnd& e) {
+  return {{"done", true}, {"turn", e.turn}, {"tokens", e.tokens}, {"pieces", e.pieces}};
+}
 
 /// Common headers: horizon, class, key.
 Findings dress(const HttpAsk& a, Errand& e) {
@@ -52,13 +67,18 @@
   if (e.key.size() > 256) f.push_back({"Idempotency-Key", "is longer than 256 bytes"});
   auto h = header(a, "x-horizon-ms");
   if (!h.empty()) {
-    if (h.size() > 9 || h.find_first_not_of("0123456789") != std::string::npos) f.push_back({"X-Horizon-Ms", "is no number of milliseconds"});
-    else e.horizon_ms = std::stoll(h);
+    if (h.size() > 9 || h.find_first_not_of("0123456789") != std::string::npos)
+      f.push_back({"X-Horizon-Ms", "is no number of milliseconds"});
+    else
+      e.horizon_ms = std::stoll(h);
   }
   auto c = header(a, "x-class");
-  if (c == "urgent") e.urgent = true;
-  else if (c == "bulk") e.bulk = true;
-  else if (!c.empty() && c != "normal") f.push_back({"X-Class", "is none of urgent, normal, bulk"});
+  if (c == "urgent")
+    e.urgent = true;
+  else if (c == "bulk")
+    e.bulk = true;
+  else if (!c.empty() && c != "normal")
+    f.push_back({"X-Class", "is none of urgent, normal, bulk"});
   e.attempt = "a" + hex(dice());
   return f;
 }
@@ -76,13 +96,15 @@
   env.cluster = v->cluster;
   env.epoch = v->epoch;
   auto attempt = e.attempt;
-  auto patience = (e.horizon_ms > 0 ? std::min<Millis>(e.horizon_ms, limits::errand_horizon) : limits::errand_horizon) + limits::handover_patience;
+  auto patience = (e.horizon_ms > 0 ? std::min<Millis>(e.horizon_ms, limits::errand_horizon) : limits::errand_horizon) +
+                  limits::handover_patience;
   env.body = std::move(e);
   host_.post(std::move(env));
   std::string text;
   uint32_t n = 0;
   auto until = process_now() + patience;
-  ErrandEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the errand", "", 0, 0, limits::retry_ms, false, 0};
+  ErrandEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the errand", "", 0, 0, limits::retry_ms,
+                 false,   0};
   while (true) {
     auto m = w->pop(std::max<Millis>(1, until - process_now()));
     if (!m) return refused(lost);
@@ -103,7 +125,8 @@
           return HttpAnswer::Flow::more;
         }
         auto m = w->pop(std::max<Millis>(1, until - process_now()));
-        if (m && std::holds_alternative<ErrandPiece>(*m)) return o = piece(std::get<ErrandPiece>(*m)), HttpAnswer::Flow::more;
+        if (m && std::holds_alternative<ErrandPiece>(*m))
+          return o = piece(std::get<ErrandPiece>(*m)), HttpAnswer::Flow::more;
         auto* end = m ? std::get_if<ErrandEnd>(&*m) : nullptr;
         if (m && !end) return HttpAnswer::Flow::more;
         bool good = end && end->status == 200;
@@ -141,14 +164,22 @@
     f.push_back({"body", "is no JSON object"});
   } else {
     for (auto& [k, v] : j.items()) {
-      if (k == "input" && v.is_string()) e.body = v;
-      else if (k == "prefix" && v.is_string()) e.prefix = v;
-      else if (k == "thread" && v.is_string()) e.thread = v;
-      else if (k == "route" && v.is_string()) e.route = v;
-      else if (k == "max_tokens" && v.is_number_unsigned()) e.max_tokens = v;
-      else if (k == "after" && v.is_number_unsigned() && v < 1000000) e.after = v.get<uint32_t>();
-      else if (k == "stream" && v.is_boolean()) stream = v;
-      else f.push_back({k, "is not known here or of another type"});
+      if (k == "input" && v.is_string())
+        e.body = v;
+      else if (k == "prefix" && v.is_string())
+        e.prefix = v;
+      else if (k == "thread" && v.is_string())
+        e.thread = v;
+      else if (k == "route" && v.is_string())
+        e.route = v;
+      else if (k == "max_tokens" && v.is_number_unsigned())
+        e.max_tokens = v;
+      else if (k == "after" && v.is_number_unsigned() && v < 1000000)
+        e.after = v.get<uint32_t>();
+      else if (k == "stream" && v.is_boolean())
+        stream = v;
+      else
+        f.push_back({k, "is not known here or of another type"});
     }
     if (!j.contains("input")) f.push_back({"input", "is missing"});
   }
@@ -213,7 +244,8 @@
       auto p = tail.substr(10);
       auto t = p.find('/');
       auto name = p.substr(0, t);
-      if (!name.empty() && t != std::string::npos && p.substr(t) == "/turns" && a.method == "POST") return turn(a, cell, name);
+      if (!name.empty() && t != std::string::npos && p.substr(t) == "/turns" && a.method == "POST")
+        return turn(a, cell, name);
       if (!name.empty() && t == std::string::npos && a.method == "GET") {
         Errand e{};
         if (auto f = dress(a, e); !f.empty()) return HttpAnswer::error(400, "invalid", f);
--- a/src/switchboard/main.cpp
+++ b/src/switchboard/main.cpp
@@ -7,7 +7,9 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  auto r = read_props(argc, argv, {"switchboard", "A front worker: takes callers' errands, owns programs, asks replicas.", true, true, true, true, false, false, false});
+  auto r = read_props(argc, argv,
+                      {"switchboard", "A front worker: takes callers' errands, owns programs, asks replicas.", true,
+                       true, true, true, false, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Props>(r);
   start_log("switchboard");
@@ -27,7 +29,9 @@
     if (auto* a = std::get_if<ReplicaAsk>(&e.body)) up.ask(*a);
     if (auto* s = std::get_if<ReplicaStop>(&e.body)) up.stop(s->attempt);
   });
-  if (auto f = host.start([&](const Recovered&, Millis now) { return std::make_unique<SwitchboardMachine>(id, now); }); !f.empty()) return cannot_start("switchboard", f);
+  if (auto f = host.start([&](const Recovered&, Millis now) { return std::make_unique<SwitchboardMachine>(id, now); });
+      !f.empty())
+    return cannot_start("switchboard", f);
   Callers callers(host, sessions);
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) { return callers.answer(a); });
   if (!ok(web)) return cannot_start("switchboard", findings(web));
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -33,7 +33,8 @@
     REQUIRE(got);
     return *got;
   }
-  ErrandEnd turn(const std::string& program, const std::string& key, const std::string& body, std::optional<uint32_t> after = std::nullopt) {
+  ErrandEnd turn(const std::string& program, const std::string& key, const std::string& body,
+                 std::optional<uint32_t> after = std::nullopt) {
     Errand e{};
     e.program = program;
     e.thread = "main";
--- a/tests/language_test.cpp
+++ b/tests/language_test.cpp
@@ -9,9 +9,13 @@
     const char *sentence, *finding;
   };
   const Row rows[] = {
-      {"", "position 1: expected 'show', 'explain', 'create', 'drop', 'set', 'rebuild', 'drain', 'restore', 'retire', 'cancel', "
-           "'replace', 'forget' or 'move', found the end"},
-      {"show", "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'manifest' or 'cell', found the end"},
+      {"",
+       "position 1: expected 'show', 'explain', 'create', 'drop', 'set', 'rebuild', 'drain', 'restore', 'retire', "
+       "'cancel', "
+       "'replace', 'forget' or 'move', found the end"},
+      {"show",
+       "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'manifest' or 'cell', found "
+       "the end"},
       {"drain zone", "position 11: expected a zone's name, found the end"},
       {"retire store seven", "position 14: expected a daemon's number, found 'seven'"},
       {"show fleet now", "position 12: expected the end of the sentence, found 'now'"},
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -42,9 +42,11 @@
   }
   Fleet() {
     must(Found{7, 3, {who(1, Role::marker, "a"), who(2, Role::marker, "b"), who(3, Role::marker, "c")}});
-    for (uint64_t n = 11; n <= 13; ++n) must(Register{who(n, Role::recorder, std::string(1, static_cast<char>('a' + n - 11)))});
+    for (uint64_t n = 11; n <= 13; ++n)
+      must(Register{who(n, Role::recorder, std::string(1, static_cast<char>('a' + n - 11)))});
     for (uint64_t n = 11; n <= 13; ++n) join("recorder" + std::to_string(n));
-    for (uint64_t n = 21; n <= 22; ++n) must(Register{who(n, Role::front, n == 21 ? "a" : "b")}), join("front" + std::to_string(n));
+    for (uint64_t n = 21; n <= 22; ++n)
+      must(Register{who(n, Role::front, n == 21 ? "a" : "b")}), join("front" + std::to_string(n));
   }
 };
 
@@ -55,7 +57,8 @@
   auto e = f.m.epoch;
   f.must(EvacuateZone{"a"});
   CHECK(f.m.epoch == next(e));
-  for (uint64_t at : {e.v, e.v + 1, e.v + 3, uint64_t{0}}) CHECK_FALSE(ok(apply(f.m, {Epoch{at}, "", RestoreZone{"a"}})));
+  for (uint64_t at : {e.v, e.v + 1, e.v + 3, uint64_t{0}})
+    CHECK_FALSE(ok(apply(f.m, {Epoch{at}, "", RestoreZone{"a"}})));
 }
 
 TEST_CASE("who counts changes by two steps, and between them both sets must agree") {
@@ -107,7 +110,8 @@
   f.must(Advance{n, Step::finish});
   CHECK(f.m.locks.empty());
   CHECK(f.m.sequences.empty());
-  CHECK(std::count_if(f.m.slots.begin(), f.m.slots.end(), [&](auto& s) { return s.owner == n && s.term == f.m.epoch; }) >= limits::slots / 3 - 1);
+  CHECK(std::count_if(f.m.slots.begin(), f.m.slots.end(),
+                      [&](auto& s) { return s.owner == n && s.term == f.m.epoch; }) >= limits::slots / 3 - 1);
 }
 
 TEST_CASE("a sequence whose places overlap locked ones is refused") {
@@ -115,7 +119,8 @@
   f.must(Register{who(23, Role::front, "c")});
   auto n = f.id("front23"), other = f.id("front21");
   f.must(PrepareJoin{n});
-  CHECK(f.refused(PrepareDrain{other}).find("is locked by the sequence of daemon " + std::to_string(n.v)) != std::string::npos);
+  CHECK(f.refused(PrepareDrain{other}).find("is locked by the sequence of daemon " + std::to_string(n.v)) !=
+        std::string::npos);
   CHECK(f.refused(MoveRoutes{other, f.id("front22")}).find("is locked by") != std::string::npos);
   f.must(CancelSequence{n, "test"});
   f.must(PrepareDrain{other});
@@ -159,7 +164,8 @@
       {MoveSlot{SlotId{1}, store}, "is no front worker"},
       {MoveRoutes{front, front}, "is the same node"},
       {DropReplica{"m"}, "is no replica"},
-      {SetReplica{{"m", "modal", "a", "ftp://x", Fitness::ready, {}, 0}}, "kind: is neither model nor app; url: does not begin with http://"},
+      {SetReplica{{"m", "modal", "a", "ftp://x", Fitness::ready, {}, 0}},
+       "kind: is neither model nor app; url: does not begin with http://"},
       {SetReplica{{"m", "model", "a", "http://x", Fitness::ready, {}, 5000}}, "places: must be from 1 to 4096"},
       {Recounted{Epoch{3}}, "none of epoch 3 is under way"},
       {ApplyManifest{Revision{3}, {}}, "built on 3, in force is 0"},
@@ -187,8 +193,9 @@
   CHECK(f.refused(ApplyManifest{Revision{0}, {{c}}}) == "revision: built on 0, in force is 1");
   Cell bad{"", 0, 50, 10, {{"", "x", {}}, {"", "app", {}}}};
   auto why = f.refused(ApplyManifest{Revision{1}, {{c, c, bad}}});
-  for (auto* s : {"cells[1].name: 'news' is there twice", "cells[2].name: must be", "cells[2].budget: must be above", "cells[2].turn_limit: exceeds",
-                  "cells[2].retention_ms: must", "cells[2].routes[0].kind: is neither", "cells[2].routes[1].name: '' is there twice"})
+  for (auto* s : {"cells[1].name: 'news' is there twice", "cells[2].name: must be", "cells[2].budget: must be above",
+                  "cells[2].turn_limit: exceeds", "cells[2].retention_ms: must", "cells[2].routes[0].kind: is neither",
+                  "cells[2].routes[1].name: '' is there twice"})
     CHECK(why.find(s) != std::string::npos);
 }
 
@@ -196,9 +203,7 @@
   Fleet f;
   auto n = f.id("front21");
   f.must(MarkDown{n});
-  for (auto& s : f.m.slots) {
-    CHECK(s.owner == f.id("front22"));
-  }
+  for (auto& s : f.m.slots) { CHECK(s.owner == f.id("front22")); }
   f.must(MarkUp{n});
   CHECK(f.m.find(n)->state == DaemonState::registered);
   f.join("front21");
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -5,7 +5,8 @@
 namespace mosskeel::sim {
 using Json = nlohmann::json;
 
-Callers::Callers(World& w, int models, int apps, uint64_t budget, uint64_t turn_limit) : w_(w), budget_(budget), limit_(turn_limit) {
+Callers::Callers(World& w, int models, int apps, uint64_t budget, uint64_t turn_limit)
+    : w_(w), budget_(budget), limit_(turn_limit) {
   for (int i = 0; i < models; ++i) {
     auto n = "model" + std::to_string(i + 1);
     replicas[n] = {};
@@ -24,13 +25,16 @@
   w.died = [this](Node& n) {
     std::vector<std::function<void()>> v;
     for (auto i = open_.begin(); i != open_.end();)
-      if (i->first.first == n.name) v.push_back(i->second.lost), i = open_.erase(i);
-      else ++i;
+      if (i->first.first == n.name)
+        v.push_back(i->second.lost), i = open_.erase(i);
+      else
+        ++i;
     for (auto& f : v) w_.at(w_.now() + 1, f);
   };
 }
 
-Address Callers::session(const std::string& front, std::function<void(const Message&)> hear, std::function<void()> lost) {
+Address Callers::session(const std::string& front, std::function<void(const Message&)> hear,
+                         std::function<void()> lost) {
   auto a = "local:" + std::to_string(++next_);
   open_[{front, a}] = {front, std::move(hear), std::move(lost)};
   return a;
@@ -81,10 +85,14 @@
     auto t = "helper" + std::to_string(i);
     turn(name, t, [](const Turn&) {});
   }
-  turn(name, "main", [=, this](const Turn&) { w_.at(w_.now() + w_.below(500), [=, this] { program(name, turns, i + 1); }); }, !w_.chance(0.25));
+  turn(
+      name, "main",
+      [=, this](const Turn&) { w_.at(w_.now() + w_.below(500), [=, this] { program(name, turns, i + 1); }); },
+      !w_.chance(0.25));
 }
 
-void Callers::turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then, bool stubborn) {
+void Callers::turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then,
+                   bool stubborn) {
   auto t = std::make_shared<Turn>();
   t->program = program;
   t->thread = thread;
@@ -120,7 +128,8 @@
     if (e && e->status == 200) {
       t->success = t->done = true;
       t->output = e->body;
-      if (t->pieces && (t->pieces != e->pieces || t->text != e->body)) w_.fail("stream of " + t->key + " is not the answer: " + t->text + " / " + e->body);
+      if (t->pieces && (t->pieces != e->pieces || t->text != e->body))
+        w_.fail("stream of " + t->key + " is not the answer: " + t->text + " / " + e->body);
       auto& whole = whole_["news/" + t->program + "/" + t->key];
       if (whole != e->body) w_.fail("success of " + t->key + " is not the replica's whole sealed answer");
       ++successes;
@@ -129,17 +138,24 @@
       return then(*t);
     }
     auto later = [&](auto& x) { return x->thread == t->thread && x->ordinal > t->ordinal; };
-    if (e && e->reason.starts_with("after:") && std::none_of(turns_[t->program].begin(), turns_[t->program].end(), later)) w_.fail("a caller that knew all turns of " + t->program + " was told otherwise: " + e->reason);
+    if (e && e->reason.starts_with("after:") &&
+        std::none_of(turns_[t->program].begin(), turns_[t->program].end(), later))
+      w_.fail("a caller that knew all turns of " + t->program + " was told otherwise: " + e->reason);
     if (e && e->status == 404) {
       bool kept = false;
       for (auto& x : turns_[t->program]) kept |= x->success;
       if (kept) w_.fail("a kept conversation was reported missing: " + t->program);
     }
     if (e && e->ran == Outcome::no && e->status == 503) slowest_refusal = std::max(slowest_refusal, w_.now() - begun);
-    if (e && e->ran == Outcome::no) ++refusals;
-    else if (own) ++lost_sessions;
-    else ++unknowns, ++reasons[e ? e->reason : "the session was lost"];
-    bool final = e && ((e->ran == Outcome::unknown && e->reason.find("kept outcome") == 0) || e->reason.find("will not be run again") != std::string::npos || e->status == 429 || e->status == 400);
+    if (e && e->ran == Outcome::no)
+      ++refusals;
+    else if (own)
+      ++lost_sessions;
+    else
+      ++unknowns, ++reasons[e ? e->reason : "the session was lost"];
+    bool final =
+        e && ((e->ran == Outcome::unknown && e->reason.find("kept outcome") == 0) ||
+              e->reason.find("will not be run again") != std::string::npos || e->status == 429 || e->status == 400);
     if (final) {
       t->done = true;
       t->status = e->status;
@@ -147,15 +163,20 @@
     }
     again(e && e->retry_ms ? e->retry_ms : 300);
   };
-  auto a = session(front, [=, this](const Message& m) {
-    if (*settled) return;
-    if (auto* p = std::get_if<ErrandPiece>(&m)) {
-      if (p->n != t->pieces) w_.fail("stream of " + t->key + " skips or repeats: piece " + std::to_string(p->n) + " for " + std::to_string(t->pieces));
-      ++t->pieces;
-      t->text += p->text;
-    }
-    if (auto* e = std::get_if<ErrandEnd>(&m)) finish(e);
-  }, [=] { finish(nullptr); });
+  auto a = session(
+      front,
+      [=, this](const Message& m) {
+        if (*settled) return;
+        if (auto* p = std::get_if<ErrandPiece>(&m)) {
+          if (p->n != t->pieces)
+            w_.fail("stream of " + t->key + " skips or repeats: piece " + std::to_string(p->n) + " for " +
+                    std::to_string(t->pieces));
+          ++t->pieces;
+          t->text += p->text;
+        }
+        if (auto* e = std::get_if<ErrandEnd>(&m)) finish(e);
+      },
+      [=] { finish(nullptr); });
   Errand e{};
   e.attempt = "a" + std::to_string(w_.roll());
   e.cell = "news";
@@ -188,11 +209,14 @@
   auto front = pick_front();
   if (front.empty()) return;
   auto path = "/tallies/" + std::to_string(++next_);
-  auto a = session(front, [=, this](const Message& m) {
-    auto* e = std::get_if<ErrandEnd>(&m);
-    if (!e || e->status != 200) return;
-    if (e->body != "GET " + path) w_.fail("a success that is not the replica's whole answer: " + path);
-  }, [] {});
+  auto a = session(
+      front,
+      [=, this](const Message& m) {
+        auto* e = std::get_if<ErrandEnd>(&m);
+        if (!e || e->status != 200) return;
+        if (e->body != "GET " + path) w_.fail("a success that is not the replica's whole answer: " + path);
+      },
+      [] {});
   Errand e{};
   e.attempt = "f" + std::to_string(w_.roll());
   e.cell = "news";
@@ -209,9 +233,12 @@
 void Callers::read_back(const std::string& program, std::function<void(uint32_t, const std::string&)> then) {
   auto front = pick_front();
   if (front.empty()) return then(0, "");
-  auto a = session(front, [=](const Message& m) {
-    if (auto* e = std::get_if<ErrandEnd>(&m)) then(e->status, e->status == 200 ? e->body : e->reason);
-  }, [=] { then(0, ""); });
+  auto a = session(
+      front,
+      [=](const Message& m) {
+        if (auto* e = std::get_if<ErrandEnd>(&m)) then(e->status, e->status == 200 ? e->body : e->reason);
+      },
+      [=] { then(0, ""); });
   Errand e{};
   e.attempt = "h" + std::to_string(w_.roll());
   e.cell = "news";
--- a/tests/sim/callers.hpp
+++ b/tests/sim/callers.hpp
@@ -37,9 +37,11 @@
   /// Starts programs every `gap` ms until `end`.
   void traffic(Millis gap, Millis end);
   /// Commits through a random living marker until there is a verdict or the time is out.
-  void commit(Transformation t, std::function<void(const CommitReply&)> then, std::string id = "", Millis patience = 10000);
+  void commit(Transformation t, std::function<void(const CommitReply&)> then, std::string id = "",
+              Millis patience = 10000);
   /// One turn on a program; `then` once it is done.
-  void turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then, bool stubborn = true);
+  void turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then,
+            bool stubborn = true);
   /// Any errand, by a session of its own.
   void send(const std::string& front, Errand e, std::function<void(const Message&)> hear);
   int runs(const std::string& program, const std::string& key) { return runs_["news/" + program + "/" + key]; }
@@ -79,7 +81,8 @@
   void asked(const Transformation& t);
   void ask(std::shared_ptr<Turn> t, std::function<void(const Turn&)> then, bool stubborn);
   void program(const std::string& name, int turns, int i);
-  void piece(const std::string& front, uint64_t life, const std::string& rep, const ReplicaAsk& a, uint32_t k, uint32_t n, std::string fault, std::string text);
+  void piece(const std::string& front, uint64_t life, const std::string& rep, const ReplicaAsk& a, uint32_t k,
+             uint32_t n, std::string fault, std::string text);
   std::string pick_front();
   /// How long a caller keeps its session open: sometimes it loses it, and nobody waits for a frozen front.
   Millis patience(const std::string& front);
--- a/tests/sim/cores.cpp
+++ b/tests/sim/cores.cpp
@@ -105,13 +105,17 @@
   for (auto& s : w.names(Kind::recorder)) disks.push_back(s);
   auto stay = disks[w.roll() % disks.size()];
   auto other = d.any(Kind::recorder);
-  if (w.chance(0.4)) w.node(d.any(Kind::recorder)).disk.slow = 100 + w.below(400);
-  else if (other != stay && w.chance(0.5)) w.isolate(other);
+  if (w.chance(0.4))
+    w.node(d.any(Kind::recorder)).disk.slow = 100 + w.below(400);
+  else if (other != stay && w.chance(0.5))
+    w.isolate(other);
   auto r = change(d, 10000);
   if (!r) w.fail("the change was not acknowledged");
   for (auto& s : disks)
-    if (s == stay) w.power_off(s);
-    else w.wipe(s);
+    if (s == stay)
+      w.power_off(s);
+    else
+      w.wipe(s);
   for (auto k : {Kind::lineman, Kind::switchboard})
     for (auto& s : w.names(k)) w.power_off(s);
   w.heal();
@@ -124,8 +128,10 @@
   };
   if (!w.until(25000, back)) w.fail("the acknowledged revision " + std::to_string(r) + " did not survive on " + stay);
   auto now = change(d, 20000);
-  if (now <= r) w.fail("no change is accepted after the loss, " + stay + " stayed");
-  else in_force(d, now, 2100);
+  if (now <= r)
+    w.fail("no change is accepted after the loss, " + stay + " stayed");
+  else
+    in_force(d, now, 2100);
 }
 
 /// The seeds are swapped for other core machines, and every daemon restarts.
--- a/tests/sim/counts.cpp
+++ b/tests/sim/counts.cpp
@@ -28,11 +28,13 @@
     if (e && e->status == 200) {
       if (!c->success) ++counted;
       c->success = c->done = true;
-      if (e->body != "POST " + c->path) w_.fail("a success that is not the replica's whole answer: " + c->path + " gave " + e->body);
+      if (e->body != "POST " + c->path)
+        w_.fail("a success that is not the replica's whole answer: " + c->path + " gave " + e->body);
       return;
     }
     if (e ? e->ran == Outcome::unknown : !own) ++count_unknown;
-    bool known = e && (e->reason.starts_with("kept outcome") || e->reason.find("will not be run again") != std::string::npos);
+    bool known =
+        e && (e->reason.starts_with("kept outcome") || e->reason.find("will not be run again") != std::string::npos);
     if (c->key.empty() || known || c->tries >= tries) {
       if (!c->asked) c->done = true;
       return;
@@ -49,9 +51,12 @@
   e.key = c->key;
   e.path = c->path;
   Envelope env{};
-  env.from = session(front, [=](const Message& m) {
-    if (auto* x = std::get_if<ErrandEnd>(&m)) finish(x);
-  }, [=] { finish(nullptr); });
+  env.from = session(
+      front,
+      [=](const Message& m) {
+        if (auto* x = std::get_if<ErrandEnd>(&m)) finish(x);
+      },
+      [=] { finish(nullptr); });
   env.body = e;
   w_.post(front, env);
   w_.at(w_.now() + patience(front), [=] { finish(nullptr, true); });
--- a/tests/sim/cuts.cpp
+++ b/tests/sim/cuts.cpp
@@ -44,11 +44,14 @@
     auto z = std::string(1, static_cast<char>('a' + i % 3));
     auto before = d.c.successes;
     w.run(w.below(300));
-    d.c.commit(rep(Fitness::leaving), [](const CommitReply&) {}, "", 5000);
-    d.c.commit(EvacuateZone{z}, [](const CommitReply&) {}, "", 5000);
+    d.c.commit(
+        rep(Fitness::leaving), [](const CommitReply&) {}, "", 5000);
+    d.c.commit(
+        EvacuateZone{z}, [](const CommitReply&) {}, "", 5000);
     change(d, 5000);
     w.run(2500 + w.below(4000));
-    if (how == 0 && d.c.successes < before + 20) w.fail("the fleet hardly served without its core: " + std::to_string(d.c.successes - before));
+    if (how == 0 && d.c.successes < before + 20)
+      w.fail("the fleet hardly served without its core: " + std::to_string(d.c.successes - before));
     w.heal();
     w.run(2500);
     d.c.commit(rep(Fitness::ready), [](const CommitReply&) {});
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -16,8 +16,10 @@
   auto once = std::make_shared<std::function<void()>>();
   *once = [this, once, &served] {
     c.turn("closing" + std::to_string(w.roll()), "main", [&served, once](const Turn& x) {
-      if (x.success) served = true;
-      else (*once)();
+      if (x.success)
+        served = true;
+      else
+        (*once)();
     });
   };
   (*once)();
@@ -31,7 +33,8 @@
 void must_serve(Day& d, Millis ms, const char* during) {
   auto before = d.c.successes;
   d.w.run(ms);
-  if (d.c.successes < before + 5) d.w.fail(std::string("hardly served during ") + during + ": " + std::to_string(d.c.successes - before));
+  if (d.c.successes < before + 5)
+    d.w.fail(std::string("hardly served during ") + during + ": " + std::to_string(d.c.successes - before));
 }
 
 View latest(World& w) {
@@ -49,10 +52,13 @@
   m.cells[0].retention_ms += 1;
   auto got = std::make_shared<uint64_t>(0);
   auto over = std::make_shared<bool>(false);
-  d.c.commit(ApplyManifest{v->revision, m}, [=](const CommitReply& r) {
-    if (r.outcome == Outcome::yes) *got = v->revision.v + 1;
-    *over = true;
-  }, "", patience);
+  d.c.commit(
+      ApplyManifest{v->revision, m},
+      [=](const CommitReply& r) {
+        if (r.outcome == Outcome::yes) *got = v->revision.v + 1;
+        *over = true;
+      },
+      "", patience);
   d.w.until(patience + 100, [=] { return *over; });
   return *got;
 }
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -24,23 +24,27 @@
     auto mine = std::make_shared<bool>(false);
     if (!v.empty()) {
       auto m = v[w_.roll() % v.size()];
-      auto a = session(m, [=, this](const Message& x) {
-        auto* r = std::get_if<CommitReply>(&x);
-        if (!r || *over || *mine) return;
-        *mine = true;
-        if (r->outcome == Outcome::unknown) return w_.at(w_.now() + 50, *attempt);
-        *over = true;
-        if (r->outcome == Outcome::yes) {
-          ++commits_yes;
-          acknowledged(t);
-          if (auto* man = std::get_if<ApplyManifest>(&t)) {
-            Revision now{man->base.v + 1};
-            auto [i, fresh] = acked_.emplace(now, id);
-            if (!fresh && i->second != id) w_.fail("two changes on revision " + std::to_string(man->base.v) + " were both acknowledged");
-          }
-        }
-        then(*r);
-      }, [] {});
+      auto a = session(
+          m,
+          [=, this](const Message& x) {
+            auto* r = std::get_if<CommitReply>(&x);
+            if (!r || *over || *mine) return;
+            *mine = true;
+            if (r->outcome == Outcome::unknown) return w_.at(w_.now() + 50, *attempt);
+            *over = true;
+            if (r->outcome == Outcome::yes) {
+              ++commits_yes;
+              acknowledged(t);
+              if (auto* man = std::get_if<ApplyManifest>(&t)) {
+                Revision now{man->base.v + 1};
+                auto [i, fresh] = acked_.emplace(now, id);
+                if (!fresh && i->second != id)
+                  w_.fail("two changes on revision " + std::to_string(man->base.v) + " were both acknowledged");
+              }
+            }
+            then(*r);
+          },
+          [] {});
       Envelope e{};
       e.from = a;
       e.epoch = w_.node(m).machine->view()->epoch;
@@ -57,7 +61,8 @@
 
 /// From an acknowledgement on its limits count: for drains at a replica's door, for manifests at every front in touch.
 void Callers::acknowledged(const Transformation& t) {
-  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness == Fitness::leaving) replicas[s->replica.name].leaving_since = w_.now();
+  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness == Fitness::leaving)
+    replicas[s->replica.name].leaving_since = w_.now();
   if (auto* z = std::get_if<EvacuateZone>(&t))
     for (auto& [n, r] : replicas)
       if (r.zone == z->zone) r.evacuated_since = w_.now();
@@ -72,7 +77,8 @@
 
 /// From the asking on, a drain that is taken back is not in force any more.
 void Callers::asked(const Transformation& t) {
-  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness != Fitness::leaving) replicas[s->replica.name].leaving_since = 0;
+  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness != Fitness::leaving)
+    replicas[s->replica.name].leaving_since = 0;
   if (auto* z = std::get_if<RestoreZone>(&t))
     for (auto& [n, r] : replicas)
       if (r.zone == z->zone) r.evacuated_since = 0;
@@ -81,16 +87,21 @@
 bool Callers::introduce() {
   int left = static_cast<int>(replicas.size()) + 1;
   for (auto& [n, r] : replicas)
-    commit(SetReplica{{n, r.kind, r.zone, "http://" + n, Fitness::ready, {}, 0}}, [&left](const CommitReply& c) { left -= c.outcome == Outcome::yes; }, "", 60000);
+    commit(
+        SetReplica{{n, r.kind, r.zone, "http://" + n, Fitness::ready, {}, 0}},
+        [&left](const CommitReply& c) { left -= c.outcome == Outcome::yes; }, "", 60000);
   Cell c{"news", budget_, limit_, 3600000, {{"chat", "model", {}}, {"app", "app", {}}}};
-  commit(ApplyManifest{Revision{0}, {{c}}}, [&left](const CommitReply& r) { left -= r.outcome == Outcome::yes; }, "", 60000);
+  commit(
+      ApplyManifest{Revision{0}, {{c}}}, [&left](const CommitReply& r) { left -= r.outcome == Outcome::yes; }, "",
+      60000);
   return w_.until(60000, [&] {
     if (left) return false;
     for (auto& s : w_.names(Kind::switchboard))
       if (!w_.ready(s)) return false;
     auto v = w_.node("switchboard1").machine->view();
     for (auto& s : v->slots)
-      if (s.recorders.size() < std::min<size_t>(limits::copies, w_.names(Kind::recorder).size()) || !s.owner.v) return false;
+      if (s.recorders.size() < std::min<size_t>(limits::copies, w_.names(Kind::recorder).size()) || !s.owner.v)
+        return false;
     return v->sequences.empty();
   });
 }
--- a/tests/sim/replicas.cpp
+++ b/tests/sim/replicas.cpp
@@ -28,7 +28,9 @@
     return;
   }
   auto* a = std::get_if<ReplicaAsk>(&e.body);
-  if (a) w_.at(w_.now() + 1 + w_.below(15), [this, front = n.name, life = n.life, name, a = *a] { arrive(front, life, name, a); });
+  if (a)
+    w_.at(w_.now() + 1 + w_.below(15),
+          [this, front = n.name, life = n.life, name, a = *a] { arrive(front, life, name, a); });
 }
 
 /// What has left a front is at the replica's door; here the limits of drains are measured.
@@ -46,40 +48,52 @@
     });
   };
   if (!r.up) return say(1, ReplicaEnd{a->attempt, false, 0, false, 0, 0, 0, "", "refused"});
-  if (r.leaving_since && w_.now() > r.leaving_since + 3000) w_.fail("a leaving replica was reached " + std::to_string(w_.now() - r.leaving_since) + " ms after its mark");
-  if (r.evacuated_since && w_.now() > r.evacuated_since + 5000) w_.fail("an evacuated zone was reached after " + std::to_string(w_.now() - r.evacuated_since) + " ms");
+  if (r.leaving_since && w_.now() > r.leaving_since + 3000)
+    w_.fail("a leaving replica was reached " + std::to_string(w_.now() - r.leaving_since) + " ms after its mark");
+  if (r.evacuated_since && w_.now() > r.evacuated_since + 5000)
+    w_.fail("an evacuated zone was reached after " + std::to_string(w_.now() - r.evacuated_since) + " ms");
   if (r.kind == "app") {
     auto body = a->method + " " + a->url.substr(a->url.find('/', 7));
     if (a->method == "POST") {
       auto path = body.substr(5);
       if (++runs_["count" + path] > 1) w_.fail("counted twice: " + path);
-      if (auto c = counts_.find(path); c != counts_.end() && c->second->done && c->second->sure_not_run && !c->second->success)
+      if (auto c = counts_.find(path);
+          c != counts_.end() && c->second->done && c->second->sure_not_run && !c->second->success)
         w_.fail("counted after it was refused as not run: " + path);
     }
     bool broken = r.every && w_.chance(0.3);
-    if (broken && w_.chance(0.5)) return say(5 + w_.below(20), ReplicaEnd{a->attempt, true, 0, false, 0, 0, 0, "", "reset after the work"});
-    return say(5 + w_.below(20), ReplicaEnd{a->attempt, true, 200, !broken, 0, 0, digest(body), broken ? body.substr(0, 3) : body, ""});
+    if (broken && w_.chance(0.5))
+      return say(5 + w_.below(20), ReplicaEnd{a->attempt, true, 0, false, 0, 0, 0, "", "reset after the work"});
+    return say(5 + w_.below(20),
+               ReplicaEnd{a->attempt, true, 200, !broken, 0, 0, digest(body), broken ? body.substr(0, 3) : body, ""});
   }
   auto j = Json::parse(a->body);
   auto program = j["program"].get<std::string>();
   auto key = "news/" + program + "/" + j["key"].get<std::string>();
   if (++runs_[key] > 1) w_.fail("ran twice: " + key);
   for (auto& t : turns_[program])
-    if ("news/" + program + "/" + t->key == key && t->done && t->sure_not_run) w_.fail("ran after it was refused as not run: " + key);
+    if ("news/" + program + "/" + t->key == key && t->done && t->sure_not_run)
+      w_.fail("ran after it was refused as not run: " + key);
   check_chain(program, j["thread"], a->body);
   ++r.now;
   if (r.cold_since && w_.now() > r.cold_since + 2000) {
     auto grown = 2 + (w_.now() - r.cold_since) * limits::replica_places / limits::cold_ramp;
-    if (r.now > grown) w_.fail("cold " + name + " is flooded: " + std::to_string(r.now) + " turns " + std::to_string(w_.now() - r.cold_since) + " ms after its mark");
+    if (r.now > grown)
+      w_.fail("cold " + name + " is flooded: " + std::to_string(r.now) + " turns " +
+              std::to_string(w_.now() - r.cold_since) + " ms after its mark");
     ++r.from[front];
-    if (r.from.size() > limits::cold_fronts) w_.fail("cold " + name + " is reached by " + std::to_string(r.from.size()) + " fronts");
+    if (r.from.size() > limits::cold_fronts)
+      w_.fail("cold " + name + " is reached by " + std::to_string(r.from.size()) + " fronts");
   }
-  if (!r.cold_since && r.now > static_cast<int>(limits::replica_places) * 3 / 2) w_.fail(name + " runs " + std::to_string(r.now) + " turns on " + std::to_string(limits::replica_places) + " places");
+  if (!r.cold_since && r.now > static_cast<int>(limits::replica_places) * 3 / 2)
+    w_.fail(name + " runs " + std::to_string(r.now) + " turns on " + std::to_string(limits::replica_places) +
+            " places");
   std::string fault = r.every && w_.roll() % static_cast<uint64_t>(r.every) == 0 ? r.fault : "";
   piece(front, life, name, *a, 0, 3 + static_cast<uint32_t>(w_.below(5)), fault, "");
 }
 
-void Callers::piece(const std::string& front, uint64_t life, const std::string& rep, const ReplicaAsk& a, uint32_t k, uint32_t n, std::string fault, std::string text) {
+void Callers::piece(const std::string& front, uint64_t life, const std::string& rep, const ReplicaAsk& a, uint32_t k,
+                    uint32_t n, std::string fault, std::string text) {
   auto j = Json::parse(a.body);
   auto program = j["program"].get<std::string>();
   w_.at(w_.now() + 5 + w_.below(pace), [=, this] {
@@ -100,7 +114,8 @@
     if (!there || r.stopped.count(a.attempt)) return void(--r.now);
     if (!r.up) return over({a.attempt, true, 0, false, 0, 0, 0, "", "reset"});
     if (fault == "stall") return void(--r.now);
-    if ((fault == "cut" && k == n / 2) || (fault == "lost" && k == n)) return over({a.attempt, true, 200, false, 0, 0, 0, "", "reset"});
+    if ((fault == "cut" && k == n / 2) || (fault == "lost" && k == n))
+      return over({a.attempt, true, 200, false, 0, 0, 0, "", "reset"});
     if (k == n) {
       if (fault == "unsealed") return over({a.attempt, true, 200, false, n, n, digest(text), "", "no seal"});
       if (fault == "false seal") return over({a.attempt, true, 200, true, n, n, digest(text) + 1, "", ""});
@@ -108,7 +123,9 @@
       return over({a.attempt, true, 200, true, n, n, digest(text), "", ""});
     }
     handed_[program] += 1;
-    if (handed_[program] > budget_ + limit_) w_.fail("program " + program + " got " + std::to_string(handed_[program]) + " tokens of " + std::to_string(budget_));
+    if (handed_[program] > budget_ + limit_)
+      w_.fail("program " + program + " got " + std::to_string(handed_[program]) + " tokens of " +
+              std::to_string(budget_));
     auto t = j["key"].get<std::string>() + "." + std::to_string(k) + " ";
     say(ReplicaPiece{a.attempt, fault == "skip" && k == n / 2 ? k + 1 : k, t, 1});
     piece(front, life, rep, a, k + 1, n, fault, text + t);
@@ -167,7 +184,8 @@
   if (left > 0) w_.fail(std::to_string(left) + " programs could not be read back in time");
   for (auto& [p, v] : turns_)
     for (auto& t : v)
-      if (t->done && t->sure_not_run && !t->success && runs_["news/" + p + "/" + t->key]) w_.fail("refused as not run, yet ran: " + t->key);
+      if (t->done && t->sure_not_run && !t->success && runs_["news/" + p + "/" + t->key])
+        w_.fail("refused as not run, yet ran: " + t->key);
 }
 
 }  // namespace mosskeel::sim
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -39,8 +39,10 @@
   }
   void add(const std::string& cell, Millis promise) {
     auto name = "r" + std::to_string(++n), key = "key" + std::to_string(n);
-    if (turn(cell, name, key).status == 200) kept.push_back({cell, name, key, d.w.now(), promise});
-    else d.w.fail("a turn of cell " + cell + " failed");
+    if (turn(cell, name, key).status == 200)
+      kept.push_back({cell, name, key, d.w.now(), promise});
+    else
+      d.w.fail("a turn of cell " + cell + " failed");
   }
   /// Applies this list of cells beside the first one.
   void cells(const std::vector<Cell>& v) {
@@ -48,17 +50,21 @@
     m.cells.resize(1);
     for (auto& c : v) m.cells.push_back(c);
     auto over = std::make_shared<bool>(false);
-    d.c.commit(ApplyManifest{latest(d.w)->revision, m}, [over](const CommitReply& r) { *over = r.outcome == Outcome::yes; });
+    d.c.commit(ApplyManifest{latest(d.w)->revision, m},
+               [over](const CommitReply& r) { *over = r.outcome == Outcome::yes; });
     if (!d.w.until(10000, [over] { return *over; })) d.w.fail("the manifest was not acknowledged");
     d.w.run(300);
   }
   void expect(const Kept& k, uint32_t status, const char* when) {
     if (auto r = read(k); r.status != status)
-      d.w.fail(k.program + " of cell " + k.cell + " gave " + std::to_string(r.status) + " (" + r.reason + ") " + when + ", " + std::to_string(d.w.now() - k.acked) + " ms after its turn");
+      d.w.fail(k.program + " of cell " + k.cell + " gave " + std::to_string(r.status) + " (" + r.reason + ") " + when +
+               ", " + std::to_string(d.w.now() - k.acked) + " ms after its turn");
   }
 };
 
-Cell brief(const std::string& name, Millis ms) { return {name, 400, 10, ms, {{"chat", "model", {}}, {"app", "app", {}}}}; }
+Cell brief(const std::string& name, Millis ms) {
+  return {name, 400, 10, ms, {{"chat", "model", {}}, {"app", "app", {}}}};
+}
 
 }  // namespace
 
@@ -90,7 +96,8 @@
   for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
   at(4 * keep - 1500);
   for (auto& k : a.kept)
-    if (k.promise == 4 * keep && w.now() < k.acked + k.promise) a.expect(k, 200, "after its cell's retention was shortened");
+    if (k.promise == 4 * keep && w.now() < k.acked + k.promise)
+      a.expect(k, 200, "after its cell's retention was shortened");
   at(keep + 100000);
   for (auto& k : a.kept) {
     if (k.promise > keep) continue;
@@ -100,7 +107,8 @@
       auto r = a.turn(k.cell, k.program, key);
       if (r.status != 410) w.fail("an ended program took a turn: " + std::to_string(r.status) + " " + r.reason);
     }
-    if (d.c.runs(k.program, k.key) != before || d.c.runs(k.program, k.key + "-new")) w.fail("a turn of an ended program ran");
+    if (d.c.runs(k.program, k.key) != before || d.c.runs(k.program, k.key + "-new"))
+      w.fail("a turn of an ended program ran");
   }
   at(4 * keep + 110000);
   for (auto& k : a.kept) a.expect(k, 410, "at the end");
@@ -118,13 +126,19 @@
   d.c.traffic(80, w.now() + 8000);
   w.run(500 + w.below(1500));
   bool frozen = w.chance(0.4);
-  if (frozen) w.freeze(away);
-  else w.power_off(away);
+  if (frozen)
+    w.freeze(away);
+  else
+    w.power_off(away);
   w.run(12000);
-  if (frozen) w.wake(away);
-  else w.start(away);
+  if (frozen)
+    w.wake(away);
+  else
+    w.start(away);
   w.run(1000);
-  auto machine = [&](const std::string& s) -> RecorderMachine& { return static_cast<RecorderMachine&>(*w.node(s).machine); };
+  auto machine = [&](const std::string& s) -> RecorderMachine& {
+    return static_cast<RecorderMachine&>(*w.node(s).machine);
+  };
   auto whole = [&] {
     auto v = latest(w);
     if (!v || !v->sequences.empty()) return false;
@@ -142,15 +156,20 @@
         std::map<LineName, Records> v;
         if (auto x = machine(s).slots().find(SlotId{i}); x != machine(s).slots().end())
           for (auto& [n, l] : x->second.lines) v[n] = l.records;
-        if (s == stores.front()) first = v, lines += v.size();
-        else if (v != first) return w.fail(s + " holds other lines of slot " + std::to_string(i) + " than " + stores.front());
+        if (s == stores.front())
+          first = v, lines += v.size();
+        else if (v != first)
+          return w.fail(s + " holds other lines of slot " + std::to_string(i) + " than " + stores.front());
       }
     }
     if (lines < 50) w.fail("hardly any lines to compare: " + std::to_string(lines));
   };
-  if (!w.until(30000, whole)) w.fail("repair did not come to its end");
-  else same();
-  if (!frozen && machine(away).repair().fetched() < 10) w.fail("the store that was away fetched hardly anything: " + std::to_string(machine(away).repair().fetched()));
+  if (!w.until(30000, whole))
+    w.fail("repair did not come to its end");
+  else
+    same();
+  if (!frozen && machine(away).repair().fetched() < 10)
+    w.fail("the store that was away fetched hardly anything: " + std::to_string(machine(away).repair().fetched()));
   for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
   auto lost = stores[w.roll() % stores.size()];
   while (lost == away) lost = stores[w.roll() % stores.size()];
@@ -158,8 +177,10 @@
   w.run(500);
   w.start(lost);
   w.run(8000);
-  if (!w.until(30000, whole)) w.fail("the copies of the lost disk were not restored");
-  else same();
+  if (!w.until(30000, whole))
+    w.fail("the copies of the lost disk were not restored");
+  else
+    same();
   for (auto& f : w.names(Kind::switchboard)) w.until(8000, [&] { return w.ready(f); });
 }
 
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -24,12 +24,29 @@
     w.run(500 + w.below(2500));
     auto n = d.any(kinds[w.roll() % kinds.size()]);
     switch (w.roll() % 6) {
-      case 0: w.kill(n); w.at(w.now() + w.below(4000), [&w, n] { w.start(n); }); break;
-      case 1: w.power_off(n); w.at(w.now() + w.below(4000), [&w, n] { w.start(n); }); break;
-      case 2: w.freeze(n); w.at(w.now() + 200 + w.below(7000), [&w, n] { w.wake(n); }); break;
-      case 3: w.isolate(n); w.at(w.now() + 200 + w.below(6000), [&w] { w.heal(); }); break;
-      case 4: w.cut(n, d.any(kinds[w.roll() % kinds.size()])); w.at(w.now() + w.below(5000), [&w] { w.heal(); }); break;
-      case 5: if (disks) w.node(n).disk.slow = w.below(300); break;
+      case 0:
+        w.kill(n);
+        w.at(w.now() + w.below(4000), [&w, n] { w.start(n); });
+        break;
+      case 1:
+        w.power_off(n);
+        w.at(w.now() + w.below(4000), [&w, n] { w.start(n); });
+        break;
+      case 2:
+        w.freeze(n);
+        w.at(w.now() + 200 + w.below(7000), [&w, n] { w.wake(n); });
+        break;
+      case 3:
+        w.isolate(n);
+        w.at(w.now() + 200 + w.below(6000), [&w] { w.heal(); });
+        break;
+      case 4:
+        w.cut(n, d.any(kinds[w.roll() % kinds.size()]));
+        w.at(w.now() + w.below(5000), [&w] { w.heal(); });
+        break;
+      case 5:
+        if (disks) w.node(n).disk.slow = w.below(300);
+        break;
     }
   }
   w.run(3000);
@@ -170,7 +187,12 @@
       {"quiet", {3, 3, 3, 4, 3}, 400, quiet},
       {"lossy", {3, 3, 3, 4, 3}, 400, lossy},
       {"budget", {3, 3, 3, 4, 3}, 12, lossy},
-      {"fronts", {3, 3, 4, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::switchboard, Kind::lineman}, false); }},
+      {"fronts",
+       {3, 3, 4, 4, 3},
+       400,
+       [](Day& d) {
+         havoc(d, {Kind::switchboard, Kind::lineman}, false);
+       }},
       {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
       {"markers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::marker}, true); }},
       {"havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, all, true); }},
@@ -218,11 +240,14 @@
     if (r.name != scenario) continue;
     Day d(seed, r.size, r.budget);
     d.w.keep_notes = notes;
-    if (!d.c.introduce()) d.w.fail("the fleet did not come up");
-    else r.play(d), d.closed ? void() : d.close();
+    if (!d.c.introduce())
+      d.w.fail("the fleet did not come up");
+    else
+      r.play(d), d.closed ? void() : d.close();
     d.w.local = nullptr;
     d.w.died = nullptr;
-    return {d.w.failures, d.w.notes, d.c.successes, d.c.refusals, d.c.unknowns, d.c.resumed, d.w.messages, d.w.syncs, d.c.reasons};
+    return {d.w.failures, d.w.notes,    d.c.successes, d.c.refusals, d.c.unknowns,
+            d.c.resumed,  d.w.messages, d.w.syncs,     d.c.reasons};
   }
   v.failures.push_back("no scenario " + scenario);
   return v;
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -96,10 +96,14 @@
 const char* closing_fault(Day& d, uint64_t which) {
   auto& w = d.w;
   switch (which % 7) {
-    case 0: return front_down(d, false), "a front killed";
-    case 1: return front_down(d, true), "a front frozen";
-    case 2: return w.power_off(d.any(Kind::recorder)), "a store lost";
-    case 3: return w.wipe(d.any(Kind::marker)), "a core machine lost";
+    case 0:
+      return front_down(d, false), "a front killed";
+    case 1:
+      return front_down(d, true), "a front frozen";
+    case 2:
+      return w.power_off(d.any(Kind::recorder)), "a store lost";
+    case 3:
+      return w.wipe(d.any(Kind::marker)), "a core machine lost";
     case 4: {
       auto v = w.names(Kind::marker);
       for (size_t i = 0; i < majority_of(v.size()); ++i) w.freeze(v[i]);
@@ -143,7 +147,8 @@
   std::string who;
   for (auto& [p, n] : *left)
     if (n > 0 && who.size() < 60) who += " " + p;
-  w.fail(std::to_string(open()) + " of " + std::to_string(ask.size()) + " programs not served 12 s after " + what + ":" + who);
+  w.fail(std::to_string(open()) + " of " + std::to_string(ask.size()) + " programs not served 12 s after " + what +
+         ":" + who);
 }
 
 }  // namespace
@@ -206,7 +211,8 @@
   trouble(d, first);
   w.run(1000);
   trouble(d, second % 9 == first % 9 ? second + 1 : second);
-  if (!w.until(20000, [&] { return latest(w)->sequences.empty(); })) w.fail("sequences are stuck before the closing fault");
+  if (!w.until(20000, [&] { return latest(w)->sequences.empty(); }))
+    w.fail("sequences are stuck before the closing fault");
   w.run(3000);
   auto what = closing_fault(d, w.roll());
   w.run(12000);
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -37,8 +37,10 @@
     if (r.zone == z) r.up = false;
   w.run(7000);
   must_serve(d, 5000, "the loss of a zone");
-  if (auto r = change(d, 8000)) in_force(d, r, 2000);
-  else w.fail("no change was accepted with one zone lost");
+  if (auto r = change(d, 8000))
+    in_force(d, r, 2000);
+  else
+    w.fail("no change was accepted with one zone lost");
   for (auto& s : gone) w.start(s);
   for (auto& [n, r] : d.c.replicas) r.up = true;
   w.run(10000);
@@ -93,10 +95,12 @@
   if (done < 200) w.fail("goodput fell under the crowd: " + std::to_string(done));
   if (d.c.refusals < 50) w.fail("nothing was refused, so this was no crowd");
   w.run(45000);
-  if (d.c.slowest_refusal > limits::queue_patience + 1000) w.fail("a refusal was held back " + std::to_string(d.c.slowest_refusal) + " ms");
+  if (d.c.slowest_refusal > limits::queue_patience + 1000)
+    w.fail("a refusal was held back " + std::to_string(d.c.slowest_refusal) + " ms");
   d.c.tries = 12;
   d.c.pace = 40;
-  if (d.c.urgent_done * 10 < d.c.urgent_asked * 5) w.fail("urgent turns starve: " + std::to_string(d.c.urgent_done) + " of " + std::to_string(d.c.urgent_asked));
+  if (d.c.urgent_done * 10 < d.c.urgent_asked * 5)
+    w.fail("urgent turns starve: " + std::to_string(d.c.urgent_done) + " of " + std::to_string(d.c.urgent_asked));
 }
 
 /// All stores are slow, fronts die often, and now and then all stores lose power at once.
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -29,7 +29,9 @@
   start(name);
 }
 
-Node& World::node(const std::string& name) { return *nodes_.at(name); }
+Node& World::node(const std::string& name) {
+  return *nodes_.at(name);
+}
 
 std::vector<std::string> World::names(Kind k) const {
   std::vector<std::string> v;
@@ -38,7 +40,9 @@
   return v;
 }
 
-bool World::alive(const std::string& name) { return node(name).machine && !node(name).frozen; }
+bool World::alive(const std::string& name) {
+  return node(name).machine && !node(name).frozen;
+}
 
 void World::fail(const std::string& what) {
   if (failures.size() < 20) failures.push_back(std::to_string(now_ - limits::process_start) + " ms: " + what);
@@ -61,10 +65,18 @@
   auto now = clock(n);
   Recovered r{n.id.self.inc, n.disk.checkpoint, n.disk.synced};
   switch (n.kind) {
-    case Kind::marker: n.machine = std::make_unique<MarkerMachine>(n.id, r, now); break;
-    case Kind::recorder: n.machine = std::make_unique<RecorderMachine>(n.id, r, now); break;
-    case Kind::lineman: n.machine = std::make_unique<LinemanMachine>(n.id, now); break;
-    case Kind::switchboard: n.machine = std::make_unique<SwitchboardMachine>(n.id, now); break;
+    case Kind::marker:
+      n.machine = std::make_unique<MarkerMachine>(n.id, r, now);
+      break;
+    case Kind::recorder:
+      n.machine = std::make_unique<RecorderMachine>(n.id, r, now);
+      break;
+    case Kind::lineman:
+      n.machine = std::make_unique<LinemanMachine>(n.id, now);
+      break;
+    case Kind::switchboard:
+      n.machine = std::make_unique<SwitchboardMachine>(n.id, now);
+      break;
   }
   at(now_ + below(limits::tick), [this, name, life = n.life] { tick(name, life); });
 }
@@ -122,7 +134,9 @@
   if (n.machine) flush(n);
 }
 
-void World::cut(const std::string& a, const std::string& b) { net.cuts.insert({a, b}); }
+void World::cut(const std::string& a, const std::string& b) {
+  net.cuts.insert({a, b});
+}
 
 void World::isolate(const std::string& name) {
   auto& n = node(name);
@@ -131,7 +145,8 @@
 }
 
 Millis World::clock(const Node& n) const {
-  return limits::process_start + n.skew + static_cast<Millis>(static_cast<double>(now_ - limits::process_start) * n.rate);
+  return limits::process_start + n.skew +
+         static_cast<Millis>(static_cast<double>(now_ - limits::process_start) * n.rate);
 }
 
 bool World::ready(const std::string& front) {
@@ -139,7 +154,9 @@
   return n.machine && static_cast<SwitchboardMachine&>(*n.machine).ready(clock(n));
 }
 
-void World::at(Millis when, std::function<void()> f) { items_.push({when, ++seq_, std::move(f)}); }
+void World::at(Millis when, std::function<void()> f) {
+  items_.push({when, ++seq_, std::move(f)});
+}
 
 void World::run(Millis ms) {
   until(ms, [] { return false; });
@@ -164,7 +181,8 @@
   if (!n.frozen) act(n, n.machine->tick(clock(n)));
   if (!n.frozen && n.machine && n.kind == Kind::marker && static_cast<MarkerMachine&>(*n.machine).on_duty(clock(n)))
     for (auto& [s, x] : nodes_)
-      if (s != name && x->machine && !x->frozen && x->kind == Kind::marker && static_cast<MarkerMachine&>(*x->machine).on_duty(clock(*x)))
+      if (s != name && x->machine && !x->frozen && x->kind == Kind::marker &&
+          static_cast<MarkerMachine&>(*x->machine).on_duty(clock(*x)))
         fail("two supervisors at once: " + name + " and " + s);
   at(now_ + limits::tick, [this, name, life] { tick(name, life); });
 }
@@ -172,18 +190,24 @@
 void World::post(const std::string& name, Envelope e) {
   auto& n = node(name);
   if (!n.machine) return;
-  if (n.frozen) n.backlog.push_back(std::move(e));
-  else step(n, e);
+  if (n.frozen)
+    n.backlog.push_back(std::move(e));
+  else
+    step(n, e);
 }
 
 void World::step(Node& n, const Envelope& e) {
-  if (keep_notes) notes.push_back(std::to_string(now_ - limits::process_start) + " " + n.name + " <- " + e.from + " " + kind_name(e.body) + detail(e.body));
+  if (keep_notes)
+    notes.push_back(std::to_string(now_ - limits::process_start) + " " + n.name + " <- " + e.from + " " +
+                    kind_name(e.body) + detail(e.body));
   act(n, n.machine->step(e, clock(n)));
 }
 
 void World::act(Node& n, Actions a) {
   if (keep_notes)
-    for (auto& x : a.notes) notes.push_back(std::to_string(now_ - limits::process_start) + " " + n.name + " " + std::to_string(static_cast<int>(x.event)) + " " + x.text);
+    for (auto& x : a.notes)
+      notes.push_back(std::to_string(now_ - limits::process_start) + " " + n.name + " " +
+                      std::to_string(static_cast<int>(x.event)) + " " + x.text);
   look(n);
   for (auto& e : a.now) send(n, e);
   bool diskless = n.kind == Kind::lineman || n.kind == Kind::switchboard;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -57,8 +57,10 @@
           bye = n <= 0;
           if (n > 0) {
             ++asked;
-            if (i->second.second++ == 0 && !first_.empty()) bye = ::send(i->first, first_.data(), first_.size(), MSG_NOSIGNAL) < 0;
-            else bye = true;
+            if (i->second.second++ == 0 && !first_.empty())
+              bye = ::send(i->first, first_.data(), first_.size(), MSG_NOSIGNAL) < 0;
+            else
+              bye = true;
           }
         }
         i = bye ? open.erase(i) : std::next(i);
@@ -75,7 +77,8 @@
   Queue<Message> heard;
   Upstream up{[this](Message m) { heard.push(std::move(m)); }};
   ReplicaEnd ask(const std::string& url, bool repeatable, const std::string& kind = "app") {
-    up.ask({"a" + std::to_string(++n), kind, url, repeatable ? "GET" : "POST", repeatable ? "" : "{}", 5000, repeatable});
+    up.ask(
+        {"a" + std::to_string(++n), kind, url, repeatable ? "GET" : "POST", repeatable ? "" : "{}", 5000, repeatable});
     while (true) {
       auto m = heard.pop(20000);
       REQUIRE(m);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -15,7 +15,9 @@
   e.protocol = limits::protocol;
   e.cluster = 9;
   e.from = "127.0.0.1:1";
-  e.body = LineWrite{{"news", "p"}, SlotId{3}, Epoch{4}, false, 2, {Record{RecordKind::intent, "k", "main", 1, 2, 3, 0, DaemonId{4}, 5, "in", ""}}};
+  e.body = LineWrite{
+      {"news", "p"}, SlotId{3}, Epoch{4},
+      false,         2,         {Record{RecordKind::intent, "k", "main", 1, 2, 3, 0, DaemonId{4}, 5, "in", ""}}};
   return e;
 }
 }  // namespace
@@ -51,7 +53,8 @@
 }
 
 TEST_CASE("a manifest's JSON is read whole or with all findings and their places") {
-  auto good = json::parse<Manifest>(R"({"cells":[{"name":"n","budget":4,"turn_limit":2,"retention_ms":1000,"routes":[{"name":"c","kind":"model"}]}]})");
+  auto good = json::parse<Manifest>(
+      R"({"cells":[{"name":"n","budget":4,"turn_limit":2,"retention_ms":1000,"routes":[{"name":"c","kind":"model"}]}]})");
   REQUIRE(ok(good));
   CHECK(json::parse<Manifest>(json::write(value(good)).dump()) == good);
   struct Row {
@@ -62,7 +65,8 @@
       {"[]", "body: must be an object"},
       {"{}", "cells: is missing"},
       {R"({"cells":[{"name":1,"budget":-1,"turn_limit":"x","retention_ms":1.5,"routes":{},"more":0}]})",
-       "cells[0].name: must be a string; cells[0].budget: must be a whole number; cells[0].turn_limit: must be a whole number; "
+       "cells[0].name: must be a string; cells[0].budget: must be a whole number; cells[0].turn_limit: must be a whole "
+       "number; "
        "cells[0].retention_ms: must be a whole number; cells[0].routes: must be a list; cells[0].more: is not known"},
   };
   for (auto& r : rows) {
--- a/tools/answerer/main.cpp
+++ b/tools/answerer/main.cpp
@@ -66,7 +66,8 @@
   auto fault = s.script.next();
   std::string chain;
   for (auto& c : j["chain"]) chain += c["input"].get<std::string>() + '\0' + c["output"].get<std::string>() + '\0';
-  s.ran(j["cell"].get<std::string>() + "/" + j["program"].get<std::string>() + "/" + j["key"].get<std::string>(), "turn");
+  s.ran(j["cell"].get<std::string>() + "/" + j["program"].get<std::string>() + "/" + j["key"].get<std::string>(),
+        "turn");
   if (fault == "error") return HttpAnswer::error(500, "broken", "scripted");
   if (fault == "stall") nap(30000);
   auto limit = j["max_tokens"].get<uint64_t>();
@@ -157,7 +158,8 @@
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
   poptContext c = poptGetContext("answerer", argc, argv, table, 0);
-  if (int rc = poptGetNextOpt(c); rc < -1) return fprintf(stderr, "answerer: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+  if (int rc = poptGetNextOpt(c); rc < -1)
+    return fprintf(stderr, "answerer: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
   if (version) return printf("answerer (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
   if (!at || !kind) return fprintf(stderr, "answerer: http, kind: are missing\n"), 2;
   start_log("answerer");
