--- a/tools/dialer/checks.cpp
+++ b/tools/dialer/checks.cpp
@@ -64,7 +64,8 @@
   o.precision(1);
   o << std::fixed;
   for (auto& [n, s] : series_)
-    o << n << ": " << s.ms.size() << " done, p50 " << s.at(0.5) << " ms, p99 " << s.at(0.99) << " ms, max " << s.at(1) << " ms\n";
+    o << n << ": " << s.ms.size() << " done, p50 " << s.at(0.5) << " ms, p99 " << s.at(0.99) << " ms, max " << s.at(1)
+      << " ms\n";
   for (auto& v : violations_) o << "VIOLATION " << v << "\n";
   o << violation_count_ << " violations\n";
   return o.str();
@@ -73,7 +74,8 @@
 std::string Book::json() const {
   std::lock_guard l(m_);
   Json j{{"counts", counts_}, {"violations", violations_}, {"violation_count", violation_count_}};
-  for (auto& [n, s] : series_) j["latency_ms"][n] = {{"n", s.ms.size()}, {"p50", s.at(0.5)}, {"p99", s.at(0.99)}, {"max", s.at(1)}};
+  for (auto& [n, s] : series_)
+    j["latency_ms"][n] = {{"n", s.ms.size()}, {"p50", s.at(0.5)}, {"p99", s.at(0.99)}, {"max", s.at(1)}};
   return j.dump(2) + "\n";
 }
 
@@ -127,9 +129,11 @@
     for (auto& t : j["turns"])
       if (t["status"] == 200) kept[t["key"]] = t["output"];
     for (auto& t : seen)
-      if (t.success && kept[t.key] != t.output) book_.violation("kept turn " + t.key + " of " + program + " is gone or changed");
+      if (t.success && kept[t.key] != t.output)
+        book_.violation("kept turn " + t.key + " of " + program + " is gone or changed");
     auto spent = j["tokens"]["spent"].get<uint64_t>() + j["tokens"]["reserved"].get<uint64_t>();
-    if (spent > plan_.budget + plan_.turn_limit) book_.violation("program " + program + " spent " + std::to_string(spent) + " tokens");
+    if (spent > plan_.budget + plan_.turn_limit)
+      book_.violation("program " + program + " spent " + std::to_string(spent) + " tokens");
     return book_.count("programs read back");
   }
   book_.violation("program " + program + " cannot be read back: " + why);
@@ -149,7 +153,8 @@
     if (n.count(k)) book_.violation("refused as not run, yet ran: " + k);
   for (auto& [p, seen] : programs_)
     for (auto& t : seen)
-      if (t.success && !n.count(plan_.cell + "/" + p + "/" + t.key)) book_.violation("a success that no replica ran: " + t.key);
+      if (t.success && !n.count(plan_.cell + "/" + p + "/" + t.key))
+        book_.violation("a success that no replica ran: " + t.key);
   book_.count("runs checked", n.size());
 }
 
--- a/tools/dialer/har.cpp
+++ b/tools/dialer/har.cpp
@@ -15,7 +15,8 @@
 
 bool hop(std::string n) {
   for (auto& c : n) c = static_cast<char>(tolower(c));
-  return n.empty() || n[0] == ':' || n == "host" || n == "connection" || n == "content-length" || n == "transfer-encoding" || n == "accept-encoding";
+  return n.empty() || n[0] == ':' || n == "host" || n == "connection" || n == "content-length" ||
+         n == "transfer-encoding" || n == "accept-encoding";
 }
 
 void read_entry(const Json& e, const std::string& at, std::vector<HarErrand>& v, Findings& f) {
@@ -32,18 +33,26 @@
   auto url = text("url");
   auto host = url.find("://");
   auto path = host == std::string::npos ? host : url.find('/', host + 3);
-  if (!url.empty() && !url.starts_with("http://") && !url.starts_with("https://")) f.push_back({at + ".request.url", "is no http address"});
+  if (!url.empty() && !url.starts_with("http://") && !url.starts_with("https://"))
+    f.push_back({at + ".request.url", "is no http address"});
   x.path = path == std::string::npos ? "/" : url.substr(path, url.find('#', path) - path);
-  if (r.contains("headers") && !r["headers"].is_array()) f.push_back({at + ".request.headers", "is no list"});
+  if (r.contains("headers") && !r["headers"].is_array())
+    f.push_back({at + ".request.headers", "is no list"});
   else if (r.contains("headers"))
     for (size_t i = 0; i < r["headers"].size(); ++i) {
       auto& h = r["headers"][i];
-      if (!h.is_object() || !h.contains("name") || !h.contains("value") || !h["name"].is_string() || !h["value"].is_string())
+      if (!h.is_object() || !h.contains("name") || !h.contains("value") || !h["name"].is_string() ||
+          !h["value"].is_string())
         f.push_back({at + ".request.headers[" + std::to_string(i) + "]", "lacks a name or a value"});
-      else if (!hop(h["name"])) x.headers[h["name"]] = h["value"];
+      else if (!hop(h["name"]))
+        x.headers[h["name"]] = h["value"];
     }
-  if (r.contains("postData") && r["postData"].is_object() && r["postData"].contains("text") && r["postData"]["text"].is_string()) x.body = r["postData"]["text"];
-  if (e.contains("response") && e["response"].is_object() && e["response"].contains("status") && e["response"]["status"].is_number_integer()) x.expected = e["response"]["status"];
+  if (r.contains("postData") && r["postData"].is_object() && r["postData"].contains("text") &&
+      r["postData"]["text"].is_string())
+    x.body = r["postData"]["text"];
+  if (e.contains("response") && e["response"].is_object() && e["response"].contains("status") &&
+      e["response"]["status"].is_number_integer())
+    x.expected = e["response"]["status"];
   if (f.size() == before) v.push_back(std::move(x));
 }
 
@@ -56,11 +65,13 @@
   } catch (const Json::parse_error& e) {
     return Findings{{"byte " + std::to_string(e.byte), "the file is no whole JSON"}};
   }
-  if (!j.is_object() || !j.contains("log") || !j["log"].is_object() || !j["log"].contains("entries") || !j["log"]["entries"].is_array())
+  if (!j.is_object() || !j.contains("log") || !j["log"].is_object() || !j["log"].contains("entries") ||
+      !j["log"]["entries"].is_array())
     return Findings{{"log.entries", "is missing or no list"}};
   std::vector<HarErrand> v;
   Findings f;
-  for (size_t i = 0; i < j["log"]["entries"].size(); ++i) read_entry(j["log"]["entries"][i], "log.entries[" + std::to_string(i) + "]", v, f);
+  for (size_t i = 0; i < j["log"]["entries"].size(); ++i)
+    read_entry(j["log"]["entries"][i], "log.entries[" + std::to_string(i) + "]", v, f);
   if (!f.empty()) return f;
   return v;
 }
@@ -72,7 +83,8 @@
   if (!s) return fprintf(stderr, "dialer: %s: cannot be read\n", file.c_str()), 2;
   auto r = read_har(t.str());
   if (!ok(r)) {
-    for (auto& f : findings(r)) fprintf(stderr, "dialer: %s: %s: %s\n", file.c_str(), f.place.c_str(), f.reason.c_str());
+    for (auto& f : findings(r))
+      fprintf(stderr, "dialer: %s: %s: %s\n", file.c_str(), f.place.c_str(), f.reason.c_str());
     return 2;
   }
   Book book;
@@ -93,7 +105,8 @@
     book.count("status " + std::to_string(w.status));
     if (!w.whole || (x.expected && w.status != x.expected)) {
       ++other;
-      printf("%s %s: status %ld, recorded %d%s%s\n", x.method.c_str(), x.path.c_str(), w.status, x.expected, w.error.empty() ? "" : ", ", w.error.c_str());
+      printf("%s %s: status %ld, recorded %d%s%s\n", x.method.c_str(), x.path.c_str(), w.status, x.expected,
+             w.error.empty() ? "" : ", ", w.error.c_str());
     }
   }
   fputs(book.text().c_str(), stdout);
--- a/tools/dialer/load.cpp
+++ b/tools/dialer/load.cpp
@@ -39,7 +39,8 @@
 };
 }  // namespace
 
-TurnSeen Load::turn(const std::string& program, const std::string& thread, uint32_t settled, const std::vector<TurnSeen>& before) {
+TurnSeen Load::turn(const std::string& program, const std::string& thread, uint32_t settled,
+                    const std::vector<TurnSeen>& before) {
   TurnSeen t;
   t.thread = thread;
   t.key = "k" + hex(random());
@@ -61,17 +62,25 @@
     a.headers["Idempotency-Key"] = t.key;
     a.headers["X-Horizon-Ms"] = "30000";
     if (random() % 20 == 0) a.headers["X-Class"] = "urgent";
-    Json body{{"input", t.input}, {"thread", thread}, {"prefix", "shared prefix " + std::to_string(random() % 12)}, {"max_tokens", plan_.turn_limit}, {"stream", true}};
+    Json body{{"input", t.input},
+              {"thread", thread},
+              {"prefix", "shared prefix " + std::to_string(random() % 12)},
+              {"max_tokens", plan_.turn_limit},
+              {"stream", true}};
     if (sure) body["after"] = settled;
     a.body = body.dump();
     a.horizon_ms = 60000;
     a.on_bytes = [&](const std::string& b) { s.feed(b, begun); };
     auto r = web(a);
-    if (i == 0) book_.count(r.status == 200 && s.done ? "turn first try ok" : r.status ? "turn first try " + std::to_string(r.status) : "turn first try no session");
+    if (i == 0)
+      book_.count(r.status == 200 && s.done ? "turn first try ok"
+                  : r.status                ? "turn first try " + std::to_string(r.status)
+                                            : "turn first try no session");
     if (s.wrong) book_.violation("stream of " + t.key + " skipped, repeated or went on after its end");
     if (r.status == 200 && s.done) {
       if (!r.whole) book_.violation("a finished stream ended broken: " + t.key);
-      if (s.last["pieces"] != s.pieces) book_.violation("a stream looked finished with " + std::to_string(s.pieces) + " pieces: " + t.key);
+      if (s.last["pieces"] != s.pieces)
+        book_.violation("a stream looked finished with " + std::to_string(s.pieces) + " pieces: " + t.key);
       book_.time("turn", clock_ms() - begun);
       if (s.first > 0) book_.time("first piece", s.first);
       t.success = true;
@@ -81,23 +90,29 @@
       for (auto& b : before)
         if (b.thread == thread && b.success) chain += b.input + '\0' + b.output + '\0', ++links;
       auto want = "links=" + std::to_string(links) + " chain=" + hex(digest(chain)) + " ";
-      if (sure && !s.text.starts_with(want)) book_.violation("turn " + t.key + " of " + program + " saw another chain than " + std::to_string(links) + " links: " + s.text.substr(0, 40));
+      if (sure && !s.text.starts_with(want))
+        book_.violation("turn " + t.key + " of " + program + " saw another chain than " + std::to_string(links) +
+                        " links: " + s.text.substr(0, 40));
       return t;
     }
     if (r.status == 200 && !s.error && r.whole) book_.violation("a stream ended whole without its end: " + t.key);
     auto j = s.error ? s.last : Json::parse(r.body, nullptr, false);
     auto ran = j.is_object() ? j.value("ran", "") : "";
     if (ran != "no") maybe_ran = maybe_ran || r.sent;
-    book_.count("turn try " + (r.status ? std::to_string(r.status) + (ran.empty() ? "" : " ran " + ran) : "no session"));
+    book_.count("turn try " +
+                (r.status ? std::to_string(r.status) + (ran.empty() ? "" : " ran " + ran) : "no session"));
     auto reason = j.is_object() ? j.value("reason", "") : "";
-    if (r.status == 404 && reason.find("missing") != std::string::npos && settled) book_.violation("a kept conversation was called missing: " + program);
-    if (r.status == 409 && reason.find("after:") == 0) book_.violation("turn order: " + reason + ", acknowledged " + std::to_string(settled) + ": " + program);
+    if (r.status == 404 && reason.find("missing") != std::string::npos && settled)
+      book_.violation("a kept conversation was called missing: " + program);
+    if (r.status == 409 && reason.find("after:") == 0)
+      book_.violation("turn order: " + reason + ", acknowledged " + std::to_string(settled) + ": " + program);
     if (r.status == 429) {
       t.spent = true;
       t.not_run = !maybe_ran;
       break;
     }
-    if (ran == "unknown" && (reason.find("will not be run again") != std::string::npos || reason.find("kept outcome") != std::string::npos)) {
+    if (ran == "unknown" && (reason.find("will not be run again") != std::string::npos ||
+                             reason.find("kept outcome") != std::string::npos)) {
       book_.count("turn ended unknown: " + reason);
       return t;
     }
@@ -108,7 +123,8 @@
   return t;
 }
 
-void Load::turns(const std::string& program, const std::string& thread, int n, std::vector<TurnSeen>& seen, std::mutex& m) {
+void Load::turns(const std::string& program, const std::string& thread, int n, std::vector<TurnSeen>& seen,
+                 std::mutex& m) {
   std::vector<TurnSeen> mine;
   for (int i = 0; i < n; ++i) {
     uint32_t settled = 0;
@@ -192,8 +208,10 @@
     auto ran = j.is_object() ? j.value("ran", "") : "";
     auto reason = j.is_object() ? j.value("reason", "") : "";
     if (ran != "no") maybe = maybe || r.sent;
-    book_.count("count try " + (r.status ? std::to_string(r.status) + (ran.empty() ? "" : " ran " + ran) : "no session"));
-    if (reason.find("will not be run again") != std::string::npos || reason.find("kept outcome") != std::string::npos) return book_.count("count ended unknown");
+    book_.count("count try " +
+                (r.status ? std::to_string(r.status) + (ran.empty() ? "" : " ran " + ran) : "no session"));
+    if (reason.find("will not be run again") != std::string::npos || reason.find("kept outcome") != std::string::npos)
+      return book_.count("count ended unknown");
     nap(j.is_object() ? j.value("retry_after_ms", 300) : 300);
   }
   if (!maybe) {
--- a/tools/dialer/load.hpp
+++ b/tools/dialer/load.hpp
@@ -87,7 +87,8 @@
  private:
   void program(uint64_t n);
   void turns(const std::string& program, const std::string& thread, int n, std::vector<TurnSeen>& seen, std::mutex& m);
-  TurnSeen turn(const std::string& program, const std::string& thread, uint32_t settled, const std::vector<TurnSeen>& before);
+  TurnSeen turn(const std::string& program, const std::string& thread, uint32_t settled,
+                const std::vector<TurnSeen>& before);
   void tools(uint64_t n);
   void fetch(const std::string& path, const char* what, const char* cls);
   void tally(uint64_t n);
--- a/tools/dialer/main.cpp
+++ b/tools/dialer/main.cpp
@@ -13,25 +13,28 @@
 
 int main(int argc, const char** argv) {
   dialer::Plan p;
-  char *markers = nullptr, *mix = nullptr, *runs = nullptr, *report = nullptr, *cell = nullptr, *harm = nullptr, *control = nullptr, *har = nullptr, *to = nullptr;
+  char *markers = nullptr, *mix = nullptr, *runs = nullptr, *report = nullptr, *cell = nullptr, *harm = nullptr,
+       *control = nullptr, *har = nullptr, *to = nullptr;
   int version = 0, all = 0;
-  poptOption table[] = {{"markers", 'm', POPT_ARG_STRING, &markers, 0, "HTTP addresses of markers", "A,B,C"},
-                        {"rate", 'r', POPT_ARG_DOUBLE, &p.rate, 0, "programs a second", "N"},
-                        {"seconds", 't', POPT_ARG_INT, &p.seconds, 0, "how long programs are begun", "S"},
-                        {"mix", 'x', POPT_ARG_STRING, &mix, 0, "election or builds", "NAME"},
-                        {"cell", 'c', POPT_ARG_STRING, &cell, 0, "the cell to ask (default news)", "NAME"},
-                        {"runs", 0, POPT_ARG_STRING, &runs, 0, "folder with the answerers' run files, to be checked", "DIR"},
-                        {"report", 0, POPT_ARG_STRING, &report, 0, "file for the figures as JSON", "FILE"},
-                        {"harm", 0, POPT_ARG_STRING, &harm, 0, "kinds of process to kill, freeze and restart", "KIND,..."},
-                        {"control", 0, POPT_ARG_STRING, &control, 0, "the rack's control address, for harm", "IP:PORT"},
-                        {"seed", 0, POPT_ARG_LONG, &p.seed, 0, "dice of the harm", "N"},
-                        {"har", 0, POPT_ARG_STRING, &har, 0, "replay this HTTP archive instead", "FILE"},
-                        {"to", 0, POPT_ARG_STRING, &to, 0, "the front worker that the replay goes to", "IP:PORT"},
-                        {"all", 0, POPT_ARG_NONE, &all, 0, "replay also what may not be repeated", nullptr},
-                        {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
-                        POPT_AUTOHELP POPT_TABLEEND};
+  poptOption table[] = {
+      {"markers", 'm', POPT_ARG_STRING, &markers, 0, "HTTP addresses of markers", "A,B,C"},
+      {"rate", 'r', POPT_ARG_DOUBLE, &p.rate, 0, "programs a second", "N"},
+      {"seconds", 't', POPT_ARG_INT, &p.seconds, 0, "how long programs are begun", "S"},
+      {"mix", 'x', POPT_ARG_STRING, &mix, 0, "election or builds", "NAME"},
+      {"cell", 'c', POPT_ARG_STRING, &cell, 0, "the cell to ask (default news)", "NAME"},
+      {"runs", 0, POPT_ARG_STRING, &runs, 0, "folder with the answerers' run files, to be checked", "DIR"},
+      {"report", 0, POPT_ARG_STRING, &report, 0, "file for the figures as JSON", "FILE"},
+      {"harm", 0, POPT_ARG_STRING, &harm, 0, "kinds of process to kill, freeze and restart", "KIND,..."},
+      {"control", 0, POPT_ARG_STRING, &control, 0, "the rack's control address, for harm", "IP:PORT"},
+      {"seed", 0, POPT_ARG_LONG, &p.seed, 0, "dice of the harm", "N"},
+      {"har", 0, POPT_ARG_STRING, &har, 0, "replay this HTTP archive instead", "FILE"},
+      {"to", 0, POPT_ARG_STRING, &to, 0, "the front worker that the replay goes to", "IP:PORT"},
+      {"all", 0, POPT_ARG_NONE, &all, 0, "replay also what may not be repeated", nullptr},
+      {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
   poptContext c = poptGetContext("dialer", argc, argv, table, 0);
-  if (int rc = poptGetNextOpt(c); rc < -1) return fprintf(stderr, "dialer: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+  if (int rc = poptGetNextOpt(c); rc < -1)
+    return fprintf(stderr, "dialer: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
   if (version) return printf("dialer (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
   if (har && !to) return fprintf(stderr, "dialer: to: is missing\n"), 2;
   if (har) {
@@ -40,7 +43,8 @@
     return dialer::replay_har(har, to, all);
   }
   if (!markers) return fprintf(stderr, "dialer: markers: are missing\n"), 2;
-  if (p.rate <= 0 || p.rate > 1000 || p.seconds < 1) return fprintf(stderr, "dialer: rate, seconds: are out of range\n"), 2;
+  if (p.rate <= 0 || p.rate > 1000 || p.seconds < 1)
+    return fprintf(stderr, "dialer: rate, seconds: are out of range\n"), 2;
   std::stringstream l(markers);
   for (std::string x; std::getline(l, x, ',');) p.markers.push_back(x);
   if (harm) {
@@ -50,7 +54,8 @@
     p.control = control;
   }
   if (mix) p.mix = mix;
-  if (p.mix != "election" && p.mix != "builds") return fprintf(stderr, "dialer: mix: is neither election nor builds\n"), 2;
+  if (p.mix != "election" && p.mix != "builds")
+    return fprintf(stderr, "dialer: mix: is neither election nor builds\n"), 2;
   if (runs) p.runs = runs;
   if (report) p.report = report;
   if (cell) p.cell = cell;
--- a/tools/rack/fleet.cpp
+++ b/tools/rack/fleet.cpp
@@ -51,7 +51,8 @@
   for (int i = 0; i < plan_.markers; ++i) {
     auto& x = add("marker" + n(i), "marker", i);
     x.listen = core[i].first, x.http = core[i].second;
-    x.args = {"--listen", x.listen, "--http", x.http, "--zone", x.zone, "--seeds", seeds, "--data", x.data, "--core-size", std::to_string(plan_.markers)};
+    x.args = {"--listen", x.listen, "--http", x.http, "--zone",      x.zone,
+              "--seeds",  seeds,    "--data", x.data, "--core-size", std::to_string(plan_.markers)};
   }
   for (int i = 0; i < plan_.stores; ++i) {
     auto& x = add("recorder" + n(i), "recorder", i);
@@ -71,7 +72,11 @@
     for (int i = 0; i < (k ? plan_.apps : plan_.models); ++i) {
       auto& x = add((k ? "app" : "model") + n(i), "answerer", i);
       x.http = port();
-      x.args = {"--http", x.http, "--kind", k ? "app" : "model", "--name", x.name, "--runs", plan_.dir + "/runs-" + x.name, "--pace", k ? "5" : plan_.pace};
+      x.args = {"--http", x.http,
+                "--kind", k ? "app" : "model",
+                "--name", x.name,
+                "--runs", plan_.dir + "/runs-" + x.name,
+                "--pace", k ? "5" : plan_.pace};
     }
 }
 
@@ -182,7 +187,10 @@
   for (auto& p : list()) {
     if (p.program != "answerer") continue;
     auto kind = p.name.starts_with("app") ? "app" : "model";
-    if (auto f = put("/v1/replicas/" + p.name, {{"kind", kind}, {"zone", p.zone}, {"url", "http://" + p.http}, {"fitness", "ready"}}); !f.empty()) return f;
+    if (auto f = put("/v1/replicas/" + p.name,
+                     {{"kind", kind}, {"zone", p.zone}, {"url", "http://" + p.http}, {"fitness", "ready"}});
+        !f.empty())
+      return f;
   }
   Json routes = Json::array({{{"name", "chat"}, {"kind", "model"}}, {{"name", "app"}, {"kind", "app"}}});
   Json cell{{"name", "news"}, {"budget", 400}, {"turn_limit", 40}, {"retention_ms", 3600000}, {"routes", routes}};
--- a/tools/rack/main.cpp
+++ b/tools/rack/main.cpp
@@ -36,13 +36,21 @@
   if (a.path == "/fleet") {
     Json j = Json::array();
     for (auto& p : f.list())
-      j.push_back({{"name", p.name}, {"program", p.program}, {"pid", p.pid}, {"listen", p.listen}, {"http", p.http}, {"zone", p.zone}, {"frozen", p.frozen}});
+      j.push_back({{"name", p.name},
+                   {"program", p.program},
+                   {"pid", p.pid},
+                   {"listen", p.listen},
+                   {"http", p.http},
+                   {"zone", p.zone},
+                   {"frozen", p.frozen}});
     r.body = j.dump() + "\n";
     return r;
   }
   auto k = a.path.find('/', 1);
-  if (a.method != "POST" || k == std::string::npos) return HttpAnswer::error(404, "unknown_path", "try GET /fleet or POST /kill/NAME");
-  if (auto x = f.act(a.path.substr(1, k - 1), a.path.substr(k + 1)); !x.empty()) return HttpAnswer::error(409, "refused", x);
+  if (a.method != "POST" || k == std::string::npos)
+    return HttpAnswer::error(404, "unknown_path", "try GET /fleet or POST /kill/NAME");
+  if (auto x = f.act(a.path.substr(1, k - 1), a.path.substr(k + 1)); !x.empty())
+    return HttpAnswer::error(409, "refused", x);
   r.body = "{}\n";
   return r;
 }
@@ -53,9 +61,11 @@
   rack::Plan p;
   char *fleet = nullptr, *dir = nullptr, *pace = nullptr;
   int version = 0, quiet = 0;
-  poptOption table[] = {{"fleet", 'f', POPT_ARG_STRING, &fleet, 0, "kjortala (5,6,3,18,8), catania (3,6,3,9,3) or small (3,2,3,2,1)", "NAME"},
+  poptOption table[] = {{"fleet", 'f', POPT_ARG_STRING, &fleet, 0,
+                         "kjortala (5,6,3,18,8), catania (3,6,3,9,3) or small (3,2,3,2,1)", "NAME"},
                         {"dir", 'd', POPT_ARG_STRING, &dir, 0, "folder for data and logs; emptied first", "DIR"},
-                        {"base", 'b', POPT_ARG_INT, &p.base, 0, "first port; the control port is the one before; 0 finds free ones", "PORT"},
+                        {"base", 'b', POPT_ARG_INT, &p.base, 0,
+                         "first port; the control port is the one before; 0 finds free ones", "PORT"},
                         {"markers", 0, POPT_ARG_INT, &p.markers, 0, "how many markers", "N"},
                         {"stores", 0, POPT_ARG_INT, &p.stores, 0, "how many recorders", "N"},
                         {"fronts", 0, POPT_ARG_INT, &p.fronts, 0, "how many switchboards", "N"},
@@ -66,12 +76,16 @@
   for (int i = 1; i + 1 < argc; ++i)
     if (std::string(argv[i]) == "--fleet" || std::string(argv[i]) == "-f") {
       std::string n = argv[i + 1];
-      if (n == "kjortala") p.markers = 5, p.models = 18, p.apps = 8;
-      else if (n == "small") p.fronts = 2, p.models = 2, p.apps = 1;
-      else if (n != "catania") return fprintf(stderr, "rack: fleet: '%s' is unknown\n", n.c_str()), 2;
+      if (n == "kjortala")
+        p.markers = 5, p.models = 18, p.apps = 8;
+      else if (n == "small")
+        p.fronts = 2, p.models = 2, p.apps = 1;
+      else if (n != "catania")
+        return fprintf(stderr, "rack: fleet: '%s' is unknown\n", n.c_str()), 2;
     }
   poptContext c = poptGetContext("rack", argc, argv, table, 0);
-  if (int rc = poptGetNextOpt(c); rc < -1) return fprintf(stderr, "rack: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+  if (int rc = poptGetNextOpt(c); rc < -1)
+    return fprintf(stderr, "rack: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
   if (version) return printf("rack (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
   if (!dir) return fprintf(stderr, "rack: dir: is missing\n"), 2;
   p.dir = dir;
@@ -88,11 +102,13 @@
   if (auto x = f.introduce(); !x.empty()) return fprintf(stderr, "rack: %s\n", render(x).c_str()), 1;
   while (ready(f) < p.fronts && process_now() - begun < 60000)
     if (signalled(100)) return 1;
-  auto web = HttpServer::open("127.0.0.1:" + std::to_string(p.base - 1), [&](const HttpAsk& a) { return answer(f, a); });
+  auto web =
+      HttpServer::open("127.0.0.1:" + std::to_string(p.base - 1), [&](const HttpAsk& a) { return answer(f, a); });
   if (!ok(web)) return fprintf(stderr, "rack: %s\n", render(findings(web)).c_str()), 2;
   std::string m;
   for (auto& a : f.markers()) m += (m.empty() ? "" : ",") + a;
-  printf("rack: %d of %d fronts ready after %lld ms; markers %s; control 127.0.0.1:%d\n", ready(f), p.fronts, static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
+  printf("rack: %d of %d fronts ready after %lld ms; markers %s; control 127.0.0.1:%d\n", ready(f), p.fronts,
+         static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
   fflush(stdout);
   while (!signalled(1000)) {}
   return 0;
--- a/tools/testdesk/main.cpp
+++ b/tools/testdesk/main.cpp
@@ -22,7 +22,8 @@
                         {"reasons", 0, POPT_ARG_NONE, &reasons, 0, "print why outcomes were unknown", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
   poptContext c = poptGetContext("testdesk", argc, argv, table, 0);
-  if (int rc = poptGetNextOpt(c); rc < -1) return fprintf(stderr, "testdesk: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+  if (int rc = poptGetNextOpt(c); rc < -1)
+    return fprintf(stderr, "testdesk: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
   auto all = sim::scenarios();
   if (only) all = {only};
   std::atomic<long> next{0}, failed{0}, played{0};
@@ -37,7 +38,8 @@
       auto v = sim::play(s, static_cast<uint64_t>(seed), notes);
       std::lock_guard l(m);
       ++played;
-      if (notes) for (auto& x : v.notes) printf("%s\n", x.c_str());
+      if (notes)
+        for (auto& x : v.notes) printf("%s\n", x.c_str());
       auto& t = sum[s];
       t.successes += v.successes, t.refusals += v.refusals, t.unknowns += v.unknowns, t.resumed += v.resumed;
       for (auto& [r, n] : v.reasons) t.reasons[r] += n;
@@ -53,8 +55,9 @@
   for (int i = 0; i < jobs; ++i) v.emplace_back(work);
   for (auto& t : v) t.join();
   for (auto& [s, t] : sum)
-    printf("%-10s successes %llu refusals %llu unknown %llu read back %llu messages %llu syncs %llu\n", s.c_str(), (unsigned long long)t.successes,
-           (unsigned long long)t.refusals, (unsigned long long)t.unknowns, (unsigned long long)t.resumed, (unsigned long long)t.messages, (unsigned long long)t.syncs);
+    printf("%-10s successes %llu refusals %llu unknown %llu read back %llu messages %llu syncs %llu\n", s.c_str(),
+           (unsigned long long)t.successes, (unsigned long long)t.refusals, (unsigned long long)t.unknowns,
+           (unsigned long long)t.resumed, (unsigned long long)t.messages, (unsigned long long)t.syncs);
   if (reasons)
     for (auto& [s, t] : sum)
       for (auto& [r, n] : t.reasons) printf("%-10s %6llu %s\n", s.c_str(), (unsigned long long)n, r.c_str());
