Turns carried by the caller's front, admitted and settled by their owner

Cause: the owner relayed every piece of every stream, two messages a piece; with the platform's rates that is most of the traffic between daemons. Weighed: the stream through the owner, or the owner admits (chain, durable reservation) and settles while the front that has the caller dispatches. The second needs four messages a turn, whatever its length.

--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -5,7 +5,13 @@
 namespace mosskeel {
 
 SwitchboardMachine::SwitchboardMachine(const Identity& id, Millis now)
-    : out_(id), fol_(out_, led_, now), keep_(out_, led_) {}
+    : out_(id), fol_(out_, led_, now), keep_(out_, led_), reg_(out_, led_, keep_), trunk_(out_, led_) {}
+
+Outlook SwitchboardMachine::outlook(Millis now) const {
+  auto* d = me();
+  bool whole = confirmed_ && d && led_.epoch() >= ahead_;
+  return {led_.view(), d ? d->id : DaemonId{}, whole ? touched_ + limits::isolation : 0, ready(now), stopping_};
+}
 
 bool SwitchboardMachine::in_touch(Millis now) const {
   return now - touched_ <= limits::isolation && led_.epoch() >= ahead_;
@@ -52,7 +58,7 @@
   if (auto* h = std::get_if<HeartbeatReply>(&e.body)) return on(e, *h);
   ahead_ = std::max(ahead_, e.epoch);
   if (fol_.handle(e, now) || fol_.park(e)) return;
-  if (keep_.on(e, now)) return;
+  if (keep_.on(e, now) || trunk_.on(e, now) || reg_.on(e, now)) return;
   std::visit(overload{[&](const Errand& x) { on(e, x, now); },
                       [&](const ErrandSeen& x) {
                         auto i = works_.find(x.attempt);
@@ -63,7 +69,8 @@
                       [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
                       [&](const LateSettle& x) { on(e, x, now); }, [&](const LineAged& x) { on(e, x, now); },
                       [&](const RunnerAsk& x) {
-                        out_.send(e.from, RunnerWord{x.line, x.key, running_here(x.line, x.key)}, e.from_inc);
+                        bool here = running_here(x.line, x.key) || trunk_.carries(x.key);
+                        out_.send(e.from, RunnerWord{x.line, x.key, here}, e.from_inc);
                       },
                       [&](const RunnerWord& x) {
                         auto* d = led_.view()->find(e.from_inc);
@@ -101,10 +108,13 @@
   if (led_.epoch() != before) {
     for (auto& p : fol_.unpark()) handle(p, now);
     keep_.tick(now);
+    trunk_.tick(now);
     beat(now);
     sweep(now);
   }
-  for (auto& n : keep_.changed()) {
+  auto changed = keep_.changed();
+  if (!changed.empty()) reg_.advance(changed, now);
+  for (auto& n : changed) {
     std::vector<std::string> v;
     for (auto& [a, w] : works_)
       if (w.line == n && w.stage != Stage::proxying) v.push_back(a);
@@ -150,6 +160,8 @@
   if (now >= next_beat_) beat(now);
   keep_.tick(now);
   if (now >= next_sweep_) sweep(now);
+  trunk_.tick(now);
+  reg_.tick(now);
   bool in = in_touch(now);
   if (in != was_in_touch_) out_.note(in ? Event::in_touch : Event::isolated, "epoch " + std::to_string(led_.epoch().v));
   was_in_touch_ = in;
@@ -157,7 +169,7 @@
   auto* d = me();
   bool handed = !d || d->state == DaemonState::left || d->state == DaemonState::down ||
                 (d->state == DaemonState::draining && !led_.view()->sequences.count(d->id));
-  if (!works_.empty() || !lates_.empty()) last_work_ = now;
+  if (!works_.empty() || !lates_.empty() || trunk_.waiting()) last_work_ = now;
   if (stopping_ && handed && now - last_work_ > limits::farewell) out_.act.stop = true;
   return out_.take();
 }
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -5,6 +5,8 @@
 #include "errand/policy.hpp"
 #include "follow/follower.hpp"
 #include "line/keeper.hpp"
+#include "traffic/outlook.hpp"
+#include "traffic/trunk.hpp"
 
 namespace mosskeel {
 
@@ -22,6 +24,8 @@
   bool in_touch(Millis now) const;
   const std::map<std::string, uint64_t>& tallies() const { return tallies_; }
   size_t errands() const { return works_.size(); }
+  /// What this process's traffic may rely on.
+  Outlook outlook(Millis now) const;
 
  private:
   enum class Stage { opening, waiting, queued, intending, running, settling, handing, proxying };
@@ -108,6 +112,8 @@
   Ledger led_;
   Follower fol_;
   Keeper keep_;
+  Registrar reg_;
+  Trunk trunk_;
   Nominator nom_;
   std::map<std::string, Work> works_;
   std::map<std::string, std::pair<Millis, std::optional<ErrandEnd>>> ended_;
--- a/src/kernel/limits.hpp
+++ b/src/kernel/limits.hpp
@@ -75,6 +75,18 @@
 constexpr uint32_t cold_fronts = 1;             // count; switchboards that may touch a cold replica
 constexpr unsigned http_sessions = 2000;        // count; sessions of one HTTP listener
 constexpr int nng_queue = 1024;                 // count; messages waiting for one peer
+constexpr Millis search_patience = 1000;         // ms; a turn of an unknown program is looked for at all stores this long
+constexpr Millis ask_patience = 2500;            // ms; an owner must have granted or refused a turn by then
+constexpr Millis hold_most = 400;                // ms; no errand waits longer for a replica with a free place
+constexpr Millis shun_refused = 1000;            // ms; a replica that takes no session is left alone this long
+constexpr Millis shun_full = 60;                 // ms; a replica that says it is full
+constexpr Millis shun_lost = 300;                // ms; a replica that lost an answer
+constexpr size_t whole_bytes = 256u << 10;       // bytes; answers up to here are read whole before the caller sees them
+constexpr double crowd = 1.5;                    // factor; a front's share of a replica's places, for load is uneven
+constexpr double cold_share = 0.85;              // share; of a cold replica's errands a second that its one front sends
+constexpr size_t offers_most = 4;                // count; replicas that one errand is tried at, reached or not
+constexpr Millis settle_patience = 2000;         // ms; a whole answer waits this long past its horizon to be kept
+constexpr Millis turn_retention = 60000;         // ms; budgets of programs on paths that keep no history last this long
 constexpr uint16_t protocol = 2;                // revision of the daemon protocol
 
 }  // namespace mosskeel::limits
--- /dev/null
+++ b/src/line/chains.cpp
@@ -0,0 +1,44 @@
+// How a recorder finds the chain of a turn whose program it is not told.
+#include <algorithm>
+#include <unordered_map>
+
+#include "line/recorder_machine.hpp"
+
+namespace mosskeel {
+namespace {
+
+/// The text of the chain that ends with this turn, or nothing where the line does not hold it whole.
+std::optional<std::string> chain_of(const Records& v, const std::string& turn) {
+  std::unordered_map<std::string, const Record*> intents, settled;
+  for (auto& r : v) {
+    if (r.kind == RecordKind::intent) intents.emplace(r.key, &r);
+    if (r.kind == RecordKind::settled) settled.emplace(r.key, &r);
+  }
+  std::vector<std::string> parts;
+  for (auto k = turn; !k.empty() && parts.size() <= 2 * v.size();) {
+    auto i = intents.find(k);
+    auto s = settled.find(k);
+    if (i == intents.end() || s == settled.end() || s->second->status != 200) return std::nullopt;
+    parts.push_back(s->second->output);
+    parts.push_back(i->second->input);
+    k = i->second->parent;
+  }
+  std::string o;
+  for (auto i = parts.rbegin(); i != parts.rend(); ++i) o += *i;
+  return o;
+}
+
+}  // namespace
+
+void RecorderMachine::on(const Envelope& e, const ChainFind& f) {
+  ChainFound a{f.turn, false, {}};
+  for (auto& [slot, s] : slots_)
+    for (auto& [n, l] : s.lines) {
+      auto has = [&](auto& r) { return r.kind == RecordKind::settled && r.key == f.turn; };
+      if (a.found || std::none_of(l.records.rbegin(), l.records.rend(), has)) continue;
+      if (auto t = chain_of(l.records, f.turn)) a.found = true, a.text = std::move(*t);
+    }
+  out_.send_synced(e.from, a, e.from_inc);
+}
+
+}  // namespace mosskeel
--- a/src/line/recorder_machine.cpp
+++ b/src/line/recorder_machine.cpp
@@ -215,7 +215,8 @@
   if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
                       [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); },
-                      [&](const SlotStreamReply& r) { on(e, r, now); }, [&](const auto&) {}},
+                      [&](const SlotStreamReply& r) { on(e, r, now); },
+                      [&](const ChainFind& f) { on(e, f); }, [&](const auto&) {}},
              e.body);
 }
 
--- a/src/line/recorder_machine.hpp
+++ b/src/line/recorder_machine.hpp
@@ -49,6 +49,7 @@
   void on(const Envelope& e, const SlotStream& q);
   void on(const Envelope& e, const SlotStreamReply& r, Millis now);
   void on(const Envelope& e, const LineBury& b);
+  void on(const Envelope& e, const ChainFind& f);
   LineWriteReply write(SlotStore& s, const LineWrite& w);
   void merge(SlotStore& s, const StreamRecord& r);
   static void bury(SlotStore& s, const LineName& n);
--- /dev/null
+++ b/src/traffic/paths.hpp
@@ -0,0 +1,25 @@
+#pragma once
+// The lookup of a manifest's paths by host and longest prefix, built once a revision.
+#include <unordered_map>
+
+#include "metadata/values.hpp"
+
+namespace mosskeel {
+
+class PathTable {
+ public:
+  explicit PathTable(View v);
+  /// The path with the longest prefix that begins `target` (its query does not count), or nothing.
+  const Path* find(const std::string& host, std::string_view target) const;
+  const View& view() const { return view_; }
+
+ private:
+  View view_;
+  std::unordered_map<std::string, const Path*> by_;
+  std::unordered_map<std::string, size_t> longest_;
+};
+
+/// The service that takes an errand of this path: by weight, the same one for the same dice.
+const std::string* service_of(const Path& p, uint64_t dice);
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/traffic/pick.cpp
@@ -0,0 +1,92 @@
+#include "traffic/pick.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "kernel/limits.hpp"
+
+namespace mosskeel {
+
+void Picker::update(const Outlook& o, Millis now) {
+  if (view_ == o.view && me_ == o.me) return;
+  view_ = o.view;
+  me_ = o.me;
+  auto& m = *view_;
+  std::string zone;
+  std::vector<DaemonId> fronts;
+  std::map<std::string, uint32_t> in_zone;
+  for (auto& [id, d] : m.directory) {
+    if (id == me_) zone = d.self.zone;
+    if (d.self.role != Role::front || d.state == DaemonState::down || d.state == DaemonState::left) continue;
+    fronts.push_back(id);
+    ++in_zone[d.self.zone];
+  }
+  by_service_.clear();
+  for (auto& [n, s] : seen_) s.present = false;
+  for (auto& [n, r] : m.replicas) {
+    if (r.service.empty() || r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) continue;
+    auto& s = seen_[n];
+    s.r = &r;
+    s.present = true;
+    s.local = r.zone == zone;
+    auto z = in_zone.find(r.zone);
+    auto share = static_cast<double>(r.places) / std::max(1u, z == in_zone.end() ? 1u : z->second);
+    s.cap = static_cast<uint32_t>(std::max(1.0, std::ceil(share * limits::crowd)));
+    auto rank = [&](DaemonId id) { return digest(n, id.v + 1); };
+    auto first = std::min_element(fronts.begin(), fronts.end(), [&](auto a, auto b) { return rank(a) < rank(b); });
+    s.mine = r.fitness != Fitness::cold || (first != fronts.end() && *first == me_);
+    auto* c = m.manifest.service(r.service);
+    s.rate = r.fitness == Fitness::cold && c ? c->cold_per_s * limits::cold_share : 0;
+    if (r.fitness == Fitness::cold && s.since != r.since) s.tokens = 1, s.cold_at = now;
+    s.since = r.since;
+    by_service_[r.service].push_back(&s);
+  }
+  std::erase_if(seen_, [](auto& x) { return !x.second.present && x.second.running == 0; });
+}
+
+bool Picker::free(Seen& s, Millis now) {
+  if (!s.mine || now < s.shunned || s.running >= s.cap) return false;
+  if (s.rate <= 0) return s.r->fitness != Fitness::cold;
+  s.tokens = std::min(s.tokens + s.rate * static_cast<double>(now - s.cold_at) / 1000, std::max(1.0, s.rate / 10));
+  s.cold_at = now;
+  return s.tokens >= 1;
+}
+
+const Replica* Picker::pick(const Wanted& w, Millis now, bool& any) {
+  any = false;
+  auto i = by_service_.find(w.service);
+  if (i == by_service_.end()) return nullptr;
+  Seen* best = nullptr;
+  std::tuple<int, uint64_t, uint64_t> top;
+  for (auto* s : i->second) {
+    if (w.tried && std::find(w.tried->begin(), w.tried->end(), s->r->name) != w.tried->end()) continue;
+    any = true;
+    if (!free(*s, now)) continue;
+    bool full = s->running * 2 >= s->cap;
+    int tier = (s->local ? 0 : 1) + (full ? 2 : 0);
+    auto key = w.key ? std::make_tuple(tier, digest(s->r->name, w.key), uint64_t{0})
+                     : std::make_tuple(tier, uint64_t{s->running}, s->last);
+    if (!best || key < top) best = s, top = key;
+  }
+  return best ? best->r : nullptr;
+}
+
+void Picker::took(const std::string& name, Millis) {
+  auto& s = seen_[name];
+  ++s.running;
+  s.last = ++turn_;
+  if (s.rate > 0) s.tokens -= 1;
+}
+void Picker::gave(const std::string& name) {
+  if (auto i = seen_.find(name); i != seen_.end() && i->second.running) --i->second.running;
+}
+void Picker::shun(const std::string& name, Millis until) {
+  if (auto i = seen_.find(name); i != seen_.end()) i->second.shunned = std::max(i->second.shunned, until);
+}
+void Picker::told(const std::string&, const std::array<uint32_t, 3>&, Millis) {}
+uint32_t Picker::pressure(const std::string& name) const {
+  auto i = seen_.find(name);
+  return i == seen_.end() ? 0 : i->second.running;
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/traffic/traffic.cpp
@@ -0,0 +1,187 @@
+#include "traffic/traffic.hpp"
+
+#include <algorithm>
+
+#include "kernel/limits.hpp"
+
+namespace mosskeel::traffic {
+
+void Traffic::outlook(std::shared_ptr<const Outlook> o, Millis now) {
+  if (o == outlook_) return;
+  bool moved = !outlook_ || outlook_->view != o->view;
+  bool paths = !outlook_ || outlook_->view->revision != o->view->revision;
+  outlook_ = std::move(o);
+  if (moved) picker_.update(*outlook_, now);
+  if (paths) table_ = std::make_shared<PathTable>(outlook_->view);
+}
+
+AnyCall* Traffic::by_ask(uint64_t ask) {
+  auto a = asks_.find(ask);
+  if (a == asks_.end()) return nullptr;
+  auto c = calls_.find(a->second);
+  return c == calls_.end() ? nullptr : &c->second;
+}
+
+Actions Traffic::step(Event e, Millis now) {
+  std::visit([&](auto& x) { on(x, now); }, e);
+  serve_queue(now);
+  return take();
+}
+
+Actions Traffic::tick(Millis now) {
+  std::vector<uint64_t> ids;
+  for (auto& [id, c] : calls_) ids.push_back(id);
+  for (auto id : ids)
+    if (auto i = calls_.find(id); i != calls_.end()) expire(i->second, now);
+  serve_queue(now);
+  return take();
+}
+
+void Traffic::refuse(uint64_t id, uint32_t status, const std::string& why, Millis retry) {
+  ++tallies_["refused_" + std::to_string(status)];
+  auto f = dialect_.refusal(retry);
+  f.push_back({"Content-Type", "text/plain"});
+  out_.push_back(AnswerWhole{id, status, std::move(f), why + "\n"});
+}
+
+void Traffic::on(Asked& a, Millis now) {
+  ++tallies_["asked"];
+  auto words = dialect_.caller(a.request);
+  if (!ok(words)) return refuse(a.id, 400, render(findings(words)), 0);
+  auto& w = value(words);
+  if (w.attempt.empty()) return refuse(a.id, 400, "the attempt has no id", 0);
+  if (!in_touch(now)) return refuse(a.id, 503, "this front is out of touch", limits::retry_ms / 2);
+  auto* p = table_->find(a.request.host, a.request.target);
+  if (!p) return refuse(a.id, 404, "no path leads there", 0);
+  Call c;
+  c.id = a.id;
+  c.request = std::move(a.request);
+  c.words = w;
+  c.view = table_->view();
+  c.path = p;
+  c.born = now;
+  c.until = now + (w.left >= 0 ? std::min(w.left, p->timeout_ms) : p->timeout_ms);
+  c.hold = now + std::min(p->target_ms > 0 ? p->target_ms / 4 : limits::hold_most, limits::hold_most);
+  auto* s = service_of(*p, digest(w.program.empty() ? w.attempt : w.program));
+  c.service = s ? *s : "";
+  if (p->nature() == PathKind::streaming && !w.program.empty()) {
+    if (attempts_.count(w.attempt)) return refuse(a.id, 503, "this attempt is here already", limits::retry_ms);
+    TurnCall t{std::move(c)};
+    t.key = digest(t.words.program);
+    t.events = EventReader(p->kept);
+    attempts_[w.attempt] = t.id;
+    TurnAsk q{w.attempt,
+              w.program,
+              w.parent,
+              p->kept ? t.request.body : "",
+              w.budget.value_or(UINT64_MAX),
+              w.most_tokens,
+              p->kept,
+              std::max(p->retention_ms, limits::turn_retention),
+              t.until - now};
+    out_.push_back(TellOwner{std::move(q)});
+    calls_.emplace(t.id, std::move(t));
+    return;
+  }
+  Plain x{std::move(c)};
+  if (p->sticky || p->nature() == PathKind::streaming) x.key = x.words.affinity.empty() ? 0 : digest(x.words.affinity);
+  auto id = x.id;
+  offer(calls_.emplace(id, std::move(x)).first->second, now);
+}
+
+void Traffic::on(TurnGrant& g, Millis now) {
+  auto a = attempts_.find(g.attempt);
+  auto i = a == attempts_.end() ? calls_.end() : calls_.find(a->second);
+  auto* t = i == calls_.end() ? nullptr : std::get_if<TurnCall>(&i->second);
+  if (!t || t->stage != TurnCall::Stage::asking) return;
+  if (g.status != 200) {
+    auto status = g.status == 409 ? 502 : g.status;
+    refuse(t->id, status, g.reason, g.retry_ms);
+    return finish(t->id);
+  }
+  t->chain = std::move(g.chain);
+  t->stage = TurnCall::Stage::waiting;
+  t->hold = std::max(t->hold, now + t->path->target_ms / 4);
+  offer(i->second, now);
+}
+
+void Traffic::on(const TurnSettled& s, Millis) {
+  auto a = attempts_.find(s.attempt);
+  auto i = a == attempts_.end() ? calls_.end() : calls_.find(a->second);
+  auto* t = i == calls_.end() ? nullptr : std::get_if<TurnCall>(&i->second);
+  if (!t || t->stage != TurnCall::Stage::settling) return;
+  if (s.kept)
+    out_.push_back(AnswerEnd{t->id});
+  else
+    out_.push_back(AnswerCut{t->id});
+  ++tallies_[s.kept ? "turns_done" : "turns_not_kept"];
+  finish(t->id);
+}
+
+void Traffic::on(const CallerLeft& l, Millis) {
+  auto i = calls_.find(l.id);
+  if (i == calls_.end()) return;
+  ++tallies_["callers_left"];
+  auto& c = base(i->second);
+  bool sent = c.doubt || c.offer;
+  if (c.offer) {
+    out_.push_back(DropReplica{c.offer->ask});
+    free_offer(c);
+  }
+  if (auto* t = std::get_if<TurnCall>(&i->second); t && t->stage != TurnCall::Stage::settling)
+    settle(*t, sent ? 502 : 0);
+  finish(l.id);
+}
+
+void Traffic::on(ReplicaHead& h, Millis now) {
+  auto* c = by_ask(h.ask);
+  if (!c) return;
+  auto& b = base(*c);
+  auto w = dialect_.replica(h.status, h.fields);
+  if (w.load) picker_.told(b.offer->replica, *w.load, now);
+  bool ours = w.attempt == b.words.attempt || (w.not_run && w.attempt.empty());
+  if (ours && w.not_run) {
+    picker_.shun(b.offer->replica, now + (h.status == 421 ? limits::shun_refused : limits::shun_full));
+    return failed(*c, Outcome::no, "the replica did not run it: " + std::to_string(h.status), now);
+  }
+  bool good = h.status >= 200 && h.status < 300;
+  if (!ours || (good && !w.sealed)) {
+    out_.push_back(DropReplica{h.ask});
+    picker_.shun(b.offer->replica, now + limits::shun_lost);
+    return failed(*c, Outcome::unknown, "the replica's answer is not this errand's", now);
+  }
+  b.offer->headed = true;
+  b.offer->status = h.status;
+  std::visit([&](auto& x) { head(x, h); }, *c);
+}
+
+void Traffic::on(ReplicaBytes& r, Millis) {
+  auto* c = by_ask(r.ask);
+  if (!c) return;
+  auto& b = base(*c);
+  if (!b.offer->streaming) {
+    b.offer->body += r.bytes;
+    if (b.offer->body.size() <= limits::whole_bytes || b.offer->status >= 300) return;
+    b.offer->streaming = true;
+    out_.push_back(AnswerHead{b.id, b.offer->status, std::move(b.offer->fields)});
+    r.bytes = std::move(b.offer->body);
+    if (auto* p = std::get_if<Plain>(c)) p->stage = Plain::Stage::passing;
+  }
+  if (auto* t = std::get_if<TurnCall>(c)) t->events.read(r.bytes);
+  out_.push_back(AnswerBytes{b.id, std::move(r.bytes)});
+}
+
+void Traffic::on(const ReplicaDone& d, Millis now) {
+  if (auto* c = by_ask(d.ask)) std::visit([&](auto& x) { done(x, now); }, *c);
+}
+
+void Traffic::on(const ReplicaLost& l, Millis now) {
+  auto* c = by_ask(l.ask);
+  if (!c) return;
+  auto& b = base(*c);
+  picker_.shun(b.offer->replica, now + (l.sent ? limits::shun_lost : limits::shun_refused));
+  if (!l.sent) --b.offers;
+  failed(*c, l.sent ? Outcome::unknown : Outcome::no, l.reason, now);
+}
+
+}  // namespace mosskeel::traffic
--- /dev/null
+++ b/src/traffic/trunk.cpp
@@ -0,0 +1,83 @@
+#include "traffic/trunk.hpp"
+
+namespace mosskeel {
+
+const Daemon* Trunk::owner(const std::string& program) const {
+  auto& m = *led_.view();
+  auto n = turn_line(program);
+  auto s = slot_of(n.cell, n.program);
+  return s.v < m.slots.size() ? m.find(m.slots[s.v].owner) : nullptr;
+}
+
+template <class T>
+bool Trunk::send(Open<T>& x, Millis now) {
+  auto* d = owner(x.body.program);
+  if (!d || d->state == DaemonState::down || d->state == DaemonState::left) return false;
+  x.last = now;
+  x.owner = d->id;
+  out_.send(d->self.addr, x.body, d->self.inc);
+  return true;
+}
+
+bool Trunk::on(const Envelope& e, Millis now) {
+  bool own = e.from == traffic_address;
+  if (auto* a = std::get_if<TurnAsk>(&e.body); a && own) {
+    send(asks_[a->attempt] = {*a, now, 0, {}}, now);
+    return true;
+  }
+  if (auto* s = std::get_if<TurnSettle>(&e.body); s && own) {
+    asks_.erase(s->attempt);
+    running_.erase(s->attempt);
+    send(ends_[s->attempt] = {*s, now, 0, {}}, now);
+    return true;
+  }
+  if (auto* g = std::get_if<TurnGrant>(&e.body)) {
+    auto i = asks_.find(g->attempt);
+    if (i == asks_.end()) return true;
+    if (g->status == 0) {
+      i->second.owner = {};
+      return true;
+    }
+    if (g->status == 200) running_.insert(g->attempt);
+    asks_.erase(i);
+    out_.send(traffic_address, *g);
+    return true;
+  }
+  if (auto* s = std::get_if<TurnSettled>(&e.body)) {
+    if (ends_.erase(s->attempt)) out_.send(traffic_address, *s);
+    return true;
+  }
+  return false;
+}
+
+void Trunk::tick(Millis now) {
+  auto moved = [&](auto& x) {
+    auto* d = owner(x.body.program);
+    return d && d->id != x.owner;
+  };
+  auto due = [&](auto& x) { return now - x.last >= limits::line_retry || (moved(x) && now - x.last >= limits::tick); };
+  for (auto i = asks_.begin(); i != asks_.end();) {
+    auto& x = i->second;
+    if (now - x.born > std::min(limits::ask_patience, x.body.horizon_ms)) {
+      auto a = x.body;
+      i = asks_.erase(i);
+      send(ends_[a.attempt] = {TurnSettle{a.attempt, a.program, 0, 0, false, {}}, now, 0, {}}, now);
+      out_.send(traffic_address,
+                TurnGrant{a.attempt, 503, limits::retry_ms, "the program's owner does not answer", {}});
+      continue;
+    }
+    if (due(x)) send(x, now);
+    ++i;
+  }
+  for (auto i = ends_.begin(); i != ends_.end();) {
+    if (now - i->second.born > limits::handover_patience) {
+      out_.send(traffic_address, TurnSettled{i->first, false});
+      i = ends_.erase(i);
+      continue;
+    }
+    if (due(i->second)) send(i->second, now);
+    ++i;
+  }
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/traffic/trunk.hpp
@@ -0,0 +1,39 @@
+#pragma once
+// A front's link to the owners of its callers' turns: asks until there is an answer, follows a program that moves.
+#include "traffic/registrar.hpp"
+
+namespace mosskeel {
+
+/// Where the traffic of this process listens to its control state.
+inline const Address traffic_address = "local:traffic";
+
+class Trunk {
+ public:
+  Trunk(Outbox& out, Ledger& led) : out_(out), led_(led) {}
+  /// Asks and outcomes from this process's own traffic, answers from owners; false leaves the message to the caller.
+  bool on(const Envelope& e, Millis now);
+  /// Asks again what has no answer, at once where the owner has changed.
+  void tick(Millis now);
+  size_t waiting() const { return asks_.size() + ends_.size(); }
+  /// Whether this process still carries the turn.
+  bool carries(const std::string& attempt) const { return running_.count(attempt) || ends_.count(attempt); }
+
+ private:
+  template <class T>
+  struct Open {
+    T body;
+    Millis born = 0, last = 0;
+    DaemonId owner{};
+  };
+  const Daemon* owner(const std::string& program) const;
+  template <class T>
+  bool send(Open<T>& x, Millis now);
+
+  Outbox& out_;
+  Ledger& led_;
+  std::map<std::string, Open<TurnAsk>> asks_;
+  std::map<std::string, Open<TurnSettle>> ends_;
+  std::set<std::string> running_;
+};
+
+}  // namespace mosskeel
