--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/switchboard_machine.cpp
@@ -169,7 +169,7 @@
   auto* d = me();
   bool handed = !d || d->state == DaemonState::left || d->state == DaemonState::down ||
                 (d->state == DaemonState::draining && !led_.view()->sequences.count(d->id));
-  if (!works_.empty() || !lates_.empty() || trunk_.waiting()) last_work_ = now;
+  if (!works_.empty() || !lates_.empty() || trunk_.waiting() || carried_) last_work_ = now;
   if (stopping_ && handed && now - last_work_ > limits::farewell) out_.act.stop = true;
   return out_.take();
 }
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/switchboard_machine.hpp
@@ -26,6 +26,8 @@
   size_t errands() const { return works_.size(); }
   /// What this process's traffic may rely on.
   Outlook outlook(Millis now) const;
+  /// How many callers' errands the traffic of this process carries: it does not stop under them.
+  void carry(size_t n) { carried_ = n; }
 
  private:
   enum class Stage { opening, waiting, queued, intending, running, settling, handing, proxying };
@@ -126,6 +128,7 @@
   Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
   Epoch beaten_{}, ahead_{};
   uint64_t seq_ = 0;
+  size_t carried_ = 0;
   /// How fast errands of a kind leave the queue while somebody waits in it.
   struct Pace {
     double interval = 0;
--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -50,8 +50,8 @@
     in_.push(std::move(e));
     return;
   }
-  auto colon = e.to.find(':');
-  auto i = routes_.find(e.to.substr(0, colon));
+  auto i = routes_.find(e.to);
+  if (i == routes_.end()) i = routes_.find(e.to.substr(0, e.to.find(':')));
   if (i != routes_.end())
     i->second(e);
   else
@@ -83,6 +83,10 @@
       else
         std::get<Call>(x)(*machine_, process_now());
     }
+    {
+      std::lock_guard l(watch_lock_);
+      if (watch_) watch_(*machine_, process_now());
+    }
     auto v = machine_->view();
     if (v != view_) std::atomic_store(&view_, v);
   }
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -21,6 +21,8 @@
   ~Host() { stop(); }
   Findings start(const Make& make);
   void route(const std::string& prefix, Deliver d) { routes_[prefix] = std::move(d); }
+  /// Called in the machine's thread after each batch of its steps; set before `start`'s threads need it.
+  void watch(std::function<void(Machine&, Millis)> f) { std::lock_guard l(watch_lock_); watch_ = std::move(f); }
   /// Puts a message from inside the process before the machine.
   void post(Envelope e) { in_.push(std::move(e)); }
   /// Runs in the machine's own thread and waits for the result.
@@ -54,6 +56,8 @@
   View view_ = std::make_shared<Metadata>();
   std::thread thinker_, writer_;
   std::atomic<bool> stop_{false}, halt_{false};
+  std::mutex watch_lock_;
+  std::function<void(Machine&, Millis)> watch_;
 };
 
 }  // namespace mosskeel
