--- a/src/switchboard/main.cpp
+++ b/src/switchboard/main.cpp
@@ -3,6 +3,7 @@
 #include "kernel/daemon.hpp"
 #include "kernel/upstream.hpp"
 #include "switchboard/callers.hpp"
+#include "switchboard/exchange.hpp"
 
 using namespace mosskeel;
 
@@ -24,6 +25,14 @@
     e.body = std::move(m);
     host.post(std::move(e));
   });
+  std::unique_ptr<Exchange> exchange;
+  if (!p.dialect.empty()) {
+    auto* d = dialect(p.dialect);
+    if (!d) return cannot_start("switchboard", {{"dialect", "'" + p.dialect + "' is not known"}});
+    auto x = Exchange::open(host, *d, p.http, p.ready);
+    if (!ok(x)) return cannot_start("switchboard", findings(x));
+    exchange = std::move(std::get<0>(x));
+  }
   host.route("local", [&](const Envelope& e) { sessions.deliver(e); });
   host.route("replica", [&](const Envelope& e) {
     if (auto* a = std::get_if<ReplicaAsk>(&e.body)) up.ask(*a);
@@ -33,13 +42,19 @@
       !f.empty())
     return cannot_start("switchboard", f);
   Callers callers(host, sessions);
-  auto web = HttpServer::open(p.http, [&](const HttpAsk& a) { return callers.answer(a); });
-  if (!ok(web)) return cannot_start("switchboard", findings(web));
+  std::unique_ptr<HttpServer> web;
+  if (!exchange) {
+    auto w = HttpServer::open(p.http, [&](const HttpAsk& a) { return callers.answer(a); });
+    if (!ok(w)) return cannot_start("switchboard", findings(w));
+    web = std::move(std::get<0>(w));
+  }
   auto rc = run_until_stopped(host, "switchboard", [&] {
     host.ask([](Machine& m, Millis) { static_cast<SwitchboardMachine&>(m).leave(); });
+    if (exchange) exchange->leave();
     return false;
   });
   for (int i = 0; i < 50 && sessions.size(); ++i) std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  std::get<0>(web).reset();
+  web.reset();
+  exchange.reset();
   return rc;
 }
