--- a/src/traffic/registrar.cpp
+++ b/src/traffic/registrar.cpp
@@ -89,7 +89,7 @@
       auto i = t.turns.find(a.parent);
       if (i == t.turns.end()) return search(p, now);
       if (i->second.settled == none)
-        return refuse(p, 503, "the turn before this one has no outcome yet", limits::retry_ms / 2);
+        return refuse(p, 503, "the turn before this one, " + a.parent + ", has no outcome yet", limits::retry_ms / 2);
       if (i->second.status != 200) return refuse(p, 404, "the turn before this one did not end whole", 0);
     }
     if (t.spent + t.reserved + a.most > a.budget) return refuse(p, 402, "the program's budget is spent", 0);
--- a/src/traffic/trunk.cpp
+++ b/src/traffic/trunk.cpp
@@ -38,7 +38,10 @@
       i->second.owner = {};
       return true;
     }
-    if (g->status == 200) running_.insert(g->attempt);
+    if (g->status == 200)
+      running_.insert(g->attempt);
+    else
+      out_.note(Event::turn_refused, g->attempt + " with " + std::to_string(g->status) + ": " + g->reason);
     asks_.erase(i);
     out_.send(traffic_address, *g);
     return true;
