Platform orders and the replicas' list: control interface, lister, retirement by machine

Cause: an operator who leaves after a second of silence, resends unchanged and expects the same answer could not be served by the desk, which waits up to ten seconds and knows no machine names; listed replicas had no reader.

Weighed: for reading back, a logged no-op, the marker's lease, or a change that is never granted. The last one is confirmed by a majority at the highest epoch, finishes an open instance and logs nothing, so it needs no new message. A zone evacuated already or a configuration in place already is acknowledged only once it is in force. A replica that one reading lacks may have slipped between two pages, so it goes after the second. An equal cold time told anew was refused as no change, which a test showed: a cold replica's time now counts from each telling.

Conclusion: `Control` tells what a platform may order, each order within 0.9 s; a plug-in turns calls into orders and verdicts into statuses. The holder of the duty reads the list every half second and commits the difference in one epoch. The supervisor leaves listed replicas to it. A zone known by its replicas alone can be evacuated.

--- a/src/consensus/marker_machine.hpp
+++ b/src/consensus/marker_machine.hpp
@@ -14,9 +14,12 @@
   View view() const override { return led_.view(); }
   const std::deque<Entry>& recent() const { return led_.recent(); }
   const Hearing& hearing() const { return hear_; }
+  const Candidate& self() const { return out_.id().self; }
   bool on_duty(Millis now) const { return duty_.held(now); }
   /// The core was founded anew without this marker: it has no say any more, its folder must be emptied.
   bool outdated() const { return outdated_; }
+  /// What still hinders that an epoch is in force; empty if nothing.
+  std::string lacking(Epoch at, Millis now) const;
   std::string checkpoint() const;
 
  private:
@@ -32,7 +35,6 @@
   void refound(const std::vector<DaemonId>& lost, Millis now);
   void moved(Epoch before, Millis now);
   bool known_sender(const Envelope& e) const;
-  std::string lacking(Epoch at, Millis now) const;
   HeartbeatReply reply_to(const Heartbeat& h) const;
   Actions done();
 
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -113,7 +113,7 @@
 
 std::optional<Transformation> Supervisor::warm(Millis now) {
   for (auto& [n, r] : led_.view()->replicas) {
-    if (r.fitness != Fitness::cold) continue;
+    if (r.fitness != Fitness::cold || !r.service.empty()) continue;
     auto& c = cold_[n];
     if (c.first != r.since) c = {r.since, now};
     if (now - c.second < limits::cold_ramp + limits::isolation) continue;
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -38,7 +38,8 @@
   X(handed_over, 309, "a running turn's outcome was handed to the slot's new owner")          \
   X(streamed, 310, "a store has streamed the lines of its new slots")                         \
   X(operator_asked, 400, "an operator's sentence and its answer")                             \
-  X(platform_asked, 401, "a platform's ask and its answer")
+  X(platform_asked, 401, "a platform's ask and its answer")                                   \
+  X(list_unread, 402, "the list of replicas could not be read whole; the last view stays")
 
 enum class Event : uint16_t {
 #define X(name, number, text) name = number,
--- a/src/marker/desk.cpp
+++ b/src/marker/desk.cpp
@@ -35,71 +35,8 @@
 
 }  // namespace
 
-/// A store is not retired while another one lacks copies: the one that goes might be the last to hold a line.
-std::string Desk::unsafe(const Transformation& t) {
-  auto* p = std::get_if<PrepareDrain>(&t);
-  auto v = host_.view();
-  auto* d = p ? v->find(p->node) : nullptr;
-  if (!d || d->self.role != Role::recorder) return "";
-  std::string s;
-  host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<MarkerMachine&>(m).hearing();
-    for (auto& [id, x] : v->directory) {
-      if (x.self.role != Role::recorder || x.state != DaemonState::up) continue;
-      auto* o = h.of(x.self.inc);
-      if (!o || now - o->last > limits::silence)
-        s += " daemon " + std::to_string(id.v) + " is silent;";
-      else if (o->lacking)
-        s += " daemon " + std::to_string(id.v) + " lacks copies in " + std::to_string(o->lacking) + " comparisons;";
-    }
-  });
-  return s.empty() ? "" : "copies are lacking:" + s + " wait for the repair (metric slots_lacking must be 0)";
-}
-
-CommitReply Desk::commit(const Transformation& t, const std::string& id) {
-  if (auto why = unsafe(t); !why.empty()) return {id, Outcome::no, why, host_.view()->epoch, std::nullopt, {}};
-  auto [addr, words] = sessions_.open();
-  auto until = process_now() + await_;
-  CommitReply last{};
-  last.id = id;
-  last.outcome = Outcome::unknown;
-  while (process_now() < until && !host_.stopped()) {
-    auto v = host_.view();
-    Envelope e{};
-    e.from = addr;
-    e.cluster = v->cluster;
-    e.epoch = v->epoch;
-    e.body = Commit{id, t, v->epoch};
-    host_.post(std::move(e));
-    auto m = words->pop(std::min<Millis>(rpc_ + limits::heartbeat, until - process_now()));
-    if (!m) continue;
-    if (auto* r = std::get_if<CommitReply>(&*m)) {
-      last = *r;
-      if (r->outcome != Outcome::unknown) break;
-    }
-  }
-  sessions_.close(addr);
-  return last;
-}
-
-CommitReply Desk::rebuild(const std::vector<DaemonId>& lost) {
-  auto [addr, words] = sessions_.open();
-  CommitReply r{};
-  r.id = "the same sentence";
-  r.outcome = Outcome::unknown;
-  Envelope e{};
-  e.from = addr;
-  e.cluster = host_.view()->cluster;
-  e.body = Rebuild{r.id, lost};
-  host_.post(std::move(e));
-  if (auto m = words->pop(rpc_))
-    if (auto* x = std::get_if<CommitReply>(&*m)) r = *x;
-  sessions_.close(addr);
-  return r;
-}
-
 HttpAnswer Desk::change(const Transformation& t, const HttpAsk& a) {
-  auto r = commit(t, id_of(a));
+  auto r = commit(t, id_of(a), await_);
   Json j{{"outcome", r.outcome == Outcome::yes ? "yes" : r.outcome == Outcome::no ? "no" : "unknown"}, {"id", r.id}};
   if (r.outcome == Outcome::yes)
     j["epoch"] = r.epoch.v, j["revision"] = host_.view()->revision.v;
@@ -136,7 +73,7 @@
     s = verdict(rebuild(x->lost));
   } else {
     auto t = operators::to_change(value(c), *v);
-    s = ok(t) ? verdict(commit(value(t), id_of(a))) : "no: " + render(findings(t));
+    s = ok(t) ? verdict(commit(value(t), id_of(a), await_)) : "no: " + render(findings(t));
   }
   note(Event::operator_asked, "'" + a.body.substr(0, 200) + "': " + s.substr(0, s.find('\n')));
   return plain(s);
@@ -228,6 +165,10 @@
 }
 
 HttpAnswer Desk::answer(const HttpAsk& a) {
+  if (auto x = dialect_ ? dialect_->answer(a, *this) : std::nullopt) {
+    note(Event::platform_asked, a.method + " " + a.path + ": " + std::to_string(x->status));
+    return *x;
+  }
   auto v = host_.view();
   bool old = false;
   host_.ask([&](Machine& m, Millis) { old = static_cast<MarkerMachine&>(m).outdated(); });
--- /dev/null
+++ b/src/marker/lister.cpp
@@ -0,0 +1,88 @@
+#include "marker/lister.hpp"
+
+#include <curl/curl.h>
+
+#include "kernel/daemon.hpp"
+
+namespace mosskeel {
+namespace {
+
+size_t collect(char* p, size_t s, size_t n, void* to) {
+  auto& b = *static_cast<std::string*>(to);
+  if (b.size() + s * n > limits::body_bytes * 8) return 0;
+  b.append(p, s * n);
+  return s * n;
+}
+
+}  // namespace
+
+Lister::Lister(Host& h, Desk& desk, const ControlDialect& dialect, Address address)
+    : host_(h),
+      desk_(desk),
+      dialect_(dialect),
+      address_(std::move(address)),
+      web_(curl_easy_init(), [](void* c) { curl_easy_cleanup(c); }),
+      thread_([this] { run(); }) {}
+
+Lister::~Lister() {
+  halt_.close();
+  thread_.join();
+}
+
+void Lister::run() {
+  auto next = process_now();
+  while (!halt_.closed()) {
+    halt_.pop(std::max<Millis>(1, next - process_now()));
+    if (halt_.closed()) return;
+    next = process_now() + limits::list_beat;
+    beat();
+  }
+}
+
+void Lister::beat() {
+  bool mine = false;
+  host_.ask([&](Machine& m, Millis now) { mine = static_cast<MarkerMachine&>(m).on_duty(now); });
+  if (!mine) return listing_.forget();
+  failed_.clear();
+  auto v = read();
+  if (!v) return note(Event::list_unread, failed_);
+  auto change = listing_.compare(host_.view()->replicas, *v, process_now());
+  if (!change) return;
+  auto r = desk_.commit(*change, "list-" + hex(dice()), limits::tcm_rpc);
+  if (r.outcome != Outcome::yes) note(Event::platform_asked, describe(*change) + ": " + r.reason);
+}
+
+std::optional<std::vector<Replica>> Lister::read() {
+  std::vector<Replica> all;
+  std::string next;
+  for (size_t i = 0; i < limits::list_pages && !halt_.closed(); ++i) {
+    auto text = page(dialect_.list_path(next));
+    if (!text) return std::nullopt;
+    auto p = dialect_.list_page(*text);
+    if (!ok(p)) return failed_ = render(findings(p)), std::nullopt;
+    all.insert(all.end(), value(p).replicas.begin(), value(p).replicas.end());
+    if (value(p).next.empty()) return all;
+    next = value(p).next;
+  }
+  failed_ = "its pages do not end";
+  return std::nullopt;
+}
+
+std::optional<std::string> Lister::page(const std::string& path) {
+  std::string body, url = "http://" + address_ + path;
+  auto* e = static_cast<CURL*>(web_.get());
+  curl_easy_setopt(e, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(e, CURLOPT_PROXY, "");
+  curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, static_cast<long>(limits::list_patience));
+  curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, collect);
+  curl_easy_setopt(e, CURLOPT_WRITEDATA, &body);
+  auto rc = curl_easy_perform(e);
+  long status = 0;
+  curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &status);
+  if (rc == CURLE_OK && status == 200) return body;
+  failed_ = url + ": " + (rc == CURLE_OK ? "status " + std::to_string(status) : curl_easy_strerror(rc));
+  return std::nullopt;
+}
+
+}  // namespace mosskeel
--- /dev/null
+++ b/src/marker/lister.hpp
@@ -0,0 +1,33 @@
+#pragma once
+// Reads the list of replicas while this marker holds the supervisor's duty, and brings the log up to it.
+#include <thread>
+
+#include "marker/desk.hpp"
+#include "metadata/listing.hpp"
+
+namespace mosskeel {
+
+class Lister {
+ public:
+  /// Reads at `address` in the way that `dialect` tells, with one thread.
+  Lister(Host& h, Desk& desk, const ControlDialect& dialect, Address address);
+  ~Lister();
+
+ private:
+  void run();
+  void beat();
+  /// The whole list, or nothing where any page failed.
+  std::optional<std::vector<Replica>> read();
+  std::optional<std::string> page(const std::string& path);
+  Host& host_;
+  Desk& desk_;
+  const ControlDialect& dialect_;
+  Address address_;
+  Listing listing_;
+  std::unique_ptr<void, void (*)(void*)> web_;
+  Queue<bool> halt_;
+  std::string failed_;
+  std::thread thread_;
+};
+
+}  // namespace mosskeel
--- a/src/marker/main.cpp
+++ b/src/marker/main.cpp
@@ -1,5 +1,7 @@
+#include <curl/curl.h>
+
 #include "kernel/daemon.hpp"
-#include "marker/desk.hpp"
+#include "marker/lister.hpp"
 
 using namespace mosskeel;
 
@@ -11,21 +13,32 @@
   auto& p = std::get<Props>(r);
   start_log("marker");
   hold_signals();
+  curl_global_init(CURL_GLOBAL_DEFAULT);
   auto d = open_disk(p.data);
   if (auto* rc = std::get_if<int>(&d)) return *rc;
   auto disk = std::get<0>(d);
-  Identity id{
-      {disk->recovered().inc, Role::marker, p.zone, p.listen, "", p.http}, p.seeds, p.core_size, dice(), p.tcm_rpc_ms};
+  Identity id{{disk->recovered().inc, Role::marker, p.zone, p.listen, "", p.http, p.machine},
+              p.seeds,
+              p.core_size,
+              dice(),
+              p.tcm_rpc_ms,
+              p.later_start,
+              p.core_most,
+              p.copies ? p.copies : copies_for(p.tolerated_machines, p.tolerated_zones)};
   Host host(disk, p.listen);
   Sessions sessions;
   host.route("local", [&](const Envelope& e) { sessions.deliver(e); });
   if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<MarkerMachine>(id, r, now); });
       !f.empty())
     return cannot_start("marker", f);
-  Desk desk(host, sessions, p.tcm_await_ms, p.tcm_rpc_ms);
+  auto* dialect = control_dialect(p.dialect);
+  Desk desk(host, sessions, p.tcm_await_ms, p.tcm_rpc_ms, dialect);
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) { return desk.answer(a); });
   if (!ok(web)) return cannot_start("marker", findings(web));
+  std::unique_ptr<Lister> lister;
+  if (dialect && !p.list.empty()) lister = std::make_unique<Lister>(host, desk, *dialect, p.list);
   auto rc = run_until_stopped(host, "marker", [] { return true; });
+  lister.reset();
   std::get<0>(web).reset();
   return rc;
 }
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -84,7 +84,9 @@
     if (r.name.empty() || r.service.empty() || !r.url.starts_with("http://"))
       return no(r.name, "lacks a name, a service or an address");
     auto i = m.replicas.find(r.name);
-    r.since = i != m.replicas.end() && i->second.fitness == r.fitness ? i->second.since : m.epoch;
+    // A cold one's time counts anew from each time that it is told.
+    bool stays = i != m.replicas.end() && i->second.fitness == r.fitness && r.fitness != Fitness::cold;
+    r.since = stays ? i->second.since : m.epoch;
     m.replicas[r.name] = r;
   }
   if (m.replicas == before) return no("replicas", "are so already");
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -165,6 +165,7 @@
   std::set<std::string> zones;
   for (auto& [id, d] : m.directory)
     if (d.state != DaemonState::left) zones.insert(d.self.zone);
+  for (auto& [n, r] : m.replicas) zones.insert(r.zone);
   if (!zones.count(t.zone)) return no("zone " + t.zone, "is unknown");
   m.evacuated.insert(t.zone);
   if (places::owned(m).empty()) return no("zone " + t.zone, "holds the last front workers");
