--- a/src/metadata/listing.cpp
+++ b/src/metadata/listing.cpp
@@ -25,7 +25,7 @@
     // Without a memory the log's time may have run for a while already, so only a longer one is news.
     auto expected = fresh ? now + (l ? std::min(l->cold_ms, r.cold_ms) : 0) : s.warm;
     bool longer = r.cold_ms > std::max<Millis>(0, expected - now) + limits::list_cold_slack;
-    bool unheard = l && s.sent && l->cold_ms != s.sent;
+    bool unheard = l && s.told && l->since == *s.told;
     if (l && l->fitness == Fitness::cold && l->cold_ms == 0 && r.fitness == Fitness::ready) {
       if (!s.restored) s.restored = now;
       if (now - s.restored < limits::list_lag) continue;
@@ -34,10 +34,11 @@
     }
     if (l && l->fitness == r.fitness && !(r.fitness == Fitness::cold && (longer || unheard))) {
       s.warm = expected;
+      s.told.reset();
       continue;
     }
     s.warm = now + r.cold_ms;
-    s.sent = r.cold_ms;
+    s.told = l ? std::optional(l->since) : std::nullopt;
     change.set.push_back(r);
   }
   for (auto& [n, r] : log)
--- a/src/metadata/listing.hpp
+++ b/src/metadata/listing.hpp
@@ -15,8 +15,10 @@
 
  private:
   struct Seen {
-    /// When it is expected to be warm, since when the log has it cold without a time, and what the log was told last.
-    Millis warm = 0, restored = 0, sent = 0;
+    /// When it is expected to be warm, and since when the log has it cold without a time.
+    Millis warm = 0, restored = 0;
+    /// The epoch of the log's state when it was last told a change; still the same means that it did not take it.
+    std::optional<Epoch> told;
     uint32_t missing = 0;
   };
   std::map<std::string, Seen> seen_;
