--- a/src/line/chains.cpp
+++ b/src/line/chains.cpp
@@ -18,8 +18,9 @@
   for (auto k = turn; !k.empty() && parts.size() <= 2 * v.size();) {
     auto i = intents.find(k);
     auto s = settled.find(k);
-    if (i == intents.end() || s == settled.end() || s->second->status != 200) return std::nullopt;
+    if (s == settled.end() || s->second->status != 200) return std::nullopt;
     parts.push_back(s->second->output);
+    if (i == intents.end()) break;
     parts.push_back(i->second->input);
     k = i->second->parent;
   }
--- a/src/traffic/registrar.cpp
+++ b/src/traffic/registrar.cpp
@@ -48,14 +48,19 @@
   size_t bytes = 0;
   for (auto i = t.turns.find(turn); i != t.turns.end() && w.size() <= t.turns.size();) {
     auto& x = i->second;
-    if (x.intent == none || x.settled == none) break;
+    if (x.settled == none) break;
     w.push_back(&x);
-    bytes += v[x.intent].input.size() + v[x.settled].output.size();
+    bytes += v[x.settled].output.size();
+    if (x.intent == none) break;
+    bytes += v[x.intent].input.size();
     i = v[x.intent].parent.empty() ? t.turns.end() : t.turns.find(v[x.intent].parent);
   }
   std::string s;
   s.reserve(bytes);
-  for (auto i = w.rbegin(); i != w.rend(); ++i) s += v[(*i)->intent].input, s += v[(*i)->settled].output;
+  for (auto i = w.rbegin(); i != w.rend(); ++i) {
+    if ((*i)->intent != none) s += v[(*i)->intent].input;
+    s += v[(*i)->settled].output;
+  }
   return s;
 }
 
@@ -110,7 +115,8 @@
   return Verdict::over;
 }
 
-/// A turn of another program: any recorder that has it settled has the chain. Missing is said only if all answer so.
+/// A turn of another program, taken over into this one's line as one record, for its owner may change at any point: any
+/// recorder that has it settled has the chain. Missing is said only if all answer so.
 Registrar::Verdict Registrar::search(Pending& p, Millis now) {
   p.searching = true;
   size_t lacking = 0;
@@ -137,14 +143,11 @@
       p.without.insert(d->id);
     } else if (mine(p.line) && keep_.open(p.line, now) == Keeper::State::open && !tab(p.line).turns.count(f.turn)) {
       Record r{};
-      r.kind = RecordKind::intent;
-      r.key = f.turn;
-      r.keep_ms = p.ask.retention_ms;
-      r.input = f.text;
-      keep_.append(p.line, r, now);
       r.kind = RecordKind::settled;
+      r.key = f.turn;
       r.status = 200;
-      r.input.clear();
+      r.keep_ms = p.ask.retention_ms;
+      r.output = f.text;
       keep_.append(p.line, std::move(r), now);
     }
     if (f.found) p.searching = false;
