Events and limits of a full disk; a machine's checkpoint can be asked for from outside

Ruled out: a second growth threshold inside the machines, which know nothing of the disk. Conclusion: Machine::checkpoint is virtual, so that the host can ask for one.

--- a/src/consensus/marker_machine.hpp
+++ b/src/consensus/marker_machine.hpp
@@ -20,7 +20,7 @@
   bool outdated() const { return outdated_; }
   /// What still hinders that an epoch is in force; empty if nothing.
   std::string lacking(Epoch at, Millis now) const;
-  std::string checkpoint() const;
+  std::string checkpoint() const override;
 
  private:
   void handle(const Envelope& e, Millis now);
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -13,6 +13,8 @@
   X(corrupt, 111, "a log or checkpoint is damaged; the daemon stops")                         \
   X(checkpointed, 112, "a checkpoint was written and the log behind it dropped")              \
   X(disk_failed, 113, "the disk refused a write or a sync; the daemon stops")                 \
+  X(disk_full, 114, "the disk is full; what it must hold first is not answered")               \
+  X(disk_room, 115, "the disk has room again; what was held back is on it")                    \
   X(foreign, 120, "a foreign or damaged message was dropped")                                 \
   X(unsent, 121, "messages to a peer were dropped because its queue is full")                 \
   X(founding, 200, "a founding is proposed")                                                  \
--- a/src/kernel/machine.hpp
+++ b/src/kernel/machine.hpp
@@ -51,6 +51,8 @@
   virtual Actions tick(Millis now) = 0;
   /// The metadata as this daemon knows it.
   virtual View view() const = 0;
+  /// All that the journal so far says, or nothing where no journal is kept.
+  virtual std::string checkpoint() const { return {}; }
 };
 
 /// Collects the actions of the step under way, for the parts a machine is made of.
--- a/src/line/recorder_machine.hpp
+++ b/src/line/recorder_machine.hpp
@@ -22,7 +22,7 @@
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
-  std::string checkpoint() const;
+  std::string checkpoint() const override;
   const SlotStores& slots() const { return slots_; }
   size_t kept_lines() const;
   size_t kept_graves() const;
