A full disk is lived through, and a hole after a power loss is told from rot

Cause: any refused write ended the daemon; a short write left torn bytes that a later good record would have turned into damage in the middle; and a power loss that kept a later unsynced write but lost an earlier one made the folder refuse to load for ever. What was read at a start was answered for without having been synced. Ruled out: a revision in the segment's header or in each frame, since older daemons would cut all behind it as a torn tail; a plain ballast file, whose room others could take. Conclusion: refused writes are taken back and held in memory in order, nothing is answered meanwhile, a checkpoint goes into reserved blocks; a mark behind each sync proves how far the segment was synced. The torn tail test now tears a record that was not synced: the tail of a synced one is followed by its mark. Against the code before, a hole and a short write followed by a good record both end in a folder that does not load.

--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -27,6 +27,11 @@
   line("messages_unsent", static_cast<double>(h.dropped()));
   line("messages_foreign", static_cast<double>(h.foreign()));
   line("syncs", static_cast<double>(h.syncs()));
+  if (auto* j = h.journal()) {
+    line("disk_full", j->full());
+    line("disk_held_bytes", static_cast<double>(j->held()));
+    line("checkpoints_unwritten", static_cast<double>(j->unwritten_checkpoints()));
+  }
   for (auto& [n, x] : more) line(n, x);
   return o.str();
 }
--- a/src/kernel/disk.cpp
+++ b/src/kernel/disk.cpp
@@ -1,73 +1,138 @@
 #include "kernel/disk.hpp"
 
 #include <fcntl.h>
-#include <sys/file.h>
 #include <sys/stat.h>
+#include <sys/statvfs.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
+
+#include "kernel/log_frame.hpp"
 
 namespace mosskeel {
 namespace fs = std::filesystem;
 
 namespace {
 
-bool write_all(int fd, std::string_view s) {
+DiskResult refused() {
+  return {errno == ENOSPC || errno == EDQUOT ? DiskResult::full : DiskResult::failed};
+}
+
+}  // namespace
+
+DiskCalls DiskCalls::real() {
+  return {[](const char* p, int flags) { return ::open(p, flags, 0644); },
+          [](int fd, const void* p, size_t n) { return ::write(fd, p, n); },
+          [](int fd) { return ::fdatasync(fd); },
+          [](int fd, off_t n) { return ::ftruncate(fd, n); },
+          [](int fd, size_t n) { return ::posix_fallocate(fd, 0, static_cast<off_t>(n)); },
+          [](const std::string& folder) {
+            struct statvfs s {};
+            return ::statvfs(folder.c_str(), &s) == 0 ? s.f_bavail * s.f_frsize : uint64_t{0};
+          }};
+}
+
+std::string Disk::path(const char* kind, uint64_t seq) const {
+  return folder_ + "/" + kind + "-" + hex(seq);
+}
+
+int Disk::sync_folder() {
+  Fd d(::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+  return d ? ::fsync(d.get()) : -1;
+}
+
+DiskResult Disk::write_all(int fd, std::string_view s) {
   while (!s.empty()) {
-    auto n = ::write(fd, s.data(), s.size());
+    errno = ENOSPC;
+    auto n = calls_.write(fd, s.data(), s.size());
     if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return false;
+    if (n <= 0) return refused();
     s.remove_prefix(static_cast<size_t>(n));
   }
-  return true;
+  return {};
 }
 
-std::string slurp(const std::string& p) {
-  std::ifstream f(p, std::ios::binary);
-  std::stringstream s;
-  s << f.rdbuf();
-  return s.str();
+DiskResult Disk::cut_back(size_t to) {
+  if (calls_.truncate(segment_.get(), static_cast<off_t>(to)) != 0) return {DiskResult::failed};
+  kept_ -= size_ - to;
+  size_ = to;
+  loose_ = true;
+  return {DiskResult::full};
 }
 
-std::string frame(const std::string& r) {
-  std::string o;
-  codec::put(o, static_cast<uint32_t>(r.size()));
-  codec::put(o, digest(r, r.size()));
-  return o + r;
+DiskResult Disk::put(const std::string& bytes) {
+  auto before = size_;
+  auto r = write_all(segment_.get(), bytes);
+  if (r.kind == DiskResult::failed) return r;
+  if (r.kind == DiskResult::full) return cut_back(before);
+  size_ += bytes.size();
+  kept_ += bytes.size();
+  loose_ = true;
+  return r;
 }
 
-/// The record at the reader's place, or nothing, leaving the reader where it was.
-std::optional<std::string> unframe(codec::Reader& r) {
-  auto at = r;
-  uint32_t n;
-  uint64_t sum;
-  if (!codec::get(at, n) || !codec::get(at, sum) || at.s.size() < n) return std::nullopt;
-  std::string x(at.s.substr(0, n));
-  if (digest(x, n) != sum) return std::nullopt;
-  at.s.remove_prefix(n);
-  r = at;
-  return x;
+DiskResult Disk::mark() {
+  return put(frame(codec::pack(SyncMark{SyncMark::word, found_.inc, seq_, synced_})));
 }
 
-}  // namespace
+DiskResult Disk::settle() {
+  auto r = folder_loose_ && sync_folder() != 0 ? refused() : DiskResult{};
+  if (r && loose_) {
+    ++syncs_;
+    if (calls_.sync(segment_.get()) != 0) r = refused();
+  }
+  if (r.kind == DiskResult::full) {
+    appended_ = durable_;
+    return cut_back(synced_);
+  }
+  if (!r) return r;
+  synced_ = size_;
+  durable_ = appended_;
+  dirty_ = loose_ = folder_loose_ = false;
+  return r;
+}
 
-std::string Disk::path(const char* kind, uint64_t seq) const {
-  return folder_ + "/" + kind + "-" + hex(seq);
+DiskResult Disk::open_segment(uint64_t seq) {
+  Fd f(calls_.open(path("log", seq).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC));
+  if (!f) return refused();
+  struct stat st {};
+  if (::fstat(f.get(), &st) != 0) return {DiskResult::failed};
+  segment_ = std::move(f);
+  seq_ = seq;
+  size_ = synced_ = static_cast<size_t>(st.st_size);
+  folder_loose_ = true;
+  return {};
 }
 
-Result<std::shared_ptr<Disk>> Disk::open(const std::string& folder, uint64_t dice) {
-  std::shared_ptr<Disk> d(new Disk(folder));
-  if (auto f = d->load(dice); !f.empty()) return f;
-  return d;
+/// The first mark is on disk before any record: where it cannot be read, a segment has lost what it had.
+DiskResult Disk::begin_segment() {
+  if (size_ && (size_ > limits::segment_bytes || !marked_)) {
+    if (auto r = settle(); !r) return r;
+    if (auto r = open_segment(seq_ + 1); !r) return r;
+  }
+  if (size_) return {};
+  marked_ = true;
+  if (auto r = mark(); !r) return r;
+  return settle();
 }
 
-bool Disk::sync_folder() {
-  Fd d(::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  return d && ::fsync(d.get()) == 0;
+DiskResult Disk::append(const std::vector<std::string>& records) {
+  if (records.empty()) return {};
+  if (auto r = begin_segment(); !r) return r;
+  std::string s;
+  for (auto& r : records) s += frame(r);
+  auto r = put(s);
+  if (r) ++appended_, dirty_ = true;
+  return r;
+}
+
+DiskResult Disk::sync() {
+  if (!dirty_) return {};
+  if (auto r = settle(); !r) return r;
+  auto r = mark();
+  return r.kind == DiskResult::failed ? r : DiskResult{};
 }
 
 bool Disk::write_whole(const std::string& name, const std::string& bytes) {
@@ -76,106 +141,45 @@
     Fd f(::open(tmp.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
     if (!f || !write_all(f.get(), bytes) || ::fsync(f.get()) != 0) return false;
   }
-  return ::rename(tmp.c_str(), name.c_str()) == 0 && sync_folder();
-}
-
-Findings Disk::load(uint64_t dice) {
-  std::error_code ec;
-  fs::create_directories(folder_, ec);
-  if (ec) return {{folder_, "cannot be created: " + ec.message()}};
-  lock_ = Fd(::open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644));
-  if (!lock_ || ::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0)
-    return {{folder_, "is not writable or another daemon holds it"}};
-  auto id = folder_ + "/identity";
-  if (!fs::exists(id) && !write_whole(id, hex(dice ? dice : 1))) return {{id, "cannot be written"}};
-  auto inc = unhex(slurp(id));
-  if (!inc) return {{id, "is damaged; empty the folder to start as a new member"}};
-  found_.inc = Incarnation{*inc};
-  std::vector<uint64_t> segs, points;
-  for (auto& f : fs::directory_iterator(folder_, ec)) {
-    auto n = f.path().filename().string();
-    if (n.starts_with("log-"))
-      if (auto x = unhex(n.substr(4))) segs.push_back(*x);
-    if (n.starts_with("checkpoint-"))
-      if (auto x = unhex(n.substr(11))) points.push_back(*x);
-  }
-  std::sort(segs.begin(), segs.end());
-  uint64_t from = points.empty() ? 0 : *std::max_element(points.begin(), points.end());
-  if (!points.empty()) {
-    auto s = slurp(path("checkpoint", from));
-    codec::Reader r{s};
-    auto x = unframe(r);
-    if (!x || !r.s.empty())
-      return {{path("checkpoint", from),
-               "is damaged; restore the disk or empty the folder so that this machine joins as a new member"}};
-    found_.checkpoint = std::move(*x);
-  }
-  std::erase_if(segs, [&](auto s) { return s < from; });
-  for (size_t i = 0; i < segs.size(); ++i) {
-    if (i && segs[i] != segs[i - 1] + 1) return {{path("log", segs[i - 1] + 1), "is missing from the log"}};
-    if (auto f = load_segment(segs[i], i + 1 == segs.size()); !f.empty()) return f;
-  }
-  if (!start_segment(segs.empty() ? from : segs.back())) return {{folder_, "its log cannot be opened for writing"}};
-  return {};
+  return ::rename(tmp.c_str(), name.c_str()) == 0 && sync_folder() == 0;
 }
 
-Findings Disk::load_segment(uint64_t seq, bool last) {
-  auto s = slurp(path("log", seq));
-  codec::Reader r{s};
-  while (!r.s.empty()) {
-    if (auto x = unframe(r)) {
-      found_.journal.push_back(std::move(*x));
-      continue;
-    }
-    auto at = s.size() - r.s.size();
-    codec::Reader probe = r;
-    bool later = !last;
-    while (!later && probe.s.size() > 12) {
-      probe.s.remove_prefix(1);
-      auto p = probe;
-      if (auto x = unframe(p); x && !x->empty()) later = true;
-    }
-    if (later)
-      return {
-          {path("log", seq), "is damaged at byte " + std::to_string(at) +
-                                 "; restore the disk or empty the folder so that this machine joins as a new member"}};
-    cut_ = r.s.size();
-    Fd f(::open(path("log", seq).c_str(), O_WRONLY | O_CLOEXEC));
-    if (!f || ::ftruncate(f.get(), static_cast<off_t>(at)) != 0 || ::fsync(f.get()) != 0)
-      return {{path("log", seq), "its torn tail cannot be cut"}};
-    break;
-  }
-  return {};
-}
-
-bool Disk::start_segment(uint64_t seq) {
-  segment_ = Fd(::open(path("log", seq).c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644));
-  seq_ = seq;
+void Disk::reserve() {
+  auto p = folder_ + "/reserve";
+  auto want = std::max(limits::reserve_bytes, point_);
   struct stat st {};
-  if (!segment_ || ::fstat(segment_.get(), &st) != 0) return false;
-  size_ = static_cast<size_t>(st.st_size);
-  return sync_folder();
-}
-
-bool Disk::append(const std::vector<std::string>& records) {
-  if (records.empty()) return true;
-  if (size_ > limits::segment_bytes && (!sync() || !start_segment(seq_ + 1))) return false;
-  std::string s;
-  for (auto& r : records) s += frame(r);
-  size_ += s.size();
-  dirty_ = true;
-  return write_all(segment_.get(), s);
+  if (::stat(p.c_str(), &st) == 0 && static_cast<size_t>(st.st_size) >= want) return;
+  if (calls_.room(folder_) < limits::reserve_share * want) return;
+  Fd f(calls_.open(p.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC));
+  if (f && calls_.allocate(f.get(), want) != 0) ::unlink(p.c_str());
 }
 
-bool Disk::sync() {
-  if (!dirty_) return true;
-  dirty_ = false;
-  ++syncs_;
-  return ::fdatasync(segment_.get()) == 0;
+/// Into the room of the reserve, which nobody else can take; the file gets its name when all of it is on disk.
+DiskResult Disk::write_checkpoint(const std::string& bytes) {
+  auto p = folder_ + "/reserve";
+  Fd f(calls_.open(p.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC));
+  struct stat st {};
+  if (!f) return refused();
+  if (::fstat(f.get(), &st) != 0) return {DiskResult::failed};
+  auto r = write_all(f.get(), bytes);
+  if (r && calls_.truncate(f.get(), static_cast<off_t>(bytes.size())) != 0) r = {DiskResult::failed};
+  if (r && calls_.sync(f.get()) != 0) r = refused();
+  if (r && ::rename(p.c_str(), path("checkpoint", seq_).c_str()) != 0) r = refused();
+  if (r) return sync_folder() == 0 ? r : DiskResult{DiskResult::failed};
+  if (!st.st_size)
+    ::unlink(p.c_str());
+  else if (calls_.truncate(f.get(), st.st_size) != 0)
+    return {DiskResult::failed};
+  return r;
 }
 
-bool Disk::checkpoint(const std::string& bytes) {
-  if (!sync() || !start_segment(seq_ + 1) || !write_whole(path("checkpoint", seq_), frame(bytes))) return false;
+DiskResult Disk::checkpoint(const std::string& bytes) {
+  if (auto r = settle(); !r) return r;
+  if (size_) {
+    if (auto r = open_segment(seq_ + 1); !r) return r;
+    if (auto r = settle(); !r) return r;
+  }
+  if (auto r = write_checkpoint(frame(bytes)); !r) return r;
   std::error_code ec;
   for (auto& f : fs::directory_iterator(folder_, ec)) {
     auto n = f.path().filename().string();
@@ -183,7 +187,9 @@
     if (dash == std::string::npos) continue;
     if (auto x = unhex(n.substr(dash + 1)); x && *x < seq_) fs::remove(f.path(), ec);
   }
-  return true;
+  kept_ = point_ = bytes.size();
+  reserve();
+  return {};
 }
 
 }  // namespace mosskeel
--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -13,6 +13,11 @@
   return limits::process_start + duration_cast<milliseconds>(steady_clock::now() - base).count();
 }
 
+Host::Host(std::shared_ptr<Disk> disk, Address self)
+    : disk_(std::move(disk)),
+      journal_(disk_ ? std::make_unique<JournalWriter>(*disk_) : nullptr),
+      self_(std::move(self)) {}
+
 Findings Host::start(const Make& make) {
   Recovered none{};
   machine_ = make(disk_ ? disk_->recovered() : none, process_now());
@@ -92,27 +97,27 @@
   }
 }
 
+/// Made in the machine's thread, so that it stands for all that was pushed before it.
+void Host::ask_checkpoint() {
+  in_.push(Call{[this](Machine& m, Millis) {
+    if (auto s = m.checkpoint(); !s.empty()) out_.push({{}, std::move(s), {}});
+  }});
+}
+
 void Host::write() {
   while (true) {
-    auto v = out_.take(200);
-    bool good = true;
-    std::vector<Envelope> sends;
-    for (auto& b : v) {
-      good = good && disk_->append(b.journal);
-      if (good && b.checkpoint) {
-        good = disk_->checkpoint(*b.checkpoint);
-        note(Event::checkpointed, std::to_string(b.checkpoint->size()) + " bytes");
-      }
-      for (auto& e : b.sends) sends.push_back(std::move(e));
-    }
-    good = good && disk_->sync();
-    if (!good) {
+    auto v = out_.take(journal_->full() ? limits::full_retry : 200);
+    bool last = v.empty() && out_.closed();
+    auto w = journal_->write(std::move(v));
+    for (auto& n : w.notes) note(n.event, n.text);
+    if (w.result.kind == DiskResult::failed) {
       note(Event::disk_failed, "nothing unsynced was answered");
       stop_ = true;
       return;
     }
-    for (auto& e : sends) send(std::move(e));
-    if (v.empty() && out_.closed()) return;
+    for (auto& e : w.sends) send(std::move(e));
+    if (last) return;
+    if (journal_->wants_checkpoint(process_now())) ask_checkpoint();
   }
 }
 
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -2,7 +2,7 @@
 // Runs a machine: one thread for its state, one for its disk, the post's for hearing.
 #include <thread>
 
-#include "kernel/disk.hpp"
+#include "kernel/journal_writer.hpp"
 #include "kernel/post.hpp"
 #include "kernel/queue.hpp"
 
@@ -17,7 +17,7 @@
   /// Where a message goes that is not for another daemon ("local:7", "replica:m1").
   using Deliver = std::function<void(const Envelope&)>;
 
-  Host(std::shared_ptr<Disk> disk, Address self) : disk_(std::move(disk)), self_(std::move(self)) {}
+  Host(std::shared_ptr<Disk> disk, Address self);
   ~Host() { stop(); }
   Findings start(const Make& make);
   void route(const std::string& prefix, Deliver d) { routes_[prefix] = std::move(d); }
@@ -31,22 +31,21 @@
   bool stopped() const { return stop_; }
   void stop();
   uint64_t syncs() const { return disk_ ? disk_->syncs() : 0; }
+  /// Nothing where no journal is kept.
+  const JournalWriter* journal() const { return journal_.get(); }
   uint64_t sent() const { return post_ ? post_->sent() : 0; }
   uint64_t dropped() const { return post_ ? post_->dropped() : 0; }
   uint64_t foreign() const { return post_ ? post_->foreign() : 0; }
 
  private:
-  struct Batch {
-    std::vector<std::string> journal;
-    std::optional<std::string> checkpoint;
-    std::vector<Envelope> sends;
-  };
   using Call = std::function<void(Machine&, Millis)>;
   void think();
   void write();
+  void ask_checkpoint();
   void act(Actions a);
   void send(Envelope e);
   std::shared_ptr<Disk> disk_;
+  std::unique_ptr<JournalWriter> journal_;
   Address self_;
   std::unique_ptr<Machine> machine_;
   std::unique_ptr<Post> post_;
