--- a/src/follow/lineman_machine.cpp
+++ b/src/follow/lineman_machine.cpp
@@ -26,6 +26,7 @@
 }
 
 Actions LinemanMachine::tick(Millis now) {
+  if (leaving_ && now - heard_ > limits::farewell) out_.act.stop = true;
   bool fresh = mine_ && now - heard_ < limits::heartbeat * 3;
   fol_.tick(now, fresh ? &*mine_ : nullptr);
   auto& m = *led_.view();
--- a/src/follow/lineman_machine.hpp
+++ b/src/follow/lineman_machine.hpp
@@ -10,6 +10,8 @@
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
+  /// Stops once the switchboard beside it has been silent for a while: it goes first and needs its link until then.
+  void leave() { leaving_ = true; }
 
  private:
   Outbox out_;
@@ -17,6 +19,7 @@
   Follower fol_;
   std::optional<Heartbeat> mine_;
   Millis heard_ = 0, next_leave_ = 0;
+  bool leaving_ = false;
 };
 
 }  // namespace mosskeel
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -78,6 +78,7 @@
   sigemptyset(&s);
   sigaddset(&s, SIGTERM);
   sigaddset(&s, SIGINT);
+  sigaddset(&s, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &s, nullptr);
   signal(SIGPIPE, SIG_IGN);
 }
--- a/src/kernel/props.hpp
+++ b/src/kernel/props.hpp
@@ -68,7 +68,8 @@
 
 std::optional<std::pair<std::string, uint16_t>> split_address(const std::string& a);
 uint64_t dice();
-/// Blocks SIGTERM and SIGINT for all threads started later.
+/// Blocks SIGTERM, SIGINT and SIGHUP for all threads started later; SIGHUP changes nothing here, for a daemon follows
+/// the directory and not its settings file once it has started.
 void hold_signals();
 /// Waits for one of them; true once it came.
 bool signalled(Millis wait);
--- a/src/lineman/main.cpp
+++ b/src/lineman/main.cpp
@@ -16,5 +16,8 @@
   if (auto f = host.start([&](const Recovered&, Millis now) { return std::make_unique<LinemanMachine>(id, now); });
       !f.empty())
     return cannot_start("lineman", f);
-  return run_until_stopped(host, "lineman", [] { return true; });
+  return run_until_stopped(host, "lineman", [&] {
+    host.ask([](Machine& m, Millis) { static_cast<LinemanMachine&>(m).leave(); });
+    return false;
+  });
 }
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -62,7 +62,10 @@
 
 void Traffic::offer(AnyCall& any, Millis now) {
   auto& c = base(any);
-  if (!reroute(c)) return give_up(any, c.doubt ? 502 : 404, "no path leads there any more", 0);
+  if (!reroute(c)) {
+    bool there = table_->find(c.request.host, c.request.target);
+    return give_up(any, c.doubt ? 502 : there ? 503 : 404, "the path has changed meanwhile", limits::retry_ms / 8);
+  }
   bool later = false;
   auto* r = in_touch(now) ? picker_.pick({c.service, c.key, &c.tried}, now, later) : nullptr;
   if (!r) {
