A grant for a turn that is gone is answered, so that its reservation is freed

Cause: where an ask for a turn is overtaken by its outcome, the owner knows no such turn and says so, then reserves for the ask that comes behind and grants it. The front ignored that grant, and the reservation lay on the program's budget until its line ended.

Weighed: naming the program in the grant, so that any unknown grant could be answered, changes the protocol; a memory at the owner is lost when the slot moves.

Conclusion: the front remembers outcomes 'not run' that their owner knew no turn for, as long as it offers outcomes, and tells them again when a grant shows that the turn was begun after all.

--- a/src/traffic/trunk.cpp
+++ b/src/traffic/trunk.cpp
@@ -33,6 +33,11 @@
   }
   if (auto* g = std::get_if<TurnGrant>(&e.body)) {
     auto i = asks_.find(g->attempt);
+    auto x = overtaken_.find(g->attempt);
+    if (x != overtaken_.end() && g->status == 200) {
+      send(ends_[g->attempt] = {std::move(x->second.first), now, 0, {}}, now);
+      overtaken_.erase(x);
+    }
     if (i == asks_.end()) return true;
     if (g->status == 0) {
       i->second.owner = {};
@@ -47,13 +52,18 @@
     return true;
   }
   if (auto* s = std::get_if<TurnSettled>(&e.body)) {
-    if (ends_.erase(s->attempt)) out_.send(traffic_address, *s);
+    auto i = ends_.find(s->attempt);
+    if (i == ends_.end()) return true;
+    if (!s->kept && i->second.body.status == 0) overtaken_[s->attempt] = {std::move(i->second.body), now};
+    ends_.erase(i);
+    out_.send(traffic_address, *s);
     return true;
   }
   return false;
 }
 
 void Trunk::tick(Millis now) {
+  std::erase_if(overtaken_, [&](auto& x) { return now - x.second.second > limits::handover_patience; });
   auto moved = [&](auto& x) {
     auto* d = owner(x.body.program);
     return d && d->id != x.owner;
--- a/src/traffic/trunk.hpp
+++ b/src/traffic/trunk.hpp
@@ -34,6 +34,8 @@
   std::map<std::string, Open<TurnAsk>> asks_;
   std::map<std::string, Open<TurnSettle>> ends_;
   std::set<std::string> running_;
+  /// Outcomes that their owner knew no turn for, and when: an ask that was overtaken may still reserve.
+  std::map<std::string, std::pair<TurnSettle, Millis>> overtaken_;
 };
 
 }  // namespace mosskeel
