A replica's 408, 429 or 503 that does not say 'not run' is no promise to the caller

Cause: such an answer was passed on as it came, and to a caller these statuses promise that nothing has run and nothing will, which only a replica's own word for it can state. A turn was settled with that status. The tests play every way for an offer to fail on every kind of path; the case for this failed before.

Conclusion: it counts as an offer whose fate is unknown: repeated where that is allowed, a 502 otherwise.

--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -5,6 +5,14 @@
 #include "kernel/limits.hpp"
 
 namespace mosskeel::traffic {
+namespace {
+
+/// Statuses that tell a caller that nothing has run and nothing will.
+bool promises(uint32_t status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
 
 void Traffic::outlook(std::shared_ptr<const Outlook> o, Millis now) {
   if (o == outlook_) return;
@@ -145,10 +153,10 @@
     return failed(*c, Outcome::no, "the replica did not run it: " + std::to_string(h.status), now);
   }
   bool good = h.status >= 200 && h.status < 300;
-  if (!ours || (good && !w.sealed)) {
+  if (!ours || (good && !w.sealed) || promises(h.status)) {
     out_.push_back(DropReplica{h.ask});
     picker_.shun(b.offer->replica, now + limits::shun_lost);
-    return failed(*c, Outcome::unknown, "the replica's answer is not this errand's", now);
+    return failed(*c, Outcome::unknown, "the replica's answer is not this errand's, or promises what it can't", now);
   }
   b.offer->headed = true;
   b.offer->status = h.status;
