A path that changes its kind under a waiting errand makes a 503, not a 404

Cause: an errand that waited while its path became one of another kind was refused with 404, as if no path led there; callers end at once on that, and a program with them. The test failed before.

Conclusion: 503 with a time to come back where a path leads there, 404 where none does. The tests go through a turn's stages: the caller leaves, the horizon passes, the owner refuses, the manifest changes.

--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -62,7 +62,10 @@
 
 void Traffic::offer(AnyCall& any, Millis now) {
   auto& c = base(any);
-  if (!reroute(c)) return give_up(any, c.doubt ? 502 : 404, "no path leads there any more", 0);
+  if (!reroute(c)) {
+    bool there = table_->find(c.request.host, c.request.target);
+    return give_up(any, c.doubt ? 502 : there ? 503 : 404, "its path leads there no more", limits::retry_ms / 4);
+  }
   bool later = false;
   auto* r = in_touch(now) ? picker_.pick({c.service, c.key, &c.tried}, now, later) : nullptr;
   if (!r) {
@@ -161,7 +164,7 @@
 void Traffic::give_up(AnyCall& any, uint32_t status, const std::string& why, Millis retry) {
   auto& c = base(any);
   if (auto* t = std::get_if<TurnCall>(&any)) settle(*t, c.doubt ? 502 : 0);
-  refuse(c.id, status, why, c.doubt ? 0 : retry);
+  refuse(c.id, status, why, status == 503 ? retry : 0);
   finish(c.id);
 }
 
