--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -108,6 +108,19 @@
     if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
     return PrepareJoin{id};
   }
+  return repair(now);
+}
+
+/// The places of a recorder that stays down go to the others, where there are enough of them to hold every copy.
+std::optional<Transformation> Supervisor::repair(Millis now) {
+  auto& m = *led_.view();
+  for (auto& [id, d] : m.directory) {
+    if (d.self.role != Role::recorder || d.state != DaemonState::down || !silent(d, now, limits::repair_after)) continue;
+    if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
+    bool holds = std::any_of(m.slots.begin(), m.slots.end(),
+                             [&](auto& s) { return std::count(s.recorders.begin(), s.recorders.end(), id) > 0; });
+    if (holds && ok(places::for_drain(m, d))) return PrepareDrain{id};
+  }
   return std::nullopt;
 }
 
--- a/src/consensus/supervisor.hpp
+++ b/src/consensus/supervisor.hpp
@@ -17,6 +17,7 @@
   std::optional<Transformation> decide(Millis now);
   std::optional<Transformation> core(Millis now);
   std::optional<Transformation> sequences(Millis now);
+  std::optional<Transformation> repair(Millis now);
   std::optional<Transformation> warm(Millis now);
   /// How many members agree that a daemon was silent this long, or heard this lately.
   bool silent(const Daemon& d, Millis now, Millis limit) const;
