--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -203,6 +203,7 @@
       {"core", {3, 3, 3, 4, 3}, 400, core},
       {"rolling", {3, 3, 3, 4, 3}, 400, rolling},
       {"planned", {3, 3, 4, 6, 3}, 400, planned},
+      {"successor", {3, 3, 3, 4, 3}, 400, successor},
       {"split", {5, 3, 3, 4, 3}, 400, split},
       {"zone", {3, 3, 6, 6, 3}, 400, zone_lost},
       {"coreless", {3, 3, 3, 4, 3}, 400, coreless},
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -1,4 +1,6 @@
 // Days at the deployments' sizes: the brief's troubles under its load, then a closing fault that stays.
+#include <algorithm>
+
 #include "sim/day.hpp"
 
 namespace mosskeel::sim {
@@ -153,6 +155,31 @@
 
 }  // namespace
 
+/// A store is replaced by an empty one at another address, which joins before the lost one is marked down; later
+/// another one loses its disk. No slot may be left with the lost store in its set, so that the second loss is borne.
+void successor(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(50, w.now() + 40000);
+  w.run(3000 + w.below(1000));
+  auto lost = latest(w)->at("recorder1")->id;
+  w.power_off("recorder1");
+  w.run(300 + w.below(1000));
+  w.add("recorder9", Kind::recorder, "a");
+  auto rid = [&] {
+    auto v = latest(w);
+    return v->sequences.empty() && std::none_of(v->slots.begin(), v->slots.end(), [&](auto& s) {
+             return std::count(s.recorders.begin(), s.recorders.end(), lost) > 0;
+           });
+  };
+  if (!w.until(12000, rid)) w.fail("slots still count on a store that is gone");
+  w.run(1000);
+  w.wipe("recorder2");
+  w.run(1000);
+  w.start("recorder2");
+  w.run(9000);
+  if (!latest(w)->sequences.empty()) w.fail("the wiped store's join does not end");
+}
+
 /// Every kind of planned work under load, one after the other: no answer may be unknown.
 void planned(Day& d) {
   auto& w = d.w;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -33,6 +33,7 @@
     {"slow", {1, 2}},
     {"helpers", {1}},
     {"carousel", {1, 2}},
+    {"successor", {1, 2, 3}},
     {"stores", {1, 2}},
     {"core", {1, 2}},
     {"rolling", {1, 2, 3}},
