--- a/src/consensus/marker_machine.cpp
+++ b/src/consensus/marker_machine.cpp
@@ -91,7 +91,7 @@
 }
 
 HeartbeatReply MarkerMachine::reply_to(const Heartbeat& h) const {
-  auto [c, v] = led_.since(h.known);
+  auto [c, v] = led_.little_since(h.known);
   return {led_.epoch(), c, v, 0, led_.view()->cluster != 0, h.sent};
 }
 
@@ -123,7 +123,8 @@
 void MarkerMachine::handle(const Envelope& e, Millis now) {
   auto& self = out_.id().self;
   if (e.epoch > led_.epoch() && e.cluster == out_.cluster && out_.cluster && !std::holds_alternative<Decided>(e.body) &&
-      !std::holds_alternative<CatchupReply>(e.body) && !std::holds_alternative<HeartbeatReply>(e.body))
+      !std::holds_alternative<CatchupReply>(e.body) && !std::holds_alternative<HeartbeatReply>(e.body) &&
+      pace_.due(led_.epoch(), now))
     out_.send(e.from, Catchup{led_.epoch()});
   std::visit(overload{[&](const Discover& d) {
                         DiscoverReply r{self, out_.cluster, led_.epoch(), {}, {}};
--- a/src/consensus/marker_machine.hpp
+++ b/src/consensus/marker_machine.hpp
@@ -43,6 +43,7 @@
   Duty duty_;
   Supervisor sup_;
   Proposer prop_;
+  CatchupPace pace_;
   std::map<Incarnation, std::pair<Candidate, Millis>> fellows_;
   Millis born_, evidence_ = INT64_MIN / 2, survey_since_ = 0, next_survey_ = 0, open_since_ = 0, next_discover_ = 0,
                 next_beat_ = 0, next_register_ = 0;
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -78,14 +78,16 @@
                              [&](const CatchupReply& c) { return learn(c.entries, c.checkpoint), true; },
                              [&](const CommitReply& c) { return learn(c.entries, c.checkpoint), true; },
                              [&](const Heartbeat& h) {
-                               auto [c, v] = led_.since(h.known);
+                               auto [c, v] = led_.little_since(h.known);
                                tell(e.from, HeartbeatReply{led_.epoch(), c, v, now - touched(now), steady(), h.sent});
-                               if (h.known > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+                               if (h.known > led_.epoch() && pace_.due(led_.epoch(), now))
+                                 out_.send(e.from, Catchup{led_.epoch()});
                                return true;
                              },
                              [&](const HeartbeatReply& h) {
                                learn(h.entries, h.checkpoint);
-                               if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
+                               if (h.epoch > led_.epoch() && pace_.due(led_.epoch(), now))
+                                 out_.send(e.from, Catchup{led_.epoch()});
                                if (!h.confirmed || h.epoch > led_.epoch()) return true;
                                if (auto& x = heard_[e.from]; x.inc != e.from_inc || x.sent < h.sent)
                                  x = {h.sent, e.from_inc};
@@ -164,7 +166,8 @@
   h.known = led_.epoch();
   h.sent = now;
   for (auto id : m.members) tell(m.find(id)->self.addr, h);
-  if (now < next_peers_) return;
+  auto core = std::max(born_, majority_time(m, m.members, heard_, out_.id().self));
+  if (now < next_peers_ || now - core < limits::core_quiet || !steady()) return;
   next_peers_ = now + limits::heartbeat * 2;
   for (auto& [id, d] : m.directory)
     if (d.self.role != Role::marker && d.state != DaemonState::left && d.state != DaemonState::down &&
--- a/src/follow/ledger.cpp
+++ b/src/follow/ledger.cpp
@@ -14,7 +14,12 @@
     if (!ok(r)) break;
     view_ = std::make_shared<Metadata>(value(r));
     recent_.push_back(x);
-    if (recent_.size() > limits::log_keep) recent_.pop_front();
+    weights_.push_back(codec::pack(x).size());
+    weight_ += weights_.back();
+    while (recent_.size() > limits::log_keep || weight_ > limits::log_keep_bytes) {
+      weight_ -= weights_.front();
+      recent_.pop_front(), weights_.pop_front();
+    }
     done.push_back(std::move(x));
   }
   return done;
@@ -23,7 +28,8 @@
 bool Ledger::jump(const Metadata& m) {
   if (m.epoch <= epoch()) return false;
   view_ = std::make_shared<Metadata>(m);
-  recent_.clear();
+  recent_.clear(), weights_.clear();
+  weight_ = 0;
   waiting_.erase(waiting_.begin(), waiting_.upper_bound(m.epoch));
   return true;
 }
@@ -35,4 +41,12 @@
   return {std::nullopt, Entries(recent_.end() - static_cast<ptrdiff_t>(lack), recent_.end())};
 }
 
+std::pair<std::optional<Metadata>, Entries> Ledger::little_since(Epoch known) const {
+  size_t lack = known < epoch() ? epoch().v - known.v : 0, bytes = 0;
+  if (lack > recent_.size()) return {};
+  for (size_t i = weights_.size() - lack; i < weights_.size(); ++i) bytes += weights_[i];
+  if (bytes > limits::beat_bytes) return {};
+  return since(known);
+}
+
 }  // namespace mosskeel
--- a/src/follow/ledger.hpp
+++ b/src/follow/ledger.hpp
@@ -16,6 +16,8 @@
   bool jump(const Metadata& m);
   /// What someone at `known` lacks: entries, or a checkpoint where the entries are gone or many.
   std::pair<std::optional<Metadata>, Entries> since(Epoch known) const;
+  /// The same where it is small, else nothing: who lacks more asks for it.
+  std::pair<std::optional<Metadata>, Entries> little_since(Epoch known) const;
   /// Entries kept for `explain` and for laggards.
   const std::deque<Entry>& recent() const { return recent_; }
   bool gap() const { return !waiting_.empty(); }
@@ -23,7 +25,25 @@
  private:
   View view_ = std::make_shared<Metadata>();
   std::deque<Entry> recent_;
+  /// The encoded sizes of `recent_`, and their sum.
+  std::deque<size_t> weights_;
+  size_t weight_ = 0;
   std::map<Epoch, Entry> waiting_;
 };
 
+/// When a laggard may ask: at once after each epoch that it learned, else once a while.
+class CatchupPace {
+ public:
+  bool due(Epoch known, Millis now) {
+    if (now < next_ && asked_ == known) return false;
+    next_ = now + limits::catchup_pace;
+    asked_ = known;
+    return true;
+  }
+
+ private:
+  Millis next_ = 0;
+  Epoch asked_{};
+};
+
 }  // namespace mosskeel
--- /dev/null
+++ b/tests/capacity_test.cpp
@@ -0,0 +1,78 @@
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "scale/experiments.hpp"
+#include "scale/field.hpp"
+
+using namespace mosskeel;
+
+namespace {
+
+scale::Plan small() {
+  scale::Plan p;
+  p.daemons = 10, p.replicas = 4, p.paths = 2, p.cells = 4;
+  return p;
+}
+
+/// A ledger at epoch 1 and entries that each apply a manifest of so many cells.
+Ledger ledger(int changes, int cells) {
+  auto p = small();
+  Ledger l;
+  auto seats = scale::seats(p, 1);
+  l.jump(scale::rest(p, seats));
+  p.cells = cells;
+  for (int i = 0; i < changes; ++i)
+    l.add({next(l.epoch()), "", ApplyManifest{l.view()->revision, scale::manifest(p), {}}});
+  return l;
+}
+
+}  // namespace
+
+TEST_CASE("the capacity page's counts are what the simulated fleet counts") {
+  std::ifstream f(SOURCE_DIR "/docs/CAPACITY.md");
+  std::stringstream s;
+  s << f.rdbuf();
+  REQUIRE(f);
+  for (int n : {10, 40, 100}) {
+    auto row = scale::page_row(n, 1);
+    INFO(row);
+    CHECK(s.str().find(row) != std::string::npos);
+  }
+}
+
+TEST_CASE("a daemon that hears the core asks no other daemon; without the core all are asked and go on serving") {
+  scale::Field f(small(), 1);
+  f.run(4000);
+  REQUIRE(f.fronts_in_touch());
+  f.forget();
+  f.run(3000);
+  CHECK(f.sum(scale::Part::lineman).in["heartbeat"].count == 0);
+  CHECK(f.sum(scale::Part::recorder).in["heartbeat"].count == 0);
+  for (auto i : f.all(scale::Part::marker)) f.stop(i);
+  for (int k = 0; k < 40; ++k) {
+    f.run(100);
+    CHECK(f.fronts_in_touch());
+  }
+  CHECK(f.sum(scale::Part::lineman).in["heartbeat"].count > 0);
+  CHECK(f.failures.empty());
+}
+
+TEST_CASE("what a laggard lacks comes as entries while they are small, else as the whole value") {
+  auto few = ledger(100, 4);
+  auto [none, entries] = few.since(Epoch{few.epoch().v - 100});
+  CHECK_FALSE(none);
+  CHECK(entries.size() == 100);
+  const int cells = 8000, changes = 5;
+  auto many = ledger(changes, cells);
+  auto bytes = codec::pack(many.recent().back()).size();
+  REQUIRE(bytes * changes > limits::log_keep_bytes);
+  CHECK(bytes * many.recent().size() <= limits::log_keep_bytes);
+  auto [whole, rest] = many.since(Epoch{many.epoch().v - changes});
+  REQUIRE(whole);
+  CHECK(whole->epoch == many.epoch());
+  CHECK(rest.empty());
+  auto [again, last] = many.since(Epoch{many.epoch().v - 1});
+  CHECK_FALSE(again);
+  CHECK(last.size() == 1);
+}
