--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -164,8 +164,9 @@
   auto spare = Daemon{DaemonId{m.next_id}, front(p, 1, seed).second.id.self, DaemonState::registered, m.epoch};
   r.times["plan_join.ms"] = millis_of([&] { places::for_join(m, spare); });
   r.times["find_daemon.ms"] = millis_of([&] {
-    for (int i = 0; i < times; ++i) m.find(m.directory.rbegin()->second.self.inc);
-  }) / times;
+                                for (int i = 0; i < times; ++i) m.find(m.directory.rbegin()->second.self.inc);
+                              }) /
+                              times;
   if (auto* c = m.manifest.cells.empty() ? nullptr : &m.manifest.cells.back())
     r.times["find_cell.ms"] = millis_of([&] {
                                 for (int i = 0; i < times; ++i) m.manifest.cell(c->name);
--- a/tools/scale/fleet.cpp
+++ b/tools/scale/fleet.cpp
@@ -52,8 +52,6 @@
   region();
   at_rest("rest_after");
   values();
-  write_svg(a_.out + "/in_force.svg", "A change in force at the hollow daemons", "ms after it was asked for",
-            "per cent of the daemons", curves_);
   put("run", "broken_invariants", broken_);
   return broken_ ? 1 : 0;
 }
@@ -212,6 +210,8 @@
   Curve c{step, {}};
   for (int i = 0; i <= 100; ++i) c.points.push_back({at(i / 100.0), static_cast<double>(i)});
   curves_.push_back(c);
+  write_svg(a_.out + "/in_force.svg", "A change in force at the hollow daemons", "ms after it was asked for",
+            "per cent of the daemons", curves_);
 }
 
 int fleet(const FleetAsk& a) {
--- a/tools/scale/fleet.hpp
+++ b/tools/scale/fleet.hpp
@@ -7,7 +7,7 @@
 struct FleetAsk {
   Plan plan;
   std::string out, bin;
-  int base = 30000, changes = 10, restarts = 130, many = 34;
+  int base = 30000, changes = 10, restarts = 130, many = 8;
 };
 int fleet(const FleetAsk& a);
 /// The life of one process of hollow daemons; commands come on its standard input, one line each.
--- a/tools/scale/report.cpp
+++ b/tools/scale/report.cpp
@@ -42,12 +42,17 @@
 }
 
 void write_csv(const std::string& file, const std::vector<Row>& rows, bool times) {
-  std::ofstream o(file);
-  o << "experiment,size,seed,figure,value\n";
-  o.precision(10);
+  std::map<std::tuple<std::string, double, std::string>, std::vector<double>> v;
   for (auto& r : rows)
-    for (auto& [k, x] : times ? r.times : r.counts)
-      o << r.what << "," << r.size << "," << r.seed << "," << k << "," << x << "\n";
+    for (auto& [k, x] : times ? r.times : r.counts) v[{r.what, r.size, k}].push_back(x);
+  std::ofstream o(file);
+  o << "experiment,size,figure,seeds,least,most\n";
+  for (auto& [k, x] : v) {
+    auto [least, most] = std::minmax_element(x.begin(), x.end());
+    if (*least == 0 && *most == 0) continue;
+    o << std::get<0>(k) << "," << std::get<1>(k) << "," << std::get<2>(k) << "," << x.size() << "," << *least << ","
+      << *most << "\n";
+  }
 }
 
 void write_svg(const std::string& file, const std::string& title, const std::string& x, const std::string& y,
--- a/tools/scale/report.hpp
+++ b/tools/scale/report.hpp
@@ -15,7 +15,7 @@
 };
 Fit fit(const std::vector<std::pair<double, double>>& v);
 
-/// One line a figure: experiment, size, seed, counts or times, name, value.
+/// One line a figure and size, with the least and the most of all seeds; what is 0 is left out.
 void write_csv(const std::string& file, const std::vector<Row>& rows, bool times);
 void write_svg(const std::string& file, const std::string& title, const std::string& x, const std::string& y,
                const std::vector<Curve>& curves);
--- a/tools/scale/slopes.cpp
+++ b/tools/scale/slopes.cpp
@@ -39,7 +39,6 @@
   auto cells = of([](Plan& p, int n) { p.cells = n; });
   auto slots = of([](Plan& p, int n) { p.slots = n; });
   auto left = of([](Plan& p, int n) { p.left = n; });
-  auto churn = of([](Plan& p, int n) { p.daemons = n; });
   std::vector<Experiment> v{
       {"rest.daemons", fleet, [=](double x, uint64_t s) { return at_rest(daemons(x), s, x); }},
       {"rest.replicas", {20, 200, 600}, [=](double x, uint64_t s) { return at_rest(replicas(x), s, x); }},
@@ -82,11 +81,18 @@
        [](double x, uint64_t s) { return conversation(static_cast<int>(x), 10, s, x); }},
       {"lines.lines", {100, 1000, 4000}, [](double x, uint64_t s) { return kept_lines(static_cast<int>(x), 4, s, x); }},
       {"lines.turns", {1, 10, 50}, [](double x, uint64_t s) { return kept_lines(200, static_cast<int>(x), s, x); }},
-      {"newcomer.daemons", fleet, [=](double x, uint64_t s) { return newcomer(churn(x), s, x); }},
+      {"newcomer.daemons", fleet, [=](double x, uint64_t s) { return newcomer(daemons(x), s, x); }},
       {"newcomer.cells", {100, 1000, 18000}, [=](double x, uint64_t s) { return newcomer(cells(x), s, x); }},
-      {"restarts.daemons", fleet, [=](double x, uint64_t s) { return restarts(churn(x), 5, s, x); }},
-      {"zone.daemons", fleet, [=](double x, uint64_t s) { return zone_lost(churn(x), s, x); }},
-      {"region.daemons", fleet, [=](double x, uint64_t s) { return region_cut(churn(x), 5, s, x); }},
+      {"restarts.daemons", fleet, [=](double x, uint64_t s) { return restarts(daemons(x), 5, s, x); }},
+      {"row_of_130_restarts",
+       {static_cast<double>(std::min(largest, 340))},
+       [=](double x, uint64_t s) {
+         auto p = daemons(x);
+         p.replicas = 600;
+         return restarts(p, 130, s, x);
+       }},
+      {"zone.daemons", fleet, [=](double x, uint64_t s) { return zone_lost(daemons(x), s, x); }},
+      {"region.daemons", fleet, [=](double x, uint64_t s) { return region_cut(daemons(x), 5, s, x); }},
   };
   return v;
 }
--- a/tools/scale/troubles.cpp
+++ b/tools/scale/troubles.cpp
@@ -30,24 +30,27 @@
 }
 
 void Run::zone() {
-  auto& c = *crews_.front();
+  size_t crews = std::max<size_t>(1, static_cast<size_t>(a_.plan.daemons / a_.plan.zones / a_.many)), gone = 0;
   auto begun = machine_now();
   auto e = voice_.view()->epoch;
-  c.ask("stop" + numbers(0, c.size()));
+  for (size_t i = 0; i < crews; ++i) {
+    crews_[i]->ask("stop" + numbers(0, crews_[i]->size()));
+    gone += static_cast<size_t>(crews_[i]->size());
+  }
   while (true) {
     auto v = voice_.view();
     size_t up = 0;
     for (auto& [id, d] : v->directory) up += d.state == DaemonState::up;
-    if (up + static_cast<size_t>(c.size()) <= all()) break;
+    if (up + gone <= all()) break;
     if (machine_now() - begun > calm_patience) return fail("the zone was never marked down");
     wait(look);
   }
-  put("zone", "daemons", c.size());
+  put("zone", "daemons", static_cast<double>(gone));
   put("zone", "down.ms", static_cast<double>(machine_now() - begun));
   put("zone", "down.epochs", static_cast<double>(voice_.view()->epoch.v - e.v));
-  until_calm("zone down", all() - static_cast<size_t>(c.size()));
+  until_calm("zone down", all() - gone);
   e = voice_.view()->epoch;
-  c.ask("start" + numbers(0, c.size()));
+  for (size_t i = 0; i < crews; ++i) crews_[i]->ask("start" + numbers(0, crews_[i]->size()));
   put("zone", "back.ms", static_cast<double>(until_calm("zone back", all())));
   put("zone", "back.epochs", static_cast<double>(voice_.view()->epoch.v - e.v));
 }
