--- a/src/line/expiry.cpp
+++ b/src/line/expiry.cpp
@@ -41,4 +41,16 @@
   journal(BuryRecord{b.slot, b.line});
 }
 
+size_t RecorderMachine::kept_lines() const {
+  size_t n = 0;
+  for (auto& [s, x] : slots_) n += x.lines.size();
+  return n;
+}
+
+size_t RecorderMachine::kept_graves() const {
+  size_t n = 0;
+  for (auto& [s, x] : slots_) n += x.graves.size();
+  return n;
+}
+
 }  // namespace mosskeel
--- a/src/line/recorder_machine.cpp
+++ b/src/line/recorder_machine.cpp
@@ -38,18 +38,6 @@
   return codec::pack(RecorderCheckpoint{*led_.view(), slots_, uptime()});
 }
 
-size_t RecorderMachine::kept_lines() const {
-  size_t n = 0;
-  for (auto& [s, x] : slots_) n += x.lines.size();
-  return n;
-}
-
-size_t RecorderMachine::kept_graves() const {
-  size_t n = 0;
-  for (auto& [s, x] : slots_) n += x.graves.size();
-  return n;
-}
-
 Actions RecorderMachine::done() {
   for (auto& s : out_.act.journal) grown_ += s.size();
   if (grown_ > limits::checkpoint_bytes) {
--- a/src/switchboard/callers.cpp
+++ b/src/switchboard/callers.cpp
@@ -211,20 +211,6 @@
   return r;
 }
 
-HttpAnswer Callers::metrics() {
-  std::map<std::string, double> more;
-  host_.ask([&](Machine& m, Millis now) {
-    auto& s = static_cast<SwitchboardMachine&>(m);
-    for (auto& [n, v] : s.tallies()) more[n] = static_cast<double>(v);
-    more["errands_here"] = static_cast<double>(s.errands());
-    more["ready"] = s.ready(now);
-  });
-  HttpAnswer r;
-  r.body = metrics_of(host_, "switchboard", more);
-  r.headers["Content-Type"] = "text/plain";
-  return r;
-}
-
 HttpAnswer Callers::answer(const HttpAsk& a) {
   if (a.path == "/metrics") return metrics();
   if (a.path == "/ready") {
