A front that starts again at its address owns at once what it owned, under a new term

Cause: Register scattered the slots of the daemon that a front replaced over the other fronts, and the front's own join then moved a share back: two moves of each slot and a join's barriers in which its programs were refused. The old daemon runs no more (its address answers with another incarnation), and the new term fences what it may still have on the way. The unit test fails without the change.

--- a/src/metadata/places.cpp
+++ b/src/metadata/places.cpp
@@ -34,7 +34,7 @@
 std::vector<Move> join_front(const Metadata& m, const Daemon& d) {
   std::vector<Move> v;
   auto n = owned(m);
-  n[d.id];
+  n[d.id] = static_cast<int>(std::count_if(m.slots.begin(), m.slots.end(), [&](auto& s) { return s.owner == d.id; }));
   size_t share = m.slots.size() / std::max<size_t>(n.size(), 1);
   std::set<SlotId> taken;
   auto take = [&](uint32_t i) {
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -38,6 +38,12 @@
   return m;
 }
 
+/// A front that starts again takes over the slots of what ran at its address: that one runs no more, the term fences it.
+void inherit(Metadata& m, DaemonId old, DaemonId fresh) {
+  for (auto& s : m.slots)
+    if (s.owner == old) owner_to(m, s, fresh);
+}
+
 R go(Metadata m, const Register& r) {
   if (m.find(r.self.inc)) return no("register", "incarnation " + hex(r.self.inc.v) + " is registered already");
   for (auto& [id, d] : m.directory)
@@ -54,7 +60,7 @@
       d.state = DaemonState::left;
       d.since = m.epoch;
       unlock(m, id);
-      scatter(m, id);
+      inherit(m, id, fresh);
     }
   m.directory[fresh] = {fresh, r.self, r.self.role == Role::marker ? DaemonState::up : DaemonState::registered,
                         m.epoch};
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -52,6 +52,29 @@
 
 }  // namespace
 
+TEST_CASE("a front that starts again at its address owns at once what it owned, under a new term") {
+  Fleet f;
+  auto old = f.id("front21");
+  auto terms = f.m.slots;
+  f.must(Register{{Incarnation{99}, Role::front, "a", "front21", "", ""}});
+  auto now = f.id("front21");
+  REQUIRE(now != old);
+  size_t n = 0;
+  for (size_t i = 0; i < f.m.slots.size(); ++i) {
+    CHECK(f.m.slots[i].owner != old);
+    if (terms[i].owner != old) {
+      CHECK(f.m.slots[i] == terms[i]);
+      continue;
+    }
+    ++n;
+    CHECK(f.m.slots[i].owner == now);
+    CHECK(f.m.slots[i].term == f.m.epoch);
+  }
+  CHECK(n > 0);
+  f.must(PrepareJoin{now});
+  CHECK(f.m.sequences.at(now).moves.size() <= 1);
+}
+
 TEST_CASE("each change raises the epoch by one, and only the strictly next epoch is taken") {
   Fleet f;
   auto e = f.m.epoch;
