--- a/src/attendant/main.cpp
+++ b/src/attendant/main.cpp
@@ -20,8 +20,8 @@
   return 2;
 }
 
-std::optional<WebAnswer> ask(const std::vector<std::string>& markers, const WebAsk& a, const std::string& path) {
-  for (auto& m : markers) {
+std::optional<WebAnswer> ask(const std::vector<std::string>& controllers, const WebAsk& a, const std::string& path) {
+  for (auto& m : controllers) {
     auto x = a;
     x.url = "http://" + m + path;
     if (auto r = web(x); r.status && r.status != 503) return r;
@@ -40,10 +40,10 @@
 }  // namespace
 
 int main(int argc, const char** argv) {
-  char *markers = nullptr, *id = nullptr;
+  char *controllers = nullptr, *id = nullptr;
   int version = 0;
-  poptOption table[] = {{"markers", 'm', POPT_ARG_STRING, &markers, 0,
-                         "HTTP addresses of markers, tried in turn (default 127.0.0.1:8101)", "A,B,C"},
+  poptOption table[] = {{"controllers", 'm', POPT_ARG_STRING, &controllers, 0,
+                         "HTTP addresses of controllers, tried in turn (default 127.0.0.1:8101)", "A,B,C"},
                         {"id", 'i', POPT_ARG_STRING, &id, 0, "the id of a change whose outcome was unknown", "ID"},
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
@@ -56,7 +56,7 @@
   for (const char* w; (w = poptGetArg(c));) s += (s.empty() ? "" : " ") + std::string(w);
   if (s.empty()) return usage("a sentence is missing");
   std::vector<std::string> v;
-  std::stringstream l(markers ? markers : "127.0.0.1:8101");
+  std::stringstream l(controllers ? controllers : "127.0.0.1:8101");
   for (std::string x; std::getline(l, x, ',');) v.push_back(x);
   curl_global_init(CURL_GLOBAL_DEFAULT);
   WebAsk a;
@@ -69,14 +69,14 @@
     a.method = "PUT";
     a.body = t.str();
     auto r = ask(v, a, "/v1/manifest?revision=" + f->second);
-    if (!r) return puts("unknown: no marker gave an answer; ask again with the same --id or show the revision"), 3;
+    if (!r) return puts("unknown: no controller gave an answer; ask again with the same --id or show the revision"), 3;
     printf("%s: %s", r->status == 200 ? "yes" : "no", r->body.c_str());
     return r->status == 200 ? 0 : 1;
   }
   a.method = "POST";
   a.body = s;
   auto r = ask(v, a, "/v1/say");
-  if (!r) return puts("unknown: no marker gave an answer"), 3;
+  if (!r) return puts("unknown: no controller gave an answer"), 3;
   fputs(r->body.c_str(), stdout);
   return code_of(r->body);
 }
--- a/src/consensus/acceptor.cpp
+++ b/src/consensus/acceptor.cpp
@@ -14,7 +14,7 @@
   }
   auto& m = *led_.view();
   auto& me = out_.id().self;
-  return m.cluster == 0 ? me.role == Role::marker : m.member(me.inc) || m.heir(me);
+  return m.cluster == 0 ? me.role == Role::controller : m.member(me.inc) || m.heir(me);
 }
 
 void Acceptor::on(const Envelope& e, const Prepare& p) {
@@ -22,7 +22,7 @@
   bool yes = p.ballot >= promised_;
   if (p.ballot > promised_) {
     promised_ = p.ballot;
-    out_.write(codec::pack(MarkerRecord{PromiseRecord{p.epoch, p.ballot}}));
+    out_.write(codec::pack(ControllerRecord{PromiseRecord{p.epoch, p.ballot}}));
   }
   out_.send_synced(e.from, Promise{p.epoch, p.ballot, yes, promised_, accepted_}, e.from_inc);
 }
@@ -33,12 +33,12 @@
   if (yes) {
     promised_ = a.ballot;
     accepted_ = {a.ballot, a.entry};
-    out_.write(codec::pack(MarkerRecord{AcceptRecord{a.ballot, a.entry}}));
+    out_.write(codec::pack(ControllerRecord{AcceptRecord{a.ballot, a.entry}}));
   }
   out_.send_synced(e.from, Accepted{a.entry.epoch, a.ballot, yes, promised_}, e.from_inc);
 }
 
-void Acceptor::recover(const MarkerCheckpoint& c) {
+void Acceptor::recover(const ControllerCheckpoint& c) {
   promised_ = c.promised;
   accepted_ = c.accepted;
 }
@@ -50,7 +50,7 @@
   promised_ = r.ballot;
   accepted_ = {r.ballot, r.entry};
 }
-void Acceptor::save(MarkerCheckpoint& c) const {
+void Acceptor::save(ControllerCheckpoint& c) const {
   c.open = next(led_.epoch());
   c.promised = promised_;
   c.accepted = accepted_;
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -4,7 +4,7 @@
 
 namespace mosskeel {
 
-/// What a marker keeps on disk between checkpoints.
+/// What a controller keeps on disk between checkpoints.
 struct PromiseRecord {
   BOOST_HANA_DEFINE_STRUCT(PromiseRecord, (Epoch, epoch), (Ballot, ballot));
 };
@@ -17,10 +17,10 @@
 struct JumpRecord {
   BOOST_HANA_DEFINE_STRUCT(JumpRecord, (Metadata, metadata));
 };
-using MarkerRecord = std::variant<PromiseRecord, AcceptRecord, DecidedRecord, JumpRecord>;
+using ControllerRecord = std::variant<PromiseRecord, AcceptRecord, DecidedRecord, JumpRecord>;
 
-struct MarkerCheckpoint {
-  BOOST_HANA_DEFINE_STRUCT(MarkerCheckpoint, (Metadata, metadata), (Entries, recent), (Epoch, open), (Ballot, promised),
+struct ControllerCheckpoint {
+  BOOST_HANA_DEFINE_STRUCT(ControllerCheckpoint, (Metadata, metadata), (Entries, recent), (Epoch, open), (Ballot, promised),
                            (std::optional<Accept_>, accepted));
 };
 
@@ -33,10 +33,10 @@
   bool open() const { return accepted_.has_value(); }
   Ballot promised() const { return promised_; }
   void moved_on() { promised_ = {}, accepted_.reset(); }
-  void recover(const MarkerCheckpoint& c);
+  void recover(const ControllerCheckpoint& c);
   void recover(const PromiseRecord& r);
   void recover(const AcceptRecord& r);
-  void save(MarkerCheckpoint& c) const;
+  void save(ControllerCheckpoint& c) const;
 
  private:
   bool current(const Envelope& e, Epoch epoch);
--- a/src/consensus/marker_machine.cpp
+++ b/src/consensus/controller_machine.cpp
@@ -1,10 +1,10 @@
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 
 #include <algorithm>
 
 namespace mosskeel {
 
-MarkerMachine::MarkerMachine(const Identity& id, const Recovered& r, Millis now)
+ControllerMachine::ControllerMachine(const Identity& id, const Recovered& r, Millis now)
     : out_(id),
       acc_(out_, led_),
       hear_(now),
@@ -13,12 +13,12 @@
       prop_(out_, led_, acc_, [this](const Entry& e) { enact(e); }),
       born_(now) {
   if (r.checkpoint)
-    if (auto c = codec::unpack<MarkerCheckpoint>(*r.checkpoint)) {
+    if (auto c = codec::unpack<ControllerCheckpoint>(*r.checkpoint)) {
       led_.jump(c->metadata);
       acc_.recover(*c);
     }
   for (auto& s : r.journal) {
-    auto x = codec::unpack<MarkerRecord>(s);
+    auto x = codec::unpack<ControllerRecord>(s);
     if (!x) continue;
     std::visit(
         overload{[&](const PromiseRecord& p) { acc_.recover(p); }, [&](const AcceptRecord& a) { acc_.recover(a); },
@@ -35,14 +35,14 @@
   prop_.lacking = [this](Epoch at, Millis t) { return lacking(at, t); };
 }
 
-std::string MarkerMachine::checkpoint() const {
-  MarkerCheckpoint c{};
+std::string ControllerMachine::checkpoint() const {
+  ControllerCheckpoint c{};
   c.metadata = *led_.view();
   acc_.save(c);
   return codec::pack(c);
 }
 
-Actions MarkerMachine::done() {
+Actions ControllerMachine::done() {
   for (auto& s : out_.act.journal) grown_ += s.size();
   if (grown_ > limits::checkpoint_bytes) {
     out_.act.checkpoint = checkpoint();
@@ -51,10 +51,10 @@
   return out_.take();
 }
 
-void MarkerMachine::enact(const Entry& e) {
+void ControllerMachine::enact(const Entry& e) {
   for (auto& x : led_.add(e)) {
     acc_.moved_on();
-    out_.write(codec::pack(MarkerRecord{DecidedRecord{x}}));
+    out_.write(codec::pack(ControllerRecord{DecidedRecord{x}}));
     out_.cluster = led_.view()->cluster;
     out_.epoch = led_.epoch();
     out_.note(x.epoch.v == 1 ? Event::founded : Event::decided, std::to_string(x.epoch.v) + ": " + describe(x.change));
@@ -64,22 +64,22 @@
   }
 }
 
-void MarkerMachine::learn(const Entries& v, const std::optional<Metadata>& c) {
+void ControllerMachine::learn(const Entries& v, const std::optional<Metadata>& c) {
   if (c && led_.jump(*c)) {
     acc_.moved_on();
-    out_.write(codec::pack(MarkerRecord{JumpRecord{*c}}));
+    out_.write(codec::pack(ControllerRecord{JumpRecord{*c}}));
     out_.note(Event::caught_up, "checkpoint at " + std::to_string(c->epoch.v));
   }
   for (auto& e : v)
     for (auto& x : led_.add(e)) {
       acc_.moved_on();
-      out_.write(codec::pack(MarkerRecord{DecidedRecord{x}}));
+      out_.write(codec::pack(ControllerRecord{DecidedRecord{x}}));
     }
   out_.cluster = led_.view()->cluster;
   out_.epoch = led_.epoch();
 }
 
-bool MarkerMachine::known_sender(const Envelope& e) const {
+bool ControllerMachine::known_sender(const Envelope& e) const {
   if (e.to_inc.v && e.to_inc != out_.id().self.inc) return false;
   if (e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster || succeeds(*led_.view(), e.cluster))
     return true;
@@ -90,12 +90,12 @@
                  std::holds_alternative<Discover>(e.body));
 }
 
-HeartbeatReply MarkerMachine::reply_to(const Heartbeat& h) const {
+HeartbeatReply ControllerMachine::reply_to(const Heartbeat& h) const {
   auto [c, v] = led_.little_since(h.known);
   return {led_.epoch(), c, v, 0, led_.view()->cluster != 0, h.sent};
 }
 
-Actions MarkerMachine::step(const Envelope& e, Millis now) {
+Actions ControllerMachine::step(const Envelope& e, Millis now) {
   if (!known_sender(e)) {
     auto& f = led_.view()->former;
     if (std::count(f.begin(), f.end(), e.cluster))
@@ -114,13 +114,13 @@
   return done();
 }
 
-void MarkerMachine::moved(Epoch before, Millis now) {
+void ControllerMachine::moved(Epoch before, Millis now) {
   if (led_.epoch() == before) return;
   prop_.tick(now);
   beat(now);
 }
 
-void MarkerMachine::handle(const Envelope& e, Millis now) {
+void ControllerMachine::handle(const Envelope& e, Millis now) {
   auto& self = out_.id().self;
   if (e.epoch > led_.epoch() && e.cluster == out_.cluster && out_.cluster && !std::holds_alternative<Decided>(e.body) &&
       !std::holds_alternative<CatchupReply>(e.body) && !std::holds_alternative<HeartbeatReply>(e.body) &&
@@ -132,7 +132,7 @@
                           for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
                         else
                           for (auto& [i, f] : fellows_) r.candidates.push_back(f.first);
-                        if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+                        if (d.self.role == Role::controller && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
                         out_.send(e.from, r);
                       },
                       [&](const DiscoverReply& d) {
@@ -140,14 +140,14 @@
                           if (d.cluster != out_.cluster && succeeds(*led_.view(), d.cluster) && !outdated_) {
                             outdated_ = true;
                             out_.note(Event::lost_identity,
-                                      "the core was founded anew without this marker; empty its folder");
+                                      "the core was founded anew without this controller; empty its folder");
                           }
-                          if (d.self.role == Role::marker && d.self.inc != self.inc)
+                          if (d.self.role == Role::controller && d.self.inc != self.inc)
                             fellows_[d.self.inc] = {d.self, now};
                           return;
                         }
                         if (d.cluster) return out_.send(e.from, Catchup{led_.epoch()});
-                        if (d.self.role == Role::marker && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+                        if (d.self.role == Role::controller && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
                         for (auto& c : d.candidates)
                           if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
                       },
@@ -177,7 +177,7 @@
                         if (outdated_)
                           return out_.send(e.from, CommitReply{c.id,
                                                                Outcome::unknown,
-                                                               "this marker belongs to an earlier generation",
+                                                               "this controller belongs to an earlier generation",
                                                                led_.epoch(),
                                                                std::nullopt,
                                                                {}});
@@ -198,7 +198,7 @@
              e.body);
 }
 
-void MarkerMachine::beat(Millis now) {
+void ControllerMachine::beat(Millis now) {
   next_beat_ = now + limits::heartbeat;
   beaten_ = led_.epoch();
   auto& self = out_.id().self;
@@ -215,7 +215,7 @@
   }
 }
 
-Actions MarkerMachine::tick(Millis now) {
+Actions ControllerMachine::tick(Millis now) {
   auto before = led_.epoch();
   if (!out_.cluster && now >= next_discover_) discover(now);
   if (out_.cluster && now >= next_beat_) beat(now);
--- a/src/consensus/marker_machine.hpp
+++ b/src/consensus/controller_machine.hpp
@@ -1,14 +1,14 @@
 #pragma once
-// A marker: acceptor, proposer, founder, observer and, with the lease, supervisor.
+// A controller: acceptor, proposer, founder, observer and, with the lease, supervisor.
 #include "consensus/proposer.hpp"
 #include "consensus/supervisor.hpp"
 
 namespace mosskeel {
 
-class MarkerMachine : public Machine {
+class ControllerMachine : public Machine {
  public:
   /// Throws nothing; damaged records were already refused by the disk layer.
-  MarkerMachine(const Identity& id, const Recovered& r, Millis now);
+  ControllerMachine(const Identity& id, const Recovered& r, Millis now);
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
@@ -16,7 +16,7 @@
   const Hearing& hearing() const { return hear_; }
   const Candidate& self() const { return out_.id().self; }
   bool on_duty(Millis now) const { return duty_.held(now); }
-  /// The core was founded anew without this marker: it has no say any more, its folder must be emptied.
+  /// The core was founded anew without this controller: it has no say any more, its folder must be emptied.
   bool outdated() const { return outdated_; }
   /// What still hinders that an epoch is in force; empty if nothing.
   std::string lacking(Epoch at, Millis now) const;
--- a/src/consensus/discovery.cpp
+++ b/src/consensus/discovery.cpp
@@ -1,11 +1,11 @@
-// How markers without a log find each other and propose a founding.
+// How controllers without a log find each other and propose a founding.
 #include <algorithm>
 
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 
 namespace mosskeel {
 
-void MarkerMachine::discover(Millis now) {
+void ControllerMachine::discover(Millis now) {
   next_discover_ = now + limits::discover;
   std::erase_if(fellows_, [&](auto& f) { return now - f.second.second > limits::discover * 8; });
   auto& self = out_.id().self;
@@ -22,7 +22,7 @@
   std::sort(v.begin(), v.end(), [](auto& a, auto& b) { return a.inc < b.inc; });
   if (v.size() > core) v.resize(core);
   if (!prop_.idle() || now - evidence_ <= limits::evidence) return;
-  out_.note(Event::founding, std::to_string(v.size()) + " of " + std::to_string(core) + " markers");
+  out_.note(Event::founding, std::to_string(v.size()) + " of " + std::to_string(core) + " controllers");
   prop_.found({digest(hex(self.inc.v)), static_cast<uint32_t>(core), v}, v, now);
 }
 
--- a/src/consensus/hearing.hpp
+++ b/src/consensus/hearing.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Who was heard when, and what they knew: the observations of one marker.
+// Who was heard when, and what they knew: the observations of one controller.
 #include "follow/ledger.hpp"
 
 namespace mosskeel {
--- a/src/consensus/in_force.cpp
+++ b/src/consensus/in_force.cpp
@@ -1,13 +1,13 @@
-// When a marker may acknowledge an epoch.
+// When a controller may acknowledge an epoch.
 #include <algorithm>
 
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 
 namespace mosskeel {
 
 /// An epoch is in force when a majority of the core, a majority of all who count, and every disk in touch has it.
 /// A front in touch has asked one of these majorities within the last 2 s, so it has met one that knows the epoch.
-std::string MarkerMachine::lacking(Epoch at, Millis now) const {
+std::string ControllerMachine::lacking(Epoch at, Millis now) const {
   auto& m = *led_.view();
   auto knows = [&](const Daemon& d) {
     if (d.self.inc == out_.id().self.inc) return led_.epoch() >= at;
--- a/src/consensus/proposer.hpp
+++ b/src/consensus/proposer.hpp
@@ -6,7 +6,7 @@
 
 class Proposer {
  public:
-  /// Called for every entry that this marker comes to know as decided.
+  /// Called for every entry that this controller comes to know as decided.
   using Enact = std::function<void(const Entry&)>;
   Proposer(Outbox& out, Ledger& led, Acceptor& acc, Enact enact)
       : out_(out), led_(led), acc_(acc), enact_(std::move(enact)) {}
--- a/src/consensus/refounding.cpp
+++ b/src/consensus/refounding.cpp
@@ -1,18 +1,18 @@
-// What a marker does when a majority of the core is gone for good.
+// What a controller does when a majority of the core is gone for good.
 #include <algorithm>
 
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 
 namespace mosskeel {
 
-bool MarkerMachine::core_lives(Millis now) const {
+bool ControllerMachine::core_lives(Millis now) const {
   auto& m = *led_.view();
   auto n = std::count_if(m.members.begin(), m.members.end(),
                          [&](auto id) { return hear_.silence(*m.find(id), now) < limits::core_loss; });
   return static_cast<size_t>(n) >= majority_of(m.members.size());
 }
 
-void MarkerMachine::survey(Millis now) {
+void ControllerMachine::survey(Millis now) {
   next_survey_ = now + limits::discover;
   auto& m = *led_.view();
   auto& self = out_.id().self;
@@ -54,7 +54,7 @@
   if (now - survey_since_ >= limits::survey && !prop_.refounding()) refound(lost, now);
 }
 
-void MarkerMachine::refound(const std::vector<DaemonId>& lost, Millis now) {
+void ControllerMachine::refound(const std::vector<DaemonId>& lost, Millis now) {
   auto& m = *led_.view();
   Refound r{m.generation, lost, {}};
   std::map<Incarnation, Address> survivors;
@@ -73,12 +73,12 @@
   prop_.refound(r, survivors, now);
 }
 
-void MarkerMachine::on(const Envelope& e, const Rebuild& r, Millis now) {
+void ControllerMachine::on(const Envelope& e, const Rebuild& r, Millis now) {
   auto say = [&](Outcome o, const std::string& why) {
     out_.send(e.from, CommitReply{r.id, o, why, led_.epoch(), std::nullopt, {}});
   };
   auto& m = *led_.view();
-  if (!m.cluster) return say(Outcome::no, "this marker holds no log");
+  if (!m.cluster) return say(Outcome::no, "this controller holds no log");
   if (core_lives(now)) return say(Outcome::no, "a majority of the core lives; use replace core");
   for (auto id : r.lost) {
     if (std::find(m.members.begin(), m.members.end(), id) == m.members.end())
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -44,7 +44,7 @@
   auto& m = *led_.view();
   const Daemon* spare = nullptr;
   for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::marker && d.state == DaemonState::up && !m.member(d.self.inc) && heard(d, now)) spare = &d;
+    if (d.self.role == Role::controller && d.state == DaemonState::up && !m.member(d.self.inc) && heard(d, now)) spare = &d;
   if (!spare) return std::nullopt;
   if (m.members.size() < m.core_size) return AdmitCore{spare->id};
   for (auto id : m.members)
@@ -104,7 +104,7 @@
   std::erase_if(barrier_, [&](auto& b) { return !m.sequences.count(b.first); });
   if (!m.sequences.empty()) return std::nullopt;
   for (auto& [id, d] : m.directory) {
-    if (d.self.role == Role::marker || d.state != DaemonState::registered || !heard(d, now)) continue;
+    if (d.self.role == Role::controller || d.state != DaemonState::registered || !heard(d, now)) continue;
     if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
     return PrepareJoin{id};
   }
@@ -153,7 +153,7 @@
   bool alone = !m.quorate([&](const Daemon& d) { return hear_.silence(d, now) < limits::silence; });
   auto limit = alone ? limits::silence_many : limits::silence;
   for (auto& [id, d] : m.directory) {
-    if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::marker)) continue;
+    if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::controller)) continue;
     if (d.state != DaemonState::down && silent(d, now, limit)) {
       out_.note(Event::node_silent, std::string(name(d.self.role)) + " daemon " + std::to_string(id.v));
       return MarkDown{id};
--- a/src/marker/commits.cpp
+++ b/src/controller/commits.cpp
@@ -2,7 +2,7 @@
 #include <thread>
 
 #include "kernel/daemon.hpp"
-#include "marker/desk.hpp"
+#include "controller/desk.hpp"
 
 namespace mosskeel {
 
@@ -14,7 +14,7 @@
   if (!d || d->self.role != Role::recorder) return "";
   std::string s;
   host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<MarkerMachine&>(m).hearing();
+    auto& h = static_cast<ControllerMachine&>(m).hearing();
     for (auto& [id, x] : v->directory) {
       if (x.self.role != Role::recorder || x.state != DaemonState::up) continue;
       auto* o = h.of(x.self.inc);
@@ -85,7 +85,7 @@
 Verdict Desk::settled(Epoch at, Millis until) {
   std::string why = "the machine has stopped";
   while (!host_.stopped()) {
-    host_.ask([&](Machine& m, Millis now) { why = static_cast<MarkerMachine&>(m).lacking(at, now); });
+    host_.ask([&](Machine& m, Millis now) { why = static_cast<ControllerMachine&>(m).lacking(at, now); });
     if (why.empty()) return {Verdict::Kind::done, ""};
     if (process_now() + limits::order_poll >= until) break;
     std::this_thread::sleep_for(std::chrono::milliseconds(limits::order_poll));
--- a/src/marker/desk.cpp
+++ b/src/controller/desk.cpp
@@ -1,4 +1,4 @@
-#include "marker/desk.hpp"
+#include "controller/desk.hpp"
 
 #include "kernel/daemon.hpp"
 #include "manifest/json.hpp"
@@ -53,7 +53,7 @@
 std::vector<Entry> Desk::recent() {
   std::vector<Entry> v;
   host_.ask([&](Machine& m, Millis) {
-    auto& q = static_cast<MarkerMachine&>(m).recent();
+    auto& q = static_cast<ControllerMachine&>(m).recent();
     v.assign(q.begin(), q.end());
   });
   return v;
@@ -137,7 +137,7 @@
   Json j = Json::array();
   auto v = host_.view();
   host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<MarkerMachine&>(m).hearing();
+    auto& h = static_cast<ControllerMachine&>(m).hearing();
     for (auto& [id, d] : v->directory) {
       if (d.self.role != Role::front || d.state == DaemonState::left) continue;
       auto* x = h.of(d.self.inc);
@@ -156,12 +156,12 @@
 
 HttpAnswer Desk::metrics() {
   double duty = 0;
-  host_.ask([&](Machine& m, Millis now) { duty = static_cast<MarkerMachine&>(m).on_duty(now); });
+  host_.ask([&](Machine& m, Millis now) { duty = static_cast<ControllerMachine&>(m).on_duty(now); });
   auto v = host_.view();
   std::map<std::string, double> more{{"duty_held", duty},
                                      {"sequences", static_cast<double>(v->sequences.size())},
                                      {"daemons", static_cast<double>(v->directory.size())}};
-  return plain(metrics_of(host_, "marker", more));
+  return plain(metrics_of(host_, "controller", more));
 }
 
 HttpAnswer Desk::answer(const HttpAsk& a) {
@@ -171,10 +171,10 @@
   }
   auto v = host_.view();
   bool old = false;
-  host_.ask([&](Machine& m, Millis) { old = static_cast<MarkerMachine&>(m).outdated(); });
+  host_.ask([&](Machine& m, Millis) { old = static_cast<ControllerMachine&>(m).outdated(); });
   if (old)
     return HttpAnswer::error(503, "earlier_generation",
-                             "the core was founded anew without this marker; empty its folder");
+                             "the core was founded anew without this controller; empty its folder");
   if (a.path == "/v1/say" && a.method == "POST") return say(a);
   if (a.path == "/v1/manifest" && a.method == "GET")
     return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"manifest", json::write(v->manifest)}});
--- a/src/marker/desk.hpp
+++ b/src/controller/desk.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // The operators' and the platform's HTTP; the one place to change its shape.
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 #include "kernel/host.hpp"
 #include "operator/control.hpp"
 #include "operator/language.hpp"
--- a/src/marker/lister.cpp
+++ b/src/controller/lister.cpp
@@ -1,4 +1,4 @@
-#include "marker/lister.hpp"
+#include "controller/lister.hpp"
 
 #include <curl/curl.h>
 
@@ -41,7 +41,7 @@
 
 void Lister::beat() {
   bool mine = false;
-  host_.ask([&](Machine& m, Millis now) { mine = static_cast<MarkerMachine&>(m).on_duty(now); });
+  host_.ask([&](Machine& m, Millis now) { mine = static_cast<ControllerMachine&>(m).on_duty(now); });
   if (!mine) return listing_.forget();
   failed_.clear();
   auto v = read();
--- a/src/marker/lister.hpp
+++ b/src/controller/lister.hpp
@@ -1,8 +1,8 @@
 #pragma once
-// Reads the list of replicas while this marker holds the supervisor's duty, and brings the log up to it.
+// Reads the list of replicas while this controller holds the supervisor's duty, and brings the log up to it.
 #include <thread>
 
-#include "marker/desk.hpp"
+#include "controller/desk.hpp"
 #include "metadata/listing.hpp"
 
 namespace mosskeel {
--- a/src/marker/main.cpp
+++ b/src/controller/main.cpp
@@ -1,23 +1,23 @@
 #include <curl/curl.h>
 
 #include "kernel/daemon.hpp"
-#include "marker/lister.hpp"
+#include "controller/lister.hpp"
 
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
   auto r = read_props(argc, argv,
-                      {"marker", "A core daemon: keeps the metadata log, answers operators and platform.", true, true,
+                      {"controller", "A core daemon: keeps the metadata log, answers operators and platform.", true, true,
                        false, true, true, true, true});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Props>(r);
-  start_log("marker");
+  start_log("controller");
   hold_signals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
   auto d = open_disk(p.data);
   if (auto* rc = std::get_if<int>(&d)) return *rc;
   auto disk = std::get<0>(d);
-  Identity id{{disk->recovered().inc, Role::marker, p.zone, p.listen, "", p.http, p.machine},
+  Identity id{{disk->recovered().inc, Role::controller, p.zone, p.listen, "", p.http, p.machine},
               p.seeds,
               p.core_size,
               dice(),
@@ -28,16 +28,16 @@
   Host host(disk, p.listen);
   Sessions sessions;
   host.route("local", [&](const Envelope& e) { sessions.deliver(e); });
-  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<MarkerMachine>(id, r, now); });
+  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<ControllerMachine>(id, r, now); });
       !f.empty())
-    return cannot_start("marker", f);
+    return cannot_start("controller", f);
   auto* dialect = control_dialect(p.dialect);
   Desk desk(host, sessions, p.tcm_await_ms, p.tcm_rpc_ms, dialect);
   auto web = HttpServer::open(p.http, [&](const HttpAsk& a) { return desk.answer(a); });
-  if (!ok(web)) return cannot_start("marker", findings(web));
+  if (!ok(web)) return cannot_start("controller", findings(web));
   std::unique_ptr<Lister> lister;
   if (dialect && !p.list.empty()) lister = std::make_unique<Lister>(host, desk, *dialect, p.list);
-  auto rc = run_until_stopped(host, "marker", [] { return true; });
+  auto rc = run_until_stopped(host, "controller", [] { return true; });
   lister.reset();
   std::get<0>(web).reset();
   return rc;
--- a/src/marker/orders.cpp
+++ b/src/controller/orders.cpp
@@ -1,8 +1,8 @@
-// A platform's orders, each within the patience of an operator who turns to another marker.
+// A platform's orders, each within the patience of an operator who turns to another controller.
 #include <algorithm>
 
 #include "kernel/daemon.hpp"
-#include "marker/desk.hpp"
+#include "controller/desk.hpp"
 
 namespace mosskeel {
 namespace {
@@ -56,21 +56,21 @@
   return settled(latest()->epoch, deadline());
 }
 
-/// A member that hears no majority can do nothing; a marker that is no member yet names one.
+/// A member that hears no majority can do nothing; a controller that is no member yet names one.
 std::optional<Control::Absent> Desk::absent() {
   std::optional<Absent> x;
   host_.ask([&](Machine& machine, Millis now) {
-    auto& k = static_cast<MarkerMachine&>(machine);
+    auto& k = static_cast<ControllerMachine&>(machine);
     auto& m = *k.view();
     auto near = [&](const Daemon& d) { return k.hearing().silence(d, now) < limits::heartbeat * 4; };
-    if (k.outdated()) return void(x = {"", "the core was founded anew without this marker"});
+    if (k.outdated()) return void(x = {"", "the core was founded anew without this controller"});
     if (!m.cluster) return void(x = {"", "the cluster is not founded yet"});
     if (!m.member(k.self().inc)) {
       std::vector<Address> others;
       for (auto id : m.members)
         if (auto* d = m.find(id); d && d->state == DaemonState::up && !d->self.http.empty())
           others.push_back(d->self.http);
-      return void(x = {others.empty() ? "" : others[dice() % others.size()], "this marker is no core member yet"});
+      return void(x = {others.empty() ? "" : others[dice() % others.size()], "this controller is no core member yet"});
     }
     auto n =
         std::count_if(m.members.begin(), m.members.end(), [&](auto id) { return m.find(id) && near(*m.find(id)); });
@@ -135,7 +135,7 @@
     if (!d) return v ? Retirement::unknown : Retirement::serving;
   }
   std::string lacking;
-  host_.ask([&](Machine& m, Millis now) { lacking = static_cast<MarkerMachine&>(m).lacking(d->since, now); });
+  host_.ask([&](Machine& m, Millis now) { lacking = static_cast<ControllerMachine&>(m).lacking(d->since, now); });
   return emptied(*v, *d) && lacking.empty() ? Retirement::finished : Retirement::serving;
 }
 
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -170,7 +170,7 @@
   if (now < next_peers_ || now - core < limits::core_quiet || !steady()) return;
   next_peers_ = now + limits::heartbeat * 2;
   for (auto& [id, d] : m.directory)
-    if (d.self.role != Role::marker && d.state != DaemonState::left && d.state != DaemonState::down &&
+    if (d.self.role != Role::controller && d.state != DaemonState::left && d.state != DaemonState::down &&
         ear(d) != out_.id().self.addr)
       tell(ear(d), h);
 }
--- a/src/kernel/limits.hpp
+++ b/src/kernel/limits.hpp
@@ -6,7 +6,7 @@
 
 constexpr Millis process_start = 1000000000000;  // ms; a process's time begins here, so that 0 means never
 constexpr Millis tcm_await = 10000;              // ms; a daemon's whole patience for one commit (design)
-constexpr Millis tcm_rpc = 2000;                 // ms; a marker's patience inside one commit ask (design)
+constexpr Millis tcm_rpc = 2000;                 // ms; a controller's patience inside one commit ask (design)
 constexpr Millis tick = 20;                      // ms; how often a state machine sees its schedule
 constexpr Millis heartbeat = 300;                // ms; six fit into the 2 s for a manifest to be in force
 constexpr Millis discover = 200;                 // ms; between discovery rounds while not yet in touch
@@ -98,7 +98,7 @@
 constexpr Millis turn_retention = 60000;         // ms; budgets of programs on paths that keep no history last this long
 constexpr uint16_t protocol = 2;                // revision of the daemon protocol
 
-constexpr Millis operator_patience = 900;  // ms; an operator turns to another marker after a second of silence
+constexpr Millis operator_patience = 900;  // ms; an operator turns to another controller after a second of silence
 constexpr Millis operator_retry = 200;     // ms; when an operator without a clear answer may ask again
 constexpr Millis order_poll = 20;          // ms; between two looks whether an epoch is in force; one tick
 constexpr Millis list_beat = 500;          // ms; between readings of the replicas' list, whose rate is limited
@@ -106,7 +106,7 @@
 constexpr Millis list_cold_slack = 500;    // ms; a cold time that differs less from the expected is not news
 constexpr Millis list_lag = 1500;          // ms; so long may a list conceal that a restored zone's replica is cold
 constexpr size_t list_pages = 200;         // count; more pages than this are a list that goes round in circles
-constexpr uint16_t marker_port = 0;        // offset; seeds name machines only, so all markers share one port
+constexpr uint16_t controller_port = 0;        // offset; seeds name machines only, so all controllers share one port
 constexpr uint16_t switchboard_port = 1;   // offset; beside its lineman on one machine, so each has its own
 constexpr uint16_t lineman_port = 2;       // offset; as above
 constexpr uint16_t recorder_port = 3;      // offset; may share a machine with any of them
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -17,7 +17,7 @@
 struct Discover {
   BOOST_HANA_DEFINE_STRUCT(Discover, (Candidate, self));
 };
-/// Who is here: a founded daemon names the core, an unfounded marker its fellow candidates.
+/// Who is here: a founded daemon names the core, an unfounded controller its fellow candidates.
 struct DiscoverReply {
   BOOST_HANA_DEFINE_STRUCT(DiscoverReply, (Candidate, self), (uint64_t, cluster), (Epoch, epoch), (Addresses, core),
                            (Candidates, candidates));
@@ -69,7 +69,7 @@
   BOOST_HANA_DEFINE_STRUCT(HeartbeatReply, (Epoch, epoch), (std::optional<Metadata>, checkpoint), (Entries, entries),
                            (int64_t, touched_ms), (bool, confirmed), (int64_t, sent));
 };
-/// How long each daemon has been silent, as one marker hears it.
+/// How long each daemon has been silent, as one controller hears it.
 using Silences = std::map<DaemonId, int64_t>;
 struct DutyAsk {
   BOOST_HANA_DEFINE_STRUCT(DutyAsk, (uint64_t, number));
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -53,7 +53,7 @@
   if (program == "switchboard") return limits::switchboard_port;
   if (program == "lineman") return limits::lineman_port;
   if (program == "recorder") return limits::recorder_port;
-  return limits::marker_port;
+  return limits::controller_port;
 }
 
 std::optional<std::pair<std::string, uint16_t>> split_address(const std::string& a) {
@@ -103,11 +103,11 @@
       {"http", 'w', POPT_ARG_STRING, &http, 0, "address for HTTP", "IP:PORT"},
       {"agent", 'a', POPT_ARG_STRING, &agent, 0, "a switchboard's lineman, or a lineman's switchboard", "IP:PORT"},
       {"zone", 'z', POPT_ARG_STRING, &zone, 0, "the zone of this machine", "NAME"},
-      {"seeds", 'e', POPT_ARG_STRING, &seeds, 0, "three addresses of markers", "A,B,C"},
+      {"seeds", 'e', POPT_ARG_STRING, &seeds, 0, "three addresses of controllers", "A,B,C"},
       {"data", 'd', POPT_ARG_STRING, &data, 0, "the data folder", "DIR"},
-      {"core-size", 'c', POPT_ARG_INT, &core, 0, "how many markers make the core", "N"},
+      {"core-size", 'c', POPT_ARG_INT, &core, 0, "how many controllers make the core", "N"},
       {"tcm-await-ms", 0, POPT_ARG_LONG, &await, 0, "patience for a change as a whole (10000)", "MS"},
-      {"tcm-rpc-ms", 0, POPT_ARG_LONG, &rpc, 0, "patience of one marker for it (2000)", "MS"},
+      {"tcm-rpc-ms", 0, POPT_ARG_LONG, &rpc, 0, "patience of one controller for it (2000)", "MS"},
       {"check", 0, POPT_ARG_NONE, &check, 0, "check the settings, then exit", nullptr},
       {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -25,7 +25,7 @@
 
 R go(Metadata m, const AdmitCore& a) {
   auto* d = m.find(a.fresh);
-  if (!d || d->self.role != Role::marker) return no(who(a.fresh), "is not a registered marker");
+  if (!d || d->self.role != Role::controller) return no(who(a.fresh), "is not a registered controller");
   if (m.member(d->self.inc)) return no(who(a.fresh), "is a core member already");
   if (m.members.size() >= std::max(m.core_size, m.core_most))
     return no(who(a.fresh), "the core has its full number of members");
@@ -36,7 +36,7 @@
 
 R go(Metadata m, const ReplaceCore& r) {
   auto *o = m.find(r.old), *f = m.find(r.fresh);
-  if (!f || f->self.role != Role::marker || m.member(f->self.inc)) return no(who(r.fresh), "is not a spare marker");
+  if (!f || f->self.role != Role::controller || m.member(f->self.inc)) return no(who(r.fresh), "is not a spare controller");
   auto i = std::find(m.members.begin(), m.members.end(), r.old);
   if (i == m.members.end() || !o) return no(who(r.old), "is not a core member");
   if (o->state != DaemonState::down) return no(who(r.old), std::string("is a live member (") + name(o->state) + ")");
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -62,7 +62,7 @@
       unlock(m, id);
       inherit(m, id, fresh);
     }
-  m.directory[fresh] = {fresh, r.self, r.self.role == Role::marker ? DaemonState::up : DaemonState::registered,
+  m.directory[fresh] = {fresh, r.self, r.self.role == Role::controller ? DaemonState::up : DaemonState::registered,
                         m.epoch};
   return m;
 }
@@ -93,7 +93,7 @@
 
 R prepare(Metadata m, DaemonId node, SequenceKind k) {
   auto* d = m.find(node);
-  if (!d || d->self.role == Role::marker) return no(who(node), "is no front worker or store");
+  if (!d || d->self.role == Role::controller) return no(who(node), "is no front worker or store");
   if (m.sequences.count(node)) return no(who(node), "has a sequence in progress");
   if (d->state == DaemonState::left) return no(who(node), "has left");
   if (k == SequenceKind::join && (d->state == DaemonState::down || d->state == DaemonState::draining))
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -7,7 +7,7 @@
 namespace mosskeel {
 
 const char* name(Role r) {
-  static const char* const n[] = {"marker", "front", "recorder"};
+  static const char* const n[] = {"controller", "front", "recorder"};
   return n[static_cast<int>(r)];
 }
 const char* name(DaemonState s) {
@@ -87,7 +87,7 @@
 }
 
 bool Metadata::heir(const Candidate& c) const {
-  return c.role == Role::marker && std::any_of(members.begin(), members.end(), [&](auto id) {
+  return c.role == Role::controller && std::any_of(members.begin(), members.end(), [&](auto id) {
            auto* d = find(id);
            return d && d->self.addr == c.addr && d->self.inc != c.inc;
          });
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -6,7 +6,7 @@
 
 namespace mosskeel {
 
-enum class Role : uint8_t { marker, front, recorder };
+enum class Role : uint8_t { controller, front, recorder };
 enum class DaemonState : uint8_t { registered, up, draining, down, left };
 enum class Fitness : uint8_t { cold, ready, leaving };
 enum class SequenceKind : uint8_t { join, drain };
@@ -154,7 +154,7 @@
   /// Who has this address now: the last that came there.
   const Daemon* at(const Address& a) const;
   bool member(Incarnation inc) const;
-  /// An empty marker at the address of a member: it may help to found anew a core of which nobody is left.
+  /// An empty controller at the address of a member: it may help to found anew a core of which nobody is left.
   bool heir(const Candidate& c) const;
   /// Lets a daemon count in place of one that lost its address to it, and so provably runs no more.
   void succeed(DaemonId old, DaemonId fresh);
--- a/src/operator/control.hpp
+++ b/src/operator/control.hpp
@@ -16,7 +16,7 @@
 class Control {
  public:
   virtual ~Control() = default;
-  /// Why this marker takes no orders now, or nothing; `other` is where a marker that does may be asked.
+  /// Why this controller takes no orders now, or nothing; `other` is where a controller that does may be asked.
   struct Absent {
     Address other;
     std::string reason;
@@ -24,7 +24,7 @@
   virtual std::optional<Absent> absent() = 0;
   /// The metadata, confirmed by a majority of the core as the newest; nothing where none answered.
   virtual View newest() = 0;
-  /// Done once everything that this marker knows is in force.
+  /// Done once everything that this controller knows is in force.
   virtual Verdict settled() = 0;
   /// Applies a manifest under its own revision on top of `base`; a repeated `commit` is never applied twice.
   virtual Verdict apply(const std::string& commit, Revision base, Revision own, const Manifest& m) = 0;
--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -127,7 +127,7 @@
   auto m = codec::pack(SyncMark{SyncMark::word, Incarnation{1}, 2, 3});
   CHECK(m.size() == SyncMark::bytes);
   CHECK_FALSE(codec::unpack<RecorderRecord>(m));
-  CHECK_FALSE(codec::unpack<MarkerRecord>(m));
+  CHECK_FALSE(codec::unpack<ControllerRecord>(m));
   CHECK(mark_of(m, Incarnation{1}, 2)->synced == 3);
   CHECK_FALSE(mark_of(m, Incarnation{1}, 3));
 }
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -77,7 +77,7 @@
 
 TEST_CASE("a conversation is kept for its retention and has then ended") {
   Fleet f;
-  auto m = f.w.node("marker1").machine->view()->manifest;
+  auto m = f.w.node("controller1").machine->view()->manifest;
   m.cells[0].retention_ms = 5000;
   bool done = false;
   f.c.commit(ApplyManifest{Revision{1}, m}, [&](const CommitReply& r) { done = r.outcome == Outcome::yes; });
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -41,7 +41,7 @@
     for (auto s : {Step::start, Step::mid, Step::finish}) must(Advance{id(addr), s});
   }
   Fleet() {
-    must(Found{7, 3, {who(1, Role::marker, "a"), who(2, Role::marker, "b"), who(3, Role::marker, "c")}});
+    must(Found{7, 3, {who(1, Role::controller, "a"), who(2, Role::controller, "b"), who(3, Role::controller, "c")}});
     for (uint64_t n = 11; n <= 13; ++n)
       must(Register{who(n, Role::recorder, std::string(1, static_cast<char>('a' + n - 11)))});
     for (uint64_t n = 11; n <= 13; ++n) join("recorder" + std::to_string(n));
@@ -87,7 +87,7 @@
 TEST_CASE("who counts changes by two steps, and between them both sets must agree") {
   Fleet f;
   CHECK(f.m.quorum.size() == 3);
-  auto core = [](const Daemon& d) { return d.self.role == Role::marker; };
+  auto core = [](const Daemon& d) { return d.self.role == Role::controller; };
   auto most = [](const Daemon& d) { return d.self.role != Role::front; };
   CHECK(f.m.quorate(core));
   f.must(Recount{});
@@ -171,11 +171,11 @@
     Transformation t;
     const char* why;
   };
-  auto store = f.id("recorder11"), front = f.id("front21"), core = f.id("marker1");
+  auto store = f.id("recorder11"), front = f.id("front21"), core = f.id("controller1");
   const Row rows[] = {
       {PrepareDrain{store}, "would leave 2 of 3 copies"},
-      {ReplaceCore{core, front}, "is not a spare marker"},
-      {AdmitCore{front}, "is not a registered marker"},
+      {ReplaceCore{core, front}, "is not a spare controller"},
+      {AdmitCore{front}, "is not a registered controller"},
       {AdmitCore{core}, "is a core member already"},
       {PrepareDrain{core}, "is no front worker or store"},
       {MarkDown{DaemonId{99}}, "is unknown"},
@@ -202,11 +202,11 @@
   auto fresh = who(31, Role::recorder, "a");
   fresh.addr = "recorder11";
   CHECK(f.refused(Register{fresh}).find("not known to be down") != std::string::npos);
-  f.must(Register{who(4, Role::marker, "a")});
-  CHECK(f.refused(ReplaceCore{core, f.id("marker4")}).find("is a live member") != std::string::npos);
+  f.must(Register{who(4, Role::controller, "a")});
+  CHECK(f.refused(ReplaceCore{core, f.id("controller4")}).find("is a live member") != std::string::npos);
   f.must(MarkDown{core});
-  f.must(ReplaceCore{core, f.id("marker4")});
-  CHECK(f.m.members.front() == f.id("marker4"));
+  f.must(ReplaceCore{core, f.id("controller4")});
+  CHECK(f.m.members.front() == f.id("controller4"));
 }
 
 TEST_CASE("of two manifests on one revision only one is taken, with every finding") {
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -59,7 +59,7 @@
     REQUIRE(ok(r));
     return value(r);
   };
-  auto m = of("marker"), s = of("switchboard"), l = of("lineman"), r = of("recorder");
+  auto m = of("controller"), s = of("switchboard"), l = of("lineman"), r = of("recorder");
   CHECK(m.listen == "10.1.0.32:7380");
   CHECK(s.listen == "10.1.0.32:7381");
   CHECK(l.listen == "10.1.0.32:7382");
@@ -84,21 +84,21 @@
     CHECK(p.tolerated_zones == 1);
   }
   CHECK(r.data == "/data/my-storage");
-  CHECK(value(settings(with("FirstStart = true", "FirstStart = false"), "marker")).later_start);
-  CHECK(value(settings(with(",\"10.2.0.38:8144\",\"10.3.0.36:8144\"", ""), "marker")).core_size == 1);
+  CHECK(value(settings(with("FirstStart = true", "FirstStart = false"), "controller")).later_start);
+  CHECK(value(settings(with(",\"10.2.0.38:8144\",\"10.3.0.36:8144\"", ""), "controller")).core_size == 1);
 }
 
 TEST_CASE("wrong settings of the platform are findings with their place") {
   using platform::settings;
-  CHECK(places(settings("Ip = \"10.1.0.3", "marker")) == "line 1");
-  CHECK(places(settings(with("Zone = \"hafnarfj-a\"", ""), "marker")) == "Zone");
-  CHECK(places(settings(with("Zone = \"hafnarfj-a\"", "Zone = 7"), "marker")) == "Zone (line 5)");
-  CHECK(places(settings(with("FirstStart = true", "FirstStart = 1"), "marker")) == "FirstStart (line 8)");
-  CHECK(places(settings(with("[7380,7395]", "[7380]"), "marker")) == "InternalPorts");
+  CHECK(places(settings("Ip = \"10.1.0.3", "controller")) == "line 1");
+  CHECK(places(settings(with("Zone = \"hafnarfj-a\"", ""), "controller")) == "Zone");
+  CHECK(places(settings(with("Zone = \"hafnarfj-a\"", "Zone = 7"), "controller")) == "Zone (line 5)");
+  CHECK(places(settings(with("FirstStart = true", "FirstStart = 1"), "controller")) == "FirstStart (line 8)");
+  CHECK(places(settings(with("[7380,7395]", "[7380]"), "controller")) == "InternalPorts");
   CHECK(places(settings(with("[7380,7395]", "[7380,7382]"), "recorder")) == "InternalPorts");
-  CHECK(places(settings(with("10.2.0.38:8144", "somewhere"), "marker")) == "SeedNodes[1] (line 7)");
-  CHECK(places(settings(with("Machines = 2", "Machines = -1"), "marker")) == "ToleratedLosses.Machines");
-  CHECK(places(settings(with("ControlPlane = \"10.1.0.33:8144\"", ""), "marker")) == "ListenAddrs.ControlPlane");
+  CHECK(places(settings(with("10.2.0.38:8144", "somewhere"), "controller")) == "SeedNodes[1] (line 7)");
+  CHECK(places(settings(with("Machines = 2", "Machines = -1"), "controller")) == "ToleratedLosses.Machines");
+  CHECK(places(settings(with("ControlPlane = \"10.1.0.33:8144\"", ""), "controller")) == "ListenAddrs.ControlPlane");
   CHECK(places(settings("", "switchboard")) ==
         "FirstStart,InternalPorts,Ip,ListenAddrs.FrontHttp,ListenAddrs.Readiness,NodeName,SeedNodes,Zone");
 }
@@ -116,9 +116,9 @@
   const char* flags[] = {"recorder", "--zone", "b", nullptr};
   CHECK(std::get<int>(read_props(3, flags, recorder)) == 2);
   std::ofstream(path) << with("SeedNodes = [\"10.1.0.33:8144\",", "SeedNodes = [");
-  const Needs marker{"marker", "", true, true, false, true, true, true, true};
-  const char* core[] = {"marker", nullptr};
-  auto even = read_props(1, core, marker);
+  const Needs controller{"controller", "", true, true, false, true, true, true, true};
+  const char* core[] = {"controller", nullptr};
+  auto even = read_props(1, core, controller);
   REQUIRE(std::holds_alternative<Props>(even));
   CHECK(std::get<Props>(even).core_size == 2);
   std::filesystem::remove(path);
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -1,4 +1,4 @@
-# Starts a small fleet on free ports; sets CONTROL, MARKERS and DIR. Awaits conditions, never sleeps blindly.
+# Starts a small fleet on free ports; sets CONTROL, CONTROLLERS and DIR. Awaits conditions, never sleeps blindly.
 set -eu
 BIN=$1
 DIR=$(mktemp -d)
@@ -16,9 +16,9 @@
 await 90 grep -q "fronts ready" "$DIR/out"
 grep -q "2 of 2 fronts ready" "$DIR/out" || { cat "$DIR/out"; exit 1; }
 CONTROL=$(sed 's/.*control //' "$DIR/out")
-MARKERS=$(sed 's/.*markers \([^;]*\);.*/\1/' "$DIR/out")
+CONTROLLERS=$(sed 's/.*controllers \([^;]*\);.*/\1/' "$DIR/out")
 harm() { curl -sf -X POST "http://$CONTROL/$1/$2" >/dev/null; }
-say() { "$BIN/attendant" -m "$MARKERS" "$@"; }
+say() { "$BIN/attendant" -m "$CONTROLLERS" "$@"; }
 http_of() { curl -sf "http://$CONTROL/fleet" | tr '{' '\n' | grep "\"name\":\"$1\"" | sed 's/.*"http":"\([^"]*\)".*/\1/'; }
 # expect STATUS PATTERN CURL-ARGS...: the status, and a pattern that the body must hold
 expect() {
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -26,7 +26,7 @@
 }
 pause() { read -r -t "$1" <> <(:) || true; }
 "$BIN/standin" --dir "$DIR" --settings
-for i in 1 2 3; do start "marker$i"; start "recorder$i"; start "lineman$i"; start "switchboard$i"; done
+for i in 1 2 3; do start "controller$i"; start "recorder$i"; start "lineman$i"; start "switchboard$i"; done
 "$BIN/standin" --dir "$DIR" --seconds "$SECONDS_OF_TRAFFIC" >"$DIR/out" 2>&1 & STANDIN=$!
 await 80 "traffic begins"
 pause 2
@@ -39,10 +39,10 @@
 pause 1
 again recorder2
 pause 2
-kill -KILL "${PID[marker3]}"
-wait "${PID[marker3]}" 2>/dev/null || true
+kill -KILL "${PID[controller3]}"
+wait "${PID[controller3]}" 2>/dev/null || true
 pause 1
-again marker3
+again controller3
 rc=0; wait "$STANDIN" || rc=$?
 STANDIN=
 cat "$DIR/out"
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -1,17 +1,17 @@
 #!/bin/bash
 # A small fleet of real processes serves, refuses, restarts from disk and keeps its word.
 . "$(dirname "$0")/common.sh"
-"$BIN/dialer" -m "$MARKERS" -r 5 -t 4 --runs "$DIR/fleet"
+"$BIN/dialer" -m "$CONTROLLERS" -r 5 -t 4 --runs "$DIR/fleet"
 say show fleet | grep -q '^yes'
 say create cell lab budget 100 turn 10 retention 60000 | grep -q '^yes epoch'
 rc=0; say create cell lab budget 100 turn 10 retention 60000 || rc=$?; [ $rc = 1 ]
 rc=0; say drain zoo a || rc=$?; [ $rc = 1 ]
 rc=0; "$BIN/attendant" || rc=$?; [ $rc = 2 ]
-rc=0; "$BIN/marker" --listen nowhere --core-size 4 2>"$DIR/bad" || rc=$?; [ $rc = 2 ]
+rc=0; "$BIN/controller" --listen nowhere --core-size 4 2>"$DIR/bad" || rc=$?; [ $rc = 2 ]
 [ "$(grep -c event=103 "$DIR/bad")" -ge 5 ]
 rc=0; say apply "$0" at 1 || rc=$?; [ $rc = 1 ]
 # bad input: each its own answer, naming field and reason
-F=$(http_of switchboard1); M=$(http_of marker1); T=http://$F/v1/cells/news/programs/bad/turns
+F=$(http_of switchboard1); M=$(http_of controller1); T=http://$F/v1/cells/news/programs/bad/turns
 expect 400 '"place":"body"' -d '{' "$T"
 expect 400 '"place":"input"' -d '{}' "$T"
 expect 400 '"place":"max_tokens"' -d '{"input":"x","max_tokens":-1}' "$T"
@@ -34,7 +34,7 @@
 expect 400 '"place":"url"' -X PUT -d '{"kind":"model","zone":"a"}' "http://$M/v1/replicas/x"
 expect 200 'position 6: expected' -d 'show flet' "http://$M/v1/say"
 # a damaged daemon message is dropped and counted (the 8 bytes before it are nng's own greeting, the next 8 a length)
-L=$(curl -sf "http://$CONTROL/fleet" | tr '{' '\n' | grep '"name":"marker1"' | sed 's/.*"listen":"\([^"]*\)".*/\1/')
+L=$(curl -sf "http://$CONTROL/fleet" | tr '{' '\n' | grep '"name":"controller1"' | sed 's/.*"listen":"\([^"]*\)".*/\1/')
 foreign() { curl -sf "http://$M/metrics" | grep messages_foreign | sed 's/.* //'; }
 BEFORE=$(foreign)
 exec 9<>"/dev/tcp/${L%:*}/${L#*:}"
@@ -42,10 +42,10 @@
 await 20 bash -c "[ \"\$(curl -sf http://$M/metrics | grep messages_foreign | sed 's/.* //')\" -gt $BEFORE ]"
 exec 9>&-
 # a change whose outcome cannot be known says so, and the same id gives it later
-harm freeze marker2; harm freeze marker3
+harm freeze controller2; harm freeze controller3
 rc=0; say -i op7 set cell lab turn 9 >"$DIR/unknown" || rc=$?
 [ $rc = 3 ] && grep -q '^unknown: retry with op7' "$DIR/unknown" || { echo "expected an unknown outcome, got $rc"; cat "$DIR/unknown"; exit 1; }
-harm wake marker2; harm wake marker3
+harm wake controller2; harm wake controller3
 await 60 say -i op7 set cell lab turn 9
 say show cell lab | grep -q '"turn_limit": 9'
 # faults of a replica reach the caller as what they are
@@ -57,14 +57,14 @@
   for r in model1 model2; do curl -sf -d '{}' "http://$(http_of $r)/control/fault" >/dev/null; done
 done
 # the whole core dies and comes back from its disks
-for m in marker1 marker2 marker3; do harm kill $m; done
-for m in marker1 marker2 marker3; do harm start $m; done
+for m in controller1 controller2 controller3; do harm kill $m; done
+for m in controller1 controller2 controller3; do harm start $m; done
 await 60 say show cell lab
 await 60 say set cell lab budget 200
 say show cell lab | grep -q '"budget": 200'
-"$BIN/dialer" -m "$MARKERS" -r 5 -t 3 --runs "$DIR/fleet"
+"$BIN/dialer" -m "$CONTROLLERS" -r 5 -t 3 --runs "$DIR/fleet"
 # a front is stopped in order: nothing is lost
-"$BIN/dialer" -m "$MARKERS" -r 8 -t 8 --runs "$DIR/fleet" >"$DIR/dial" &
+"$BIN/dialer" -m "$CONTROLLERS" -r 8 -t 8 --runs "$DIR/fleet" >"$DIR/dial" &
 LOAD=$!
 await 10 test -s "$DIR/fleet/runs-model1"
 harm stop switchboard1
--- a/tests/sim/callers.hpp
+++ b/tests/sim/callers.hpp
@@ -36,7 +36,7 @@
   bool introduce();
   /// Starts programs every `gap` ms until `end`.
   void traffic(Millis gap, Millis end);
-  /// Commits through a random living marker until there is a verdict or the time is out.
+  /// Commits through a random living controller until there is a verdict or the time is out.
   void commit(Transformation t, std::function<void(const CommitReply&)> then, std::string id = "",
               Millis patience = 10000);
   /// One turn on a program; `then` once it is done.
--- a/tests/sim/cores.cpp
+++ b/tests/sim/cores.cpp
@@ -10,7 +10,7 @@
   for (int i = 0; i < 5; ++i) {
     w.run(500 + w.below(1000));
     auto r = change(d, 10000);
-    auto all = w.names(Kind::marker);
+    auto all = w.names(Kind::controller);
     for (auto& s : all) w.power_off(s);
     if (w.chance(0.5)) w.power_off(d.any(Kind::recorder));
     if (i == 2) w.wipe(all[w.roll() % all.size()]);
@@ -29,7 +29,7 @@
   w.run(2000);
   auto r = change(d, 10000);
   if (!r) w.fail("the change was not acknowledged");
-  auto v = w.names(Kind::marker);
+  auto v = w.names(Kind::controller);
   auto stay = w.roll() % v.size();
   for (size_t i = 0; i < v.size(); ++i)
     if (i != stay) w.wipe(v[i]);
@@ -53,7 +53,7 @@
   d.c.traffic(150, w.now() + 25000);
   w.run(2000);
   auto r = change(d, 10000);
-  auto v = w.names(Kind::marker);
+  auto v = w.names(Kind::controller);
   auto stay = v[w.roll() % v.size()];
   auto ask = [&](std::vector<DaemonId> lost) {
     CommitReply got{};
@@ -94,14 +94,14 @@
     if (s != stay) w.wipe(s);
 }
 
-/// Right after an acknowledgement all disks but one are lost, those of markers and stores alike; the one that stays was
+/// Right after an acknowledgement all disks but one are lost, those of controllers and stores alike; the one that stays was
 /// in touch, and is enough. (Histories are not promised to survive this.)
 void survivor(Day& d) {
   auto& w = d.w;
   d.closed = true;
   d.c.traffic(150, w.now() + 4000);
   w.run(2000);
-  auto disks = w.names(Kind::marker);
+  auto disks = w.names(Kind::controller);
   for (auto& s : w.names(Kind::recorder)) disks.push_back(s);
   auto stay = disks[w.roll() % disks.size()];
   auto other = d.any(Kind::recorder);
@@ -120,7 +120,7 @@
     for (auto& s : w.names(k)) w.power_off(s);
   w.heal();
   w.run(200 + w.below(1000));
-  for (auto k : {Kind::recorder, Kind::marker, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::recorder, Kind::controller, Kind::lineman, Kind::switchboard})
     for (auto& s : w.names(k)) w.start(s), w.node(s).disk.slow = 0;
   auto back = [&] {
     auto v = latest(w);
@@ -139,8 +139,8 @@
   auto& w = d.w;
   d.c.traffic(100, w.now() + 25000);
   w.run(2000);
-  w.seeds = {"marker4", "marker5", "marker99"};
-  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman})
+  w.seeds = {"controller4", "controller5", "controller99"};
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman})
     for (auto& s : w.names(k)) {
       w.kill(s);
       w.run(200);
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -5,7 +5,7 @@
 void Day::close() {
   w.heal();
   w.net.loss = w.net.twice = 0;
-  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
     for (auto& s : w.names(k)) {
       w.wake(s);
       w.node(s).disk.slow = 0;
@@ -39,7 +39,7 @@
 
 View latest(World& w) {
   View v;
-  for (auto& s : w.names(Kind::marker))
+  for (auto& s : w.names(Kind::controller))
     if (w.node(s).machine && (!v || w.node(s).machine->view()->epoch > v->epoch)) v = w.node(s).machine->view();
   return v;
 }
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -20,7 +20,7 @@
 
 /// Serving must go on between two moments of a trouble.
 void must_serve(Day& d, Millis ms, const char* during);
-/// The newest value that any living marker holds.
+/// The newest value that any living controller holds.
 View latest(World& w);
 /// One acknowledged change of the manifest; its revision, or 0.
 uint64_t change(Day& d, Millis patience);
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -19,7 +19,7 @@
       return then(r);
     }
     std::vector<std::string> v;
-    for (auto& s : w_.names(Kind::marker))
+    for (auto& s : w_.names(Kind::controller))
       if (w_.alive(s) && w_.node(s).machine->view()->cluster) v.push_back(s);
     auto mine = std::make_shared<bool>(false);
     if (!v.empty()) {
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -74,7 +74,7 @@
   auto change = std::make_shared<std::function<void()>>();
   *change = [&d, &w, end, change] {
     if (w.now() >= end) return;
-    auto v = w.node("marker1").machine ? w.node("marker1").machine->view() : nullptr;
+    auto v = w.node("controller1").machine ? w.node("controller1").machine->view() : nullptr;
     if (v) {
       auto m = v->manifest;
       if (!m.cells.empty()) m.cells[0].retention_ms += 1;
@@ -87,7 +87,7 @@
   w.net.loss = 0.01;
   for (int i = 0; i < 5; ++i) {
     w.run(3000);
-    auto m = d.any(Kind::marker);
+    auto m = d.any(Kind::controller);
     w.power_off(m);
     w.at(w.now() + 1500, [&w, m] { w.start(m); });
   }
@@ -125,7 +125,7 @@
   w.run(3000);
   w.add("recorder9", Kind::recorder, "a");
   w.run(6000);
-  auto v = w.node("marker1").machine->view();
+  auto v = w.node("controller1").machine->view();
   auto* r2 = v->at("recorder2");
   d.c.commit(PrepareDrain{r2 ? r2->id : DaemonId{}}, [](const CommitReply&) {});
   w.run(8000);
@@ -141,17 +141,17 @@
   auto& w = d.w;
   d.c.traffic(100, w.now() + 25000);
   w.run(2000);
-  auto m = d.any(Kind::marker);
+  auto m = d.any(Kind::controller);
   w.wipe(m);
   w.run(1000);
-  w.add("marker9", Kind::marker, "b");
+  w.add("controller9", Kind::controller, "b");
   w.run(15000);
   std::string full;
-  for (auto& s : w.names(Kind::marker))
+  for (auto& s : w.names(Kind::controller))
     if (w.node(s).machine) full = s;
   auto v = w.node(full).machine->view();
   bool in = false;
-  for (auto id : v->members) in |= v->find(id)->self.addr == "marker9";
+  for (auto id : v->members) in |= v->find(id)->self.addr == "controller9";
   if (!in) w.fail("the empty machine was not brought into the core");
   w.start(m);
   w.run(5000);
@@ -182,7 +182,7 @@
 };
 
 const std::vector<Row>& rows() {
-  static const std::vector<Kind> all{Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard};
+  static const std::vector<Kind> all{Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard};
   static const std::vector<Row> v{
       {"quiet", {3, 3, 3, 4, 3}, 400, quiet},
       {"lossy", {3, 3, 3, 4, 3}, 400, lossy},
@@ -194,7 +194,7 @@
          havoc(d, {Kind::switchboard, Kind::lineman}, false);
        }},
       {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
-      {"markers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::marker}, true); }},
+      {"controllers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::controller}, true); }},
       {"havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, all, true); }},
       {"faults", {3, 3, 3, 6, 3}, 40, faults},
       {"storm", {3, 3, 3, 4, 3}, 400, storm},
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -8,7 +8,7 @@
 
 std::vector<std::string> of_zone(World& w, const std::string& z) {
   std::vector<std::string> v;
-  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) v.push_back(s);
   return v;
@@ -67,9 +67,9 @@
       break;
     }
     case 5: {  // an empty core machine at a new address takes a lost one's place
-      auto m = d.any(Kind::marker);
+      auto m = d.any(Kind::controller);
       w.wipe(m);
-      w.add("marker9", Kind::marker, w.node(m).id.self.zone);
+      w.add("controller9", Kind::controller, w.node(m).id.self.zone);
       w.run(14000);
       break;
     }
@@ -80,7 +80,7 @@
       w.run(8000);
       break;
     case 7:  // the seeds are swapped for other core machines
-      w.seeds = {w.names(Kind::marker).back(), "marker77", "marker78"};
+      w.seeds = {w.names(Kind::controller).back(), "controller77", "controller78"};
       for (auto& s : w.names(Kind::lineman)) w.kill(s), w.run(300), w.start(s), w.run(900);
       break;
     case 8:  // two operators race in a storm
@@ -105,9 +105,9 @@
     case 2:
       return w.power_off(d.any(Kind::recorder)), "a store lost";
     case 3:
-      return w.wipe(d.any(Kind::marker)), "a core machine lost";
+      return w.wipe(d.any(Kind::controller)), "a core machine lost";
     case 4: {
-      auto v = w.names(Kind::marker);
+      auto v = w.names(Kind::controller);
       for (size_t i = 0; i < majority_of(v.size()); ++i) w.freeze(v[i]);
       return "a core majority frozen";
     }
@@ -117,7 +117,7 @@
     default: {
       auto v = of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))));
       std::set<std::string> in(v.begin(), v.end());
-      for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+      for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
         for (auto& s : w.names(k))
           if (!in.count(s))
             for (auto& o : v) w.cut(o, s), w.cut(s, o);
@@ -200,7 +200,7 @@
     };
     if (!w.until(15000, good)) w.fail(std::string("the fleet is not calm after ") + what);
   };
-  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman})
     for (auto& s : w.names(k)) {
       w.stop(s);
       w.run(300 + w.below(400));
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -8,7 +8,7 @@
   d.c.traffic(100, w.now() + 40000);
   for (int i = 0; i < 4; ++i) {
     w.run(1500);
-    auto v = w.names(Kind::marker);
+    auto v = w.names(Kind::controller);
     auto k = 1 + w.roll() % 4;
     bool one_way = w.chance(0.4);
     for (size_t a = 0; a < k; ++a)
@@ -30,7 +30,7 @@
   w.run(2000);
   std::string z(1, static_cast<char>('a' + w.below(3)));
   std::vector<std::string> gone;
-  for (auto k : {Kind::marker, Kind::recorder, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) w.power_off(s), gone.push_back(s);
   for (auto& [n, r] : d.c.replicas)
@@ -46,15 +46,15 @@
   w.run(10000);
 }
 
-/// All markers are gone for a while; the fleet serves on the last view.
+/// All controllers are gone for a while; the fleet serves on the last view.
 void coreless(Day& d) {
   auto& w = d.w;
   d.c.traffic(100, w.now() + 25000);
   w.run(2000);
-  for (auto& s : w.names(Kind::marker)) w.power_off(s);
+  for (auto& s : w.names(Kind::controller)) w.power_off(s);
   w.run(4000);
   must_serve(d, 10000, "the loss of the whole core");
-  for (auto& s : w.names(Kind::marker)) w.start(s);
+  for (auto& s : w.names(Kind::controller)) w.start(s);
   w.run(5000);
   if (!change(d, 10000)) w.fail("the core did not come back");
 }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -5,10 +5,10 @@
 namespace mosskeel::sim {
 
 World::World(uint64_t seed, Size z) : dice_(seed) {
-  core_size = static_cast<uint32_t>(z.markers);
+  core_size = static_cast<uint32_t>(z.controllers);
   auto zone = [&](int i) { return std::string(1, static_cast<char>('a' + i % z.zones)); };
-  for (int i = 0; i < z.markers && i < 3; ++i) seeds.push_back("marker" + std::to_string(i + 1));
-  for (int i = 0; i < z.markers; ++i) add("marker" + std::to_string(i + 1), Kind::marker, zone(i));
+  for (int i = 0; i < z.controllers && i < 3; ++i) seeds.push_back("controller" + std::to_string(i + 1));
+  for (int i = 0; i < z.controllers; ++i) add("controller" + std::to_string(i + 1), Kind::controller, zone(i));
   for (int i = 0; i < z.stores; ++i) add("recorder" + std::to_string(i + 1), Kind::recorder, zone(i));
   for (int i = 0; i < z.fronts; ++i) {
     auto k = std::to_string(i + 1);
@@ -22,7 +22,7 @@
   n->name = name;
   n->kind = k;
   n->beside = beside;
-  auto role = k == Kind::marker ? Role::marker : k == Kind::recorder ? Role::recorder : Role::front;
+  auto role = k == Kind::controller ? Role::controller : k == Kind::recorder ? Role::recorder : Role::front;
   n->id = {{Incarnation{dice_()}, role, zone, name, beside, "http-" + name}, seeds, core_size, dice_()};
   by_addr_[name] = name;
   nodes_[name] = std::move(n);
@@ -65,8 +65,8 @@
   auto now = clock(n);
   Recovered r{n.id.self.inc, n.disk.checkpoint, n.disk.synced};
   switch (n.kind) {
-    case Kind::marker:
-      n.machine = std::make_unique<MarkerMachine>(n.id, r, now);
+    case Kind::controller:
+      n.machine = std::make_unique<ControllerMachine>(n.id, r, now);
       break;
     case Kind::recorder:
       n.machine = std::make_unique<RecorderMachine>(n.id, r, now);
@@ -179,10 +179,10 @@
   auto& n = node(name);
   if (n.life != life || !n.machine) return;
   if (!n.frozen) act(n, n.machine->tick(clock(n)));
-  if (!n.frozen && n.machine && n.kind == Kind::marker && static_cast<MarkerMachine&>(*n.machine).on_duty(clock(n)))
+  if (!n.frozen && n.machine && n.kind == Kind::controller && static_cast<ControllerMachine&>(*n.machine).on_duty(clock(n)))
     for (auto& [s, x] : nodes_)
-      if (s != name && x->machine && !x->frozen && x->kind == Kind::marker &&
-          static_cast<MarkerMachine&>(*x->machine).on_duty(clock(*x)))
+      if (s != name && x->machine && !x->frozen && x->kind == Kind::controller &&
+          static_cast<ControllerMachine&>(*x->machine).on_duty(clock(*x)))
         fail("two supervisors at once: " + name + " and " + s);
   at(now_ + limits::tick, [this, name, life] { tick(name, life); });
 }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -2,14 +2,14 @@
 // A seeded world of real machines on simulated clocks, disks and wires.
 #include <queue>
 
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 #include "errand/switchboard_machine.hpp"
 #include "follow/lineman_machine.hpp"
 #include "line/recorder_machine.hpp"
 
 namespace mosskeel::sim {
 
-enum class Kind { marker, recorder, lineman, switchboard };
+enum class Kind { controller, recorder, lineman, switchboard };
 
 struct SimDisk {
   std::optional<std::string> checkpoint;
@@ -51,7 +51,7 @@
 };
 
 struct Size {
-  int markers = 3, stores = 3, fronts = 3, models = 4, zones = 3, apps = 3;
+  int controllers = 3, stores = 3, fronts = 3, models = 4, zones = 3, apps = 3;
 };
 
 class World {
@@ -86,7 +86,7 @@
   void cut(const std::string& a, const std::string& b);
   void isolate(const std::string& name);
   void heal() { net.cuts.clear(); }
-  /// Puts a message from inside a front's or marker's own process before its machine.
+  /// Puts a message from inside a front's or controller's own process before its machine.
   void post(const std::string& name, Envelope e);
   /// Adds a machine under a new address.
   void add(const std::string& name, Kind k, const std::string& zone, const Address& beside = "");
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -16,7 +16,7 @@
     {"budget", {1, 2}},
     {"fronts", {1, 2, 6, 32}},
     {"recorders", {1, 2, 11}},
-    {"markers", {1, 2}},
+    {"controllers", {1, 2}},
     {"havoc", {1, 2, 3}},
     {"faults", {1, 2}},
     {"storm", {1, 2}},
--- a/tools/dialer/checks.cpp
+++ b/tools/dialer/checks.cpp
@@ -79,7 +79,7 @@
   return j.dump(2) + "\n";
 }
 
-Fronts::Fronts(const std::vector<Address>& m) : markers_(m) {
+Fronts::Fronts(const std::vector<Address>& m) : controllers_(m) {
   refresh();
   thread_ = std::thread([this] {
     while (!stop_) {
@@ -94,7 +94,7 @@
 }
 
 void Fronts::refresh() {
-  for (auto& m : markers_) {
+  for (auto& m : controllers_) {
     WebAsk a;
     a.url = "http://" + m + "/v1/fronts";
     a.horizon_ms = 1000;
--- a/tools/dialer/load.hpp
+++ b/tools/dialer/load.hpp
@@ -9,7 +9,7 @@
 namespace mosskeel::dialer {
 
 struct Plan {
-  std::vector<Address> markers;
+  std::vector<Address> controllers;
   std::string cell = "news", mix = "election", runs, report, control;
   std::vector<std::string> harm;
   uint64_t seed = 1;
@@ -50,13 +50,13 @@
 /// The front workers that the platform calls ready.
 class Fronts {
  public:
-  explicit Fronts(const std::vector<Address>& markers);
+  explicit Fronts(const std::vector<Address>& controllers);
   ~Fronts();
   Address any();
 
  private:
   void refresh();
-  std::vector<Address> markers_, ready_;
+  std::vector<Address> controllers_, ready_;
   std::mutex m_;
   std::atomic<bool> stop_{false};
   std::thread thread_;
@@ -80,7 +80,7 @@
 
 class Load {
  public:
-  explicit Load(const Plan& p) : plan_(p), fronts_(p.markers) {}
+  explicit Load(const Plan& p) : plan_(p), fronts_(p.controllers) {}
   /// Runs the whole plan; the exit code.
   int run();
 
--- a/tools/dialer/main.cpp
+++ b/tools/dialer/main.cpp
@@ -13,11 +13,11 @@
 
 int main(int argc, const char** argv) {
   dialer::Plan p;
-  char *markers = nullptr, *mix = nullptr, *runs = nullptr, *report = nullptr, *cell = nullptr, *harm = nullptr,
+  char *controllers = nullptr, *mix = nullptr, *runs = nullptr, *report = nullptr, *cell = nullptr, *harm = nullptr,
        *control = nullptr, *har = nullptr, *to = nullptr;
   int version = 0, all = 0;
   poptOption table[] = {
-      {"markers", 'm', POPT_ARG_STRING, &markers, 0, "HTTP addresses of markers", "A,B,C"},
+      {"controllers", 'm', POPT_ARG_STRING, &controllers, 0, "HTTP addresses of controllers", "A,B,C"},
       {"rate", 'r', POPT_ARG_DOUBLE, &p.rate, 0, "programs a second", "N"},
       {"seconds", 't', POPT_ARG_INT, &p.seconds, 0, "how long programs are begun", "S"},
       {"mix", 'x', POPT_ARG_STRING, &mix, 0, "election or builds", "NAME"},
@@ -42,11 +42,11 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     return dialer::replay_har(har, to, all);
   }
-  if (!markers) return fprintf(stderr, "dialer: markers: are missing\n"), 2;
+  if (!controllers) return fprintf(stderr, "dialer: controllers: are missing\n"), 2;
   if (p.rate <= 0 || p.rate > 1000 || p.seconds < 1)
     return fprintf(stderr, "dialer: rate, seconds: are out of range\n"), 2;
-  std::stringstream l(markers);
-  for (std::string x; std::getline(l, x, ',');) p.markers.push_back(x);
+  std::stringstream l(controllers);
+  for (std::string x; std::getline(l, x, ',');) p.controllers.push_back(x);
   if (harm) {
     std::stringstream h(harm);
     for (std::string x; std::getline(h, x, ',');) p.harm.push_back(x);
--- a/tools/rack/fleet.cpp
+++ b/tools/rack/fleet.cpp
@@ -42,17 +42,17 @@
 Fleet::Fleet(Plan p) : plan_(std::move(p)), next_(plan_.base) {
   std::string seeds;
   std::vector<std::pair<Address, Address>> core;
-  for (int i = 0; i < plan_.markers; ++i) {
+  for (int i = 0; i < plan_.controllers; ++i) {
     auto a = port(), b = port();
     core.push_back({a, b});
     if (i < 3) seeds += (i ? "," : "") + a;
   }
   auto n = [](int i) { return std::to_string(i + 1); };
-  for (int i = 0; i < plan_.markers; ++i) {
-    auto& x = add("marker" + n(i), "marker", i);
+  for (int i = 0; i < plan_.controllers; ++i) {
+    auto& x = add("controller" + n(i), "controller", i);
     x.listen = core[i].first, x.http = core[i].second;
     x.args = {"--listen", x.listen, "--http", x.http, "--zone",      x.zone,
-              "--seeds",  seeds,    "--data", x.data, "--core-size", std::to_string(plan_.markers)};
+              "--seeds",  seeds,    "--data", x.data, "--core-size", std::to_string(plan_.controllers)};
   }
   for (int i = 0; i < plan_.stores; ++i) {
     auto& x = add("recorder" + n(i), "recorder", i);
@@ -157,15 +157,15 @@
   return procs_;
 }
 
-std::vector<Address> Fleet::markers() {
+std::vector<Address> Fleet::controllers() {
   std::vector<Address> v;
   for (auto& p : list())
-    if (p.program == "marker") v.push_back(p.http);
+    if (p.program == "controller") v.push_back(p.http);
   return v;
 }
 
 Findings Fleet::introduce() {
-  auto all = markers();
+  auto all = controllers();
   auto put = [&](const std::string& path, const Json& j) -> Findings {
     auto until = process_now() + 60000;
     std::string why;
--- a/tools/rack/fleet.hpp
+++ b/tools/rack/fleet.hpp
@@ -9,7 +9,7 @@
 namespace mosskeel::rack {
 
 struct Plan {
-  int markers = 3, fronts = 6, stores = 3, models = 9, apps = 3, zones = 3;
+  int controllers = 3, fronts = 6, stores = 3, models = 9, apps = 3, zones = 3;
   std::string dir, bin, pace = "20";
   int base = 21000;
 };
@@ -34,7 +34,7 @@
   /// kill, freeze, wake, stop, start, wipe; the finding says why not.
   Findings act(const std::string& what, const std::string& name);
   std::vector<Proc> list();
-  std::vector<Address> markers();
+  std::vector<Address> controllers();
   /// Tells the platform side of the core about the replicas, and applies the first manifest.
   Findings introduce();
 
--- a/tools/rack/main.cpp
+++ b/tools/rack/main.cpp
@@ -66,7 +66,7 @@
                         {"dir", 'd', POPT_ARG_STRING, &dir, 0, "folder for data and logs; emptied first", "DIR"},
                         {"base", 'b', POPT_ARG_INT, &p.base, 0,
                          "first port; the control port is the one before; 0 finds free ones", "PORT"},
-                        {"markers", 0, POPT_ARG_INT, &p.markers, 0, "how many markers", "N"},
+                        {"controllers", 0, POPT_ARG_INT, &p.controllers, 0, "how many controllers", "N"},
                         {"stores", 0, POPT_ARG_INT, &p.stores, 0, "how many recorders", "N"},
                         {"fronts", 0, POPT_ARG_INT, &p.fronts, 0, "how many switchboards", "N"},
                         {"pace", 0, POPT_ARG_STRING, &pace, 0, "milliseconds between a model's pieces", "MS"},
@@ -77,7 +77,7 @@
     if (std::string(argv[i]) == "--fleet" || std::string(argv[i]) == "-f") {
       std::string n = argv[i + 1];
       if (n == "kjortala")
-        p.markers = 5, p.models = 18, p.apps = 8;
+        p.controllers = 5, p.models = 18, p.apps = 8;
       else if (n == "small")
         p.fronts = 2, p.models = 2, p.apps = 1;
       else if (n != "catania")
@@ -90,7 +90,7 @@
   if (!dir) return fprintf(stderr, "rack: dir: is missing\n"), 2;
   p.dir = dir;
   if (pace) p.pace = pace;
-  if (p.base == 0) p.base = rack::free_base(2 * p.markers + 2 * p.stores + 3 * p.fronts + p.models + p.apps);
+  if (p.base == 0) p.base = rack::free_base(2 * p.controllers + 2 * p.stores + 3 * p.fronts + p.models + p.apps);
   p.bin = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   if (!quiet) std::filesystem::remove_all(p.dir);
   start_log("rack");
@@ -106,8 +106,8 @@
       HttpServer::open("127.0.0.1:" + std::to_string(p.base - 1), [&](const HttpAsk& a) { return answer(f, a); });
   if (!ok(web)) return fprintf(stderr, "rack: %s\n", render(findings(web)).c_str()), 2;
   std::string m;
-  for (auto& a : f.markers()) m += (m.empty() ? "" : ",") + a;
-  printf("rack: %d of %d fronts ready after %lld ms; markers %s; control 127.0.0.1:%d\n", ready(f), p.fronts,
+  for (auto& a : f.controllers()) m += (m.empty() ? "" : ",") + a;
+  printf("rack: %d of %d fronts ready after %lld ms; controllers %s; control 127.0.0.1:%d\n", ready(f), p.fronts,
          static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
   fflush(stdout);
   while (!signalled(1000)) {}
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -1,7 +1,7 @@
 // What happens to a fleet: newcomers, restarts, a zone lost and back, a region cut off for a while.
 #include <algorithm>
 
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 #include "scale/experiments.hpp"
 #include "scale/field.hpp"
 
@@ -22,7 +22,7 @@
 };
 
 View core(Field& f) {
-  return f.of(Part::marker, 0).machine->view();
+  return f.of(Part::controller, 0).machine->view();
 }
 
 /// Everybody who runs is up, nothing is under way, and all fronts serve.
@@ -41,7 +41,7 @@
   r.counts["epochs"] = static_cast<double>(v->epoch.v - before.v);
   r.counts["seconds"] = static_cast<double>(f.now() - begun) / 1000;
   auto seconds = r.counts["seconds"];
-  for (auto p : {Part::marker, Part::recorder, Part::lineman}) {
+  for (auto p : {Part::controller, Part::recorder, Part::lineman}) {
     auto s = f.sum(p);
     auto n = static_cast<double>(f.all(p).size());
     Tally out, in;
@@ -58,8 +58,8 @@
   for (auto& x : f.failures) fprintf(stderr, "%s: %s\n", r.what.c_str(), x.c_str());
 }
 
-bool commit(Field& f, size_t marker, Transformation t, const std::string& id) {
-  auto v = f.stations()[marker].machine->view();
+bool commit(Field& f, size_t controller, Transformation t, const std::string& id) {
+  auto v = f.stations()[controller].machine->view();
   bool yes = false;
   f.local = [&](Station&, const Envelope& x) {
     if (auto* c = std::get_if<CommitReply>(&x.body); c && c->id == id) yes = yes || c->outcome == Outcome::yes;
@@ -69,7 +69,7 @@
   e.cluster = v->cluster;
   e.epoch = v->epoch;
   e.body = Commit{id, std::move(t), v->epoch};
-  f.post(marker, std::move(e));
+  f.post(controller, std::move(e));
   f.until(limits::tcm_rpc * 2, [&] { return yes; });
   f.local = nullptr;
   return yes;
@@ -186,8 +186,8 @@
   }
   r.counts["serving"] = static_cast<double>(serving), r.counts["not_serving"] = static_cast<double>(cut_off);
   size_t majority = 0;
-  for (auto i : f.all(Part::marker))
-    if (static_cast<MarkerMachine&>(*f.stations()[i].machine).on_duty(f.now())) majority = i;
+  for (auto i : f.all(Part::controller))
+    if (static_cast<ControllerMachine&>(*f.stations()[i].machine).on_duty(f.now())) majority = i;
   int yes = 0;
   for (int i = 0; i < changes; ++i) {
     auto v = f.stations()[majority].machine->view();
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "consensus/marker_machine.hpp"
+#include "consensus/controller_machine.hpp"
 #include "manifest/json.hpp"
 #include "scale/experiments.hpp"
 #include "scale/field.hpp"
@@ -42,7 +42,7 @@
 }
 
 void add_all(Row& r, Field& f, double seconds) {
-  for (auto p : {Part::marker, Part::recorder, Part::lineman, Part::switchboard})
+  for (auto p : {Part::controller, Part::recorder, Part::lineman, Part::switchboard})
     add(r, name(p), f.sum(p), static_cast<double>(f.all(p).size()), seconds);
 }
 
@@ -74,10 +74,10 @@
   f.forget();
   f.run(window);
   std::map<Part, std::pair<Tally, int64_t>> idle;
-  const auto parts = {Part::marker, Part::recorder, Part::lineman, Part::switchboard};
+  const auto parts = {Part::controller, Part::recorder, Part::lineman, Part::switchboard};
   for (auto x : parts) idle[x] = {wire(f.sum(x)), f.sum(x).nanos};
   f.forget();
-  auto& m = f.of(Part::marker, 0);
+  auto& m = f.of(Part::controller, 0);
   auto v = m.machine->view();
   auto next_one = v->manifest;
   if (!next_one.cells.empty()) next_one.cells[0].budget += 1;
@@ -203,7 +203,7 @@
   char s[300];
   snprintf(s, sizeof s, "| %d | %.1f | %.0f | %.1f | %.0f | %.0f | %.0f | %.0f | %.0f |", daemons,
            a["lineman.out.msg"] + a["lineman.in.msg"], a["lineman.out.byte"] + a["lineman.in.byte"],
-           a["marker.out.msg"] + a["marker.in.msg"], a["marker.out.byte"] + a["marker.in.byte"], b["lineman.more.msg"],
+           a["controller.out.msg"] + a["controller.in.msg"], a["controller.out.byte"] + a["controller.in.byte"], b["lineman.more.msg"],
            b["lineman.more.byte"], b["in_force.ms.max"], b["acknowledged.ms"]);
   return s;
 }
--- a/tools/scale/crew.cpp
+++ b/tools/scale/crew.cpp
@@ -78,7 +78,7 @@
 }
 
 Voice::Voice(const FleetAsk& a) : self_(local_port(a, driver_port)) {
-  for (int i = 0; i < a.plan.markers; ++i) markers.push_back(local_port(a, 2 * i));
+  for (int i = 0; i < a.plan.controllers; ++i) controllers.push_back(local_port(a, 2 * i));
 }
 
 Findings Voice::open() {
@@ -112,7 +112,7 @@
 }
 
 View Voice::view() {
-  for (auto& m : markers) ask(m, Catchup{led_.epoch()}, limits::tcm_rpc / 2);
+  for (auto& m : controllers) ask(m, Catchup{led_.epoch()}, limits::tcm_rpc / 2);
   return led_.view();
 }
 
@@ -122,7 +122,7 @@
   auto until = process_now() + limits::tcm_await;
   auto id = "scale-" + std::to_string(++next_);
   for (size_t i = 0; process_now() < until; ++i) {
-    auto r = ask(markers[i % markers.size()], Commit{id, t, led_.epoch()}, limits::tcm_rpc + limits::heartbeat);
+    auto r = ask(controllers[i % controllers.size()], Commit{id, t, led_.epoch()}, limits::tcm_rpc + limits::heartbeat);
     if (!r) continue;
     auto& c = std::get<CommitReply>(*r);
     v.reason = c.reason;
--- a/tools/scale/crew.hpp
+++ b/tools/scale/crew.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// The driver's side of a fleet run: processes of hollow daemons, and a voice of its own towards the markers.
+// The driver's side of a fleet run: processes of hollow daemons, and a voice of its own towards the controllers.
 #include <sys/types.h>
 
 #include "follow/ledger.hpp"
@@ -30,12 +30,12 @@
 };
 Use use_of(pid_t pid);
 
-/// Asks the markers as any daemon would, and keeps up with the log.
+/// Asks the controllers as any daemon would, and keeps up with the log.
 class Voice {
  public:
   explicit Voice(const FleetAsk& a);
   Findings open();
-  /// The value as the markers have it now.
+  /// The value as the controllers have it now.
   View view();
   struct Verdict {
     bool yes = false;
@@ -44,7 +44,7 @@
     std::string reason;
   };
   Verdict commit(Transformation t);
-  Addresses markers;
+  Addresses controllers;
 
  private:
   std::optional<Message> ask(const Address& to, Message m, Millis patience);
--- a/tools/scale/fleet.cpp
+++ b/tools/scale/fleet.cpp
@@ -14,7 +14,7 @@
 
 rack::Plan plan(const FleetAsk& a) {
   rack::Plan p;
-  p.markers = a.plan.markers, p.fronts = real_fronts, p.stores = real_recorders, p.models = p.apps = 0;
+  p.controllers = a.plan.controllers, p.fronts = real_fronts, p.stores = real_recorders, p.models = p.apps = 0;
   p.zones = a.plan.zones, p.dir = a.out + "/data", p.bin = a.bin, p.base = a.base;
   return p;
 }
@@ -93,7 +93,7 @@
 }
 
 void Run::founding() {
-  size_t n = static_cast<size_t>(a_.plan.markers + real_recorders + real_fronts);
+  size_t n = static_cast<size_t>(a_.plan.controllers + real_recorders + real_fronts);
   auto begun = machine_now();
   put("founding", "real.ms", static_cast<double>(until_calm("founding", n)));
   for (auto& c : crews_) {
--- a/tools/scale/fleet.hpp
+++ b/tools/scale/fleet.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Real markers, recorders and fronts beside hollow daemons, many to a process, over the daemons' own transport.
+// Real controllers, recorders and fronts beside hollow daemons, many to a process, over the daemons' own transport.
 #include "scale/plan.hpp"
 
 namespace mosskeel::scale {
--- a/tools/scale/main.cpp
+++ b/tools/scale/main.cpp
@@ -1,4 +1,4 @@
-// Measures how the daemons' costs grow with the fleet, and runs real markers under a hollow fleet.
+// Measures how the daemons' costs grow with the fleet, and runs real controllers under a hollow fleet.
 #include <popt.h>
 
 #include <cstdio>
@@ -20,7 +20,7 @@
       {"only", 'x', POPT_ARG_STRING, &only, 0, "only experiments whose name begins so", "NAME"},
       {"seeds", 'n', POPT_ARG_INT, &a.seeds, 0, "how many seeds each", "N"},
       {"largest", 'l', POPT_ARG_INT, &a.largest, 0, "leave out larger fleets than this", "N"},
-      {"markers", 0, POPT_ARG_INT, &f.plan.markers, 0, "fleet: real markers", "N"},
+      {"controllers", 0, POPT_ARG_INT, &f.plan.controllers, 0, "fleet: real controllers", "N"},
       {"daemons", 0, POPT_ARG_INT, &f.plan.daemons, 0, "fleet: hollow daemons", "N"},
       {"replicas", 0, POPT_ARG_INT, &f.plan.replicas, 0, "fleet: replicas in the list", "N"},
       {"cells", 0, POPT_ARG_INT, &f.plan.cells, 0, "fleet: tenants in the manifest", "N"},
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -24,7 +24,7 @@
   s.part = part;
   s.zone = n % static_cast<size_t>(p.zones);
   s.region = s.zone % 2;
-  auto role = part == Part::marker ? Role::marker : part == Part::recorder ? Role::recorder : Role::front;
+  auto role = part == Part::controller ? Role::controller : part == Part::recorder ? Role::recorder : Role::front;
   auto port = 7000 + 10 * static_cast<int>(part);
   auto addr = address(s.zone, n, port);
   if (part == Part::lineman) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::switchboard));
@@ -36,7 +36,7 @@
                s.beside,
                address(s.zone, n, 8080),
                "machine-" + std::to_string(1000 + n)};
-  s.id.core_size = static_cast<uint32_t>(p.markers);
+  s.id.core_size = static_cast<uint32_t>(p.controllers);
   s.id.dice = digest("dice", inc);
   return s;
 }
@@ -44,14 +44,14 @@
 }  // namespace
 
 const char* name(Part p) {
-  static const char* const n[] = {"marker", "recorder", "lineman", "switchboard"};
+  static const char* const n[] = {"controller", "recorder", "lineman", "switchboard"};
   return n[static_cast<int>(p)];
 }
 
 std::vector<Seat> seats(const Plan& p, uint64_t seed) {
   std::vector<Seat> v;
   auto inc = [&] { return digest("seat", seed * 1000003 + v.size()); };
-  for (int i = 0; i < p.markers; ++i) v.push_back(seat(p, Part::marker, static_cast<size_t>(i), inc()));
+  for (int i = 0; i < p.controllers; ++i) v.push_back(seat(p, Part::controller, static_cast<size_t>(i), inc()));
   Addresses seeds;
   for (auto& s : v)
     if (seeds.size() < 3) seeds.push_back(s.id.self.addr);
@@ -109,15 +109,15 @@
     if (!ok(r)) throw std::runtime_error(render(findings(r)));
     m = value(r);
   };
-  Found f{digest("cluster"), static_cast<uint32_t>(p.markers), {}, 0, 0};
+  Found f{digest("cluster"), static_cast<uint32_t>(p.controllers), {}, 0, 0};
   for (auto& s : all)
-    if (s.part == Part::marker) f.members.push_back(s.id.self);
+    if (s.part == Part::controller) f.members.push_back(s.id.self);
   step(f);
   if (p.slots) m.slots.resize(static_cast<size_t>(p.slots));
   for (auto& s : all)
     if (s.part == Part::recorder || s.part == Part::switchboard) step(Register{s.id.self});
   for (auto& [id, d] : Directory(m.directory))
-    if (d.self.role != Role::marker) {
+    if (d.self.role != Role::controller) {
       step(PrepareJoin{id});
       for (auto x : {Step::start, Step::mid, Step::finish}) step(Advance{id, x});
     }
--- a/tools/scale/plan.hpp
+++ b/tools/scale/plan.hpp
@@ -4,12 +4,12 @@
 
 namespace mosskeel::scale {
 
-enum class Part { marker, recorder, lineman, switchboard };
+enum class Part { controller, recorder, lineman, switchboard };
 const char* name(Part p);
 
 /// The target of two years is the default. `daemons` are fronts and recorders together, one recorder in ten.
 struct Plan {
-  int markers = 3, daemons = 340, replicas = 600, paths = 200, cells = 18000, services = 11, zones = 8, slots = 0;
+  int controllers = 3, daemons = 340, replicas = 600, paths = 200, cells = 18000, services = 11, zones = 8, slots = 0;
   /// Commit ids remembered, and daemons that have left, in a fleet that is not new.
   int remembered = 0, left = 0;
   int recorders() const { return std::max(3, daemons / 10); }
@@ -23,7 +23,7 @@
   Address beside;
 };
 
-/// Every process of the plan's fleet, markers first, then recorders, then each lineman with its switchboard.
+/// Every process of the plan's fleet, controllers first, then recorders, then each lineman with its switchboard.
 std::vector<Seat> seats(const Plan& p, uint64_t seed);
 /// One more front, as `seats` makes them.
 std::pair<Seat, Seat> front(const Plan& p, size_t n, uint64_t seed);
--- a/tools/scale/run.hpp
+++ b/tools/scale/run.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// A run of real markers under a hollow fleet.
+// A run of real controllers under a hollow fleet.
 #include <fstream>
 
 #include "rack/fleet.hpp"
@@ -31,7 +31,7 @@
   void fail(const std::string& why);
   bool calm(size_t daemons);
   Millis until_calm(const std::string& what, size_t daemons);
-  size_t all() const { return static_cast<size_t>(a_.plan.markers + a_.plan.daemons); }
+  size_t all() const { return static_cast<size_t>(a_.plan.controllers + a_.plan.daemons); }
   /// When each hollow daemon knew the epoch, after `begun`; waits until all do.
   std::vector<double> in_force(Epoch e, Millis begun);
   Voice::Verdict one_change();
--- a/tools/scale/troubles.cpp
+++ b/tools/scale/troubles.cpp
@@ -84,20 +84,20 @@
   for (auto& p : rack_.list()) cut += " " + p.listen;
   for (int i = 0; i < a_.plan.daemons - real_recorders - real_fronts - c.size(); ++i)
     cut += " " + local_port(a_, hollow_ports + i);
-  rack_.act("freeze", "marker2");
-  auto rest = std::exchange(voice_.markers, {voice_.markers[0], voice_.markers[2]});
+  rack_.act("freeze", "controller2");
+  auto rest = std::exchange(voice_.controllers, {voice_.controllers[0], voice_.controllers[2]});
   c.ask(cut);
   wait(cut_window / 2);
   int yes = 0;
   for (int i = 0; i < 2; ++i) yes += one_change().yes;
   put("region", "changes_acknowledged_while_cut", yes);
   wait(cut_window / 2);
-  rack_.act("wake", "marker2");
+  rack_.act("wake", "controller2");
   auto healed = machine_now();
   c.ask("cut");
   put("region", "cut_off", c.size());
   auto e = voice_.view()->epoch;
-  voice_.markers = std::exchange(rest, {});
+  voice_.controllers = std::exchange(rest, {});
   auto v = in_force(e, healed);
   std::erase_if(v, [](auto x) { return x < 0; });
   put("region", "had_to_catch_up", static_cast<double>(v.size()));
