--- a/src/errand/dispatch.cpp
+++ b/src/errand/dispatch.cpp
@@ -4,18 +4,18 @@
 #include <nlohmann/json.hpp>
 
 #include "errand/replica_json.hpp"
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 
 namespace mosskeel {
 
-void SwitchboardMachine::enqueue(Ref w) {
+void GatewayMachine::enqueue(Ref w) {
   w.stage = Stage::queued;
   if (w.asked == 0) w.asked = w.born;
   queue_.push({w.e.urgent, w.seq, w.e.attempt});
 }
 
 /// How long an errand that came now would wait: those before it, at the pace at which the queue was seen to move.
-Millis SwitchboardMachine::expected_wait(const std::string& kind, bool urgent) const {
+Millis GatewayMachine::expected_wait(const std::string& kind, bool urgent) const {
   auto i = paces_.find(kind);
   if (i == paces_.end()) return 0;
   auto before = std::count_if(works_.begin(), works_.end(), [&](auto& x) {
@@ -26,7 +26,7 @@
 }
 
 /// An errand left the queue; the time since the one before it counts while others wait.
-void SwitchboardMachine::paced(const std::string& kind, Millis now) {
+void GatewayMachine::paced(const std::string& kind, Millis now) {
   auto& p = paces_[kind];
   bool busy = p.last && count(Stage::queued) > 1;
   if (busy)
@@ -35,7 +35,7 @@
   p.last = now;
 }
 
-void SwitchboardMachine::drain_queue(Millis now) {
+void GatewayMachine::drain_queue(Millis now) {
   std::vector<Key> back;
   auto* d = me();
   while (!queue_.empty() && d) {
@@ -75,12 +75,12 @@
   for (auto& k : back) queue_.push(k);
 }
 
-void SwitchboardMachine::free_replica(Ref w) {
+void GatewayMachine::free_replica(Ref w) {
   if (!w.replica.empty()) nom_.gave(w.replica, w.e);
   w.replica.clear();
 }
 
-void SwitchboardMachine::dispatch(Ref w, Millis now) {
+void GatewayMachine::dispatch(Ref w, Millis now) {
   auto& m = *led_.view();
   auto i = m.replicas.find(w.replica);
   bool fit = i != m.replicas.end() && me() && nom_.places(i->second, m, *me(), now) > 0;
@@ -109,7 +109,7 @@
   out_.send("replica:" + w.replica, std::move(a));
 }
 
-void SwitchboardMachine::on(const ReplicaPiece& p, Millis now) {
+void GatewayMachine::on(const ReplicaPiece& p, Millis now) {
   auto i = works_.find(p.attempt);
   if (i == works_.end() || i->second.stage != Stage::running) return;
   auto& w = i->second;
@@ -128,7 +128,7 @@
   out_.send(w.reply, ErrandPiece{p.attempt, p.n, p.text}, w.reply_inc);
 }
 
-void SwitchboardMachine::on(const ReplicaEnd& r, Millis now) {
+void GatewayMachine::on(const ReplicaEnd& r, Millis now) {
   auto i = works_.find(r.attempt);
   if (i == works_.end() || i->second.stage != Stage::running) return;
   auto& w = i->second;
@@ -170,7 +170,7 @@
          now);
 }
 
-void SwitchboardMachine::history(Ref w, Millis now) {
+void GatewayMachine::history(Ref w, Millis now) {
   auto& v = keep_.records(w.line);
   auto* c = led_.view()->manifest.cell(w.e.cell);
   if (v.empty())
--- a/src/errand/ending.cpp
+++ b/src/errand/ending.cpp
@@ -1,18 +1,18 @@
 // How the owner ends a line that has outlived its retention.
 #include <algorithm>
 
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 
 namespace mosskeel {
 
 /// What is left of an ended program is its name: nothing runs on it again, under no key and on no budget.
-void SwitchboardMachine::gone(Ref w, Millis now) {
+void GatewayMachine::gone(Ref w, Millis now) {
   bool fresh = w.e.kind == "history" || w.e.key == w.e.attempt;
   refuse(w, 410, "the program has ended: its retention is over", 0, now, fresh ? Outcome::no : Outcome::unknown);
 }
 
 /// A majority of the line's recorders must say it, each by its own clock, and nothing may be under way.
-void SwitchboardMachine::on(const Envelope& e, const LineAged& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const LineAged& x, Millis now) {
   auto* d = led_.view()->find(e.from_inc);
   if (!d || x.slot != slot_of(x.line.cell, x.line.program)) return;
   auto s = keep_.open(x.line, now);
--- a/src/errand/switchboard_machine.cpp
+++ b/src/errand/gateway_machine.cpp
@@ -1,17 +1,17 @@
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 
 #include <algorithm>
 
 namespace mosskeel {
 
-SwitchboardMachine::SwitchboardMachine(const Identity& id, Millis now)
+GatewayMachine::GatewayMachine(const Identity& id, Millis now)
     : out_(id), fol_(out_, led_, now), keep_(out_, led_), reg_(out_, led_, keep_), trunk_(out_, led_) {}
 
-size_t SwitchboardMachine::count(Stage s) const {
+size_t GatewayMachine::count(Stage s) const {
   return static_cast<size_t>(std::count_if(works_.begin(), works_.end(), [&](auto& w) { return w.second.stage == s; }));
 }
 
-void SwitchboardMachine::on(const Envelope& e, const HeartbeatReply& h) {
+void GatewayMachine::on(const Envelope& e, const HeartbeatReply& h) {
   if (e.from != out_.id().self.agent) return;
   fol_.learn(h.entries, h.checkpoint);
   if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
@@ -20,7 +20,7 @@
   confirmed_ = confirmed_ || (h.confirmed && h.epoch <= led_.epoch());
 }
 
-void SwitchboardMachine::handle(const Envelope& e, Millis now) {
+void GatewayMachine::handle(const Envelope& e, Millis now) {
   if (auto* h = std::get_if<HeartbeatReply>(&e.body)) return on(e, *h);
   ahead_ = std::max(ahead_, e.epoch);
   if (fol_.handle(e, now) || fol_.park(e)) return;
@@ -63,7 +63,7 @@
              e.body);
 }
 
-Actions SwitchboardMachine::step(const Envelope& e, Millis now) {
+Actions GatewayMachine::step(const Envelope& e, Millis now) {
   bool local = e.from.starts_with("local:") || e.from.starts_with("replica:");
   if (!local && fol_.foreign(e)) {
     out_.note(Event::foreign, "from " + e.from);
@@ -92,7 +92,7 @@
   return out_.take();
 }
 
-void SwitchboardMachine::beat(Millis now) {
+void GatewayMachine::beat(Millis now) {
   next_beat_ = now + limits::agent_beat;
   beaten_ = led_.epoch();
   Heartbeat h{out_.id().self,
@@ -106,7 +106,7 @@
   out_.send(out_.id().self.agent, h);
 }
 
-void SwitchboardMachine::sweep(Millis now) {
+void GatewayMachine::sweep(Millis now) {
   next_sweep_ = now + limits::agent_beat;
   std::vector<std::string> v;
   for (auto& [a, w] : works_) v.push_back(a);
@@ -122,7 +122,7 @@
   }
 }
 
-Actions SwitchboardMachine::tick(Millis now) {
+Actions GatewayMachine::tick(Millis now) {
   if (now >= next_beat_) beat(now);
   keep_.tick(now);
   if (now >= next_sweep_) sweep(now);
@@ -140,7 +140,7 @@
   return out_.take();
 }
 
-void SwitchboardMachine::on(const Envelope& e, const Errand& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const Errand& x, Millis now) {
   bool local = e.from.starts_with("local:");
   if (works_.count(x.attempt)) return out_.send(e.from, ErrandSeen{x.attempt}, e.from_inc);
   if (auto i = ended_.find(x.attempt); i != ended_.end()) {
@@ -179,7 +179,7 @@
   route(r, now);
 }
 
-void SwitchboardMachine::route(Ref w, Millis now) {
+void GatewayMachine::route(Ref w, Millis now) {
   w.doubt = w.doubt || w.sent;
   w.sent = false;
   auto* o = owner(w.slot);
@@ -199,7 +199,7 @@
   proxy(w, now);
 }
 
-void SwitchboardMachine::refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran) {
+void GatewayMachine::refuse(Ref w, uint32_t status, std::string reason, uint32_t retry, Millis now, Outcome ran) {
   if (ran == Outcome::no && (w.doubt || w.sent)) ran = Outcome::unknown;
   w.end.status = status;
   w.end.ran = ran;
@@ -210,7 +210,7 @@
   end(w, now);
 }
 
-void SwitchboardMachine::end(Ref w, Millis now) {
+void GatewayMachine::end(Ref w, Millis now) {
   free_replica(w);
   w.end.attempt = w.e.attempt;
   if (w.end.status == 200) ++tallies_["errands_done"];
--- a/src/errand/switchboard_machine.hpp
+++ b/src/errand/gateway_machine.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// A switchboard: owner of its slots' programs, proxy to the owners of all others.
+// A gateway: owner of its slots' programs, proxy to the owners of all others.
 #include <boost/heap/priority_queue.hpp>
 
 #include "errand/policy.hpp"
@@ -10,10 +10,10 @@
 
 namespace mosskeel {
 
-class SwitchboardMachine : public Machine {
+class GatewayMachine : public Machine {
  public:
   /// `agent` is where the lineman listens.
-  SwitchboardMachine(const Identity& id, Millis now);
+  GatewayMachine(const Identity& id, Millis now);
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
--- a/src/errand/owner.cpp
+++ b/src/errand/owner.cpp
@@ -4,11 +4,11 @@
 #include <nlohmann/json.hpp>
 
 #include "errand/replica_json.hpp"
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 
 namespace mosskeel {
 
-void SwitchboardMachine::advance(Ref w, Millis now) {
+void GatewayMachine::advance(Ref w, Millis now) {
   auto* o = w.direct ? nullptr : owner(w.slot);
   bool mine = o && o->self.inc == out_.id().self.inc;
   bool line_held = mine && keep_.term(w.line) == w.term && w.term.v;
@@ -75,7 +75,7 @@
   }
 }
 
-bool SwitchboardMachine::running_elsewhere(const LineName& n, const Record& r, Millis now) {
+bool GatewayMachine::running_elsewhere(const LineName& n, const Record& r, Millis now) {
   auto* d = led_.view()->find(r.runner);
   if (!d || d->self.inc == out_.id().self.inc || d->state == DaemonState::down || d->state == DaemonState::left)
     return false;
@@ -87,14 +87,14 @@
   return !x.over;
 }
 
-bool SwitchboardMachine::running_here(const LineName& n, const std::string& key) const {
+bool GatewayMachine::running_here(const LineName& n, const std::string& key) const {
   return std::any_of(works_.begin(), works_.end(), [&](auto& x) {
     auto& w = x.second;
     return w.line == n && w.e.key == key && w.stage >= Stage::intending && w.stage <= Stage::handing;
   });
 }
 
-void SwitchboardMachine::opened(Ref w, Millis now) {
+void GatewayMachine::opened(Ref w, Millis now) {
   w.doubt = false;
   if (keep_.ended(w.line)) return gone(w, now);
   if (w.e.kind == "history") return history(w, now);
@@ -102,7 +102,7 @@
 }
 
 /// Whether the turn may go on; otherwise it was answered, or waits.
-bool SwitchboardMachine::examine(Ref w, Millis now) {
+bool GatewayMachine::examine(Ref w, Millis now) {
   auto& v = keep_.records(w.line);
   auto* c = led_.view()->manifest.cell(w.e.cell);
   if (!c) return refuse(w, 404, "cell '" + w.e.cell + "' is unknown", 0, now), false;
@@ -167,7 +167,7 @@
   return true;
 }
 
-void SwitchboardMachine::intend(Ref w, Millis now) {
+void GatewayMachine::intend(Ref w, Millis now) {
   Record r{};
   r.kind = RecordKind::intent;
   r.key = w.e.key;
@@ -183,7 +183,7 @@
   w.mark = keep_.append(w.line, r, now);
 }
 
-void SwitchboardMachine::settle(Ref w, uint32_t status, Outcome ran, std::string reason, uint64_t tokens, Millis now) {
+void GatewayMachine::settle(Ref w, uint32_t status, Outcome ran, std::string reason, uint64_t tokens, Millis now) {
   free_replica(w);
   w.end = {w.e.attempt, status ? status : 503,         ran,   reason,  status == 200 ? w.text : "", w.turn,
            tokens,      status ? 0 : limits::retry_ms, false, w.pieces};
@@ -203,7 +203,7 @@
   w.mark = keep_.append(w.line, r, now);
 }
 
-void SwitchboardMachine::hand_over(Ref w, Millis now) {
+void GatewayMachine::hand_over(Ref w, Millis now) {
   if (w.stage != Stage::handing) w.asked = now;
   w.stage = Stage::handing;
   w.last = now;
@@ -211,14 +211,14 @@
   if (o) out_.send(o->self.addr, LateSettle{w.e.attempt, w.line, w.settled}, o->self.inc);
 }
 
-void SwitchboardMachine::on(const Envelope& e, const LateSettle& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const LateSettle& x, Millis now) {
   for (auto& l : lates_)
     if (std::get<LateSettle>(l.from.body).attempt == x.attempt) return;
   Late l{e, 0, now, {}};
   if (!late(l, now)) lates_.push_back(std::move(l));
 }
 
-bool SwitchboardMachine::late(Late& l, Millis now) {
+bool GatewayMachine::late(Late& l, Millis now) {
   auto& x = std::get<LateSettle>(l.from.body);
   auto say = [&](Outcome o) { return out_.send(l.from.from, LateSettled{x.attempt, o}, l.from.from_inc), true; };
   auto s = keep_.open(x.line, now);
--- a/src/errand/relay.cpp
+++ b/src/errand/relay.cpp
@@ -1,9 +1,9 @@
 // Proxying an errand to the owner of its program, and the way back.
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 
 namespace mosskeel {
 
-void SwitchboardMachine::proxy(Ref w, Millis now) {
+void GatewayMachine::proxy(Ref w, Millis now) {
   w.last = now;
   auto* o = led_.view()->find(w.target);
   if (!o) return;
@@ -12,7 +12,7 @@
   out_.send(o->self.addr, w.e, o->self.inc);
 }
 
-void SwitchboardMachine::on(const Envelope& e, const ErrandPiece& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const ErrandPiece& x, Millis now) {
   auto i = works_.find(x.attempt);
   if (i == works_.end() || i->second.stage != Stage::proxying) return;
   auto& w = i->second;
@@ -26,7 +26,7 @@
   out_.send(w.reply, x);
 }
 
-void SwitchboardMachine::on(const Envelope& e, const ErrandEnd& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const ErrandEnd& x, Millis now) {
   auto i = works_.find(x.attempt);
   if (i == works_.end() || i->second.stage != Stage::proxying) return;
   auto& w = i->second;
@@ -46,7 +46,7 @@
 }
 
 /// The last word after a stream of which pieces may be missing: a whole answer fills the rest in.
-void SwitchboardMachine::complete(Ref w, Millis now) {
+void GatewayMachine::complete(Ref w, Millis now) {
   if (w.end.status == 200 && w.pieces > 0 && w.e.kind == "model") {
     auto& b = w.end.body;
     if (!b.starts_with(w.text)) {
--- a/src/errand/standing.cpp
+++ b/src/errand/standing.cpp
@@ -1,25 +1,25 @@
 // Whether a front is in touch and ready, and what an errand meets there.
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 
 namespace mosskeel {
 
-Outlook SwitchboardMachine::outlook(Millis now) const {
+Outlook GatewayMachine::outlook(Millis now) const {
   auto* d = me();
   bool whole = confirmed_ && d && led_.epoch() >= ahead_;
   return {led_.view(), d ? d->id : DaemonId{}, whole ? touched_ + limits::isolation : 0, ready(now), stopping_};
 }
 
-bool SwitchboardMachine::in_touch(Millis now) const {
+bool GatewayMachine::in_touch(Millis now) const {
   return now - touched_ <= limits::isolation && led_.epoch() >= ahead_;
 }
 
-bool SwitchboardMachine::ready(Millis now) const {
+bool GatewayMachine::ready(Millis now) const {
   auto* d = me();
   return confirmed_ && !stopping_ && d && d->state == DaemonState::up && in_touch(now) &&
          !led_.view()->evacuated.count(d->self.zone);
 }
 
-Situation SwitchboardMachine::situation(Millis now, const Errand& e, bool proxied) const {
+Situation GatewayMachine::situation(Millis now, const Errand& e, bool proxied) const {
   bool direct = e.kind == "app" && (e.repeatable || e.key.empty());
   auto* o = direct ? nullptr : owner(slot_of(e.cell, e.program));
   bool here = direct || proxied || (o && o->self.inc == out_.id().self.inc);
--- a/src/follow/follower.hpp
+++ b/src/follow/follower.hpp
@@ -10,7 +10,7 @@
 
   /// Handles what concerns following; false leaves the message to the caller.
   bool handle(const Envelope& e, Millis now);
-  /// Speaks for this candidate, itself or the switchboard beside it.
+  /// Speaks for this candidate, itself or the gateway beside it.
   void tick(Millis now, const Heartbeat* mine);
   /// Asks that everybody be told at once, because something they wait for is done.
   void hurry() { next_beat_ = 0; }
--- a/src/follow/lineman_machine.hpp
+++ b/src/follow/lineman_machine.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// The agent beside a switchboard: its link to the core, its feed, its voice.
+// The agent beside a gateway: its link to the core, its feed, its voice.
 #include "follow/follower.hpp"
 
 namespace mosskeel {
@@ -10,7 +10,7 @@
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
-  /// Stops once the switchboard beside it has been silent for a while: it goes first and needs its link until then.
+  /// Stops once the gateway beside it has been silent for a while: it goes first and needs its link until then.
   void leave() { leaving_ = true; }
 
  private:
--- a/src/switchboard/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -1,4 +1,4 @@
-#include "switchboard/callers.hpp"
+#include "gateway/callers.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -215,7 +215,7 @@
   if (a.path == "/metrics") return metrics();
   if (a.path == "/ready") {
     bool up = false;
-    host_.ask([&](Machine& m, Millis now) { up = static_cast<SwitchboardMachine&>(m).ready(now); });
+    host_.ask([&](Machine& m, Millis now) { up = static_cast<GatewayMachine&>(m).ready(now); });
     HttpAnswer r;
     r.body = "{\"ready\":true}\n";
     return up ? r : HttpAnswer::error(503, "not_ready", "this worker is not ready", limits::retry_ms);
--- a/src/switchboard/callers.hpp
+++ b/src/gateway/callers.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // The callers' HTTP; the one place to change its shape.
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 #include "kernel/host.hpp"
 #include "kernel/http.hpp"
 
--- a/src/switchboard/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,4 +1,4 @@
-#include "switchboard/exchange.hpp"
+#include "gateway/exchange.hpp"
 
 namespace mosskeel {
 
@@ -74,7 +74,7 @@
 }
 
 void Exchange::publish(Machine& m, Millis now) {
-  auto& s = static_cast<SwitchboardMachine&>(m);
+  auto& s = static_cast<GatewayMachine&>(m);
   s.carry(calls_);
   std::atomic_store(&outlook_, std::shared_ptr<const Outlook>(std::make_shared<Outlook>(s.outlook(now))));
 }
--- a/src/switchboard/metrics.cpp
+++ b/src/gateway/metrics.cpp
@@ -1,19 +1,19 @@
-// The counters of a switchboard in the text form of metrics.
+// The counters of a gateway in the text form of metrics.
 #include "kernel/daemon.hpp"
-#include "switchboard/callers.hpp"
+#include "gateway/callers.hpp"
 
 namespace mosskeel {
 
 HttpAnswer Callers::metrics() {
   std::map<std::string, double> more;
   host_.ask([&](Machine& m, Millis now) {
-    auto& s = static_cast<SwitchboardMachine&>(m);
+    auto& s = static_cast<GatewayMachine&>(m);
     for (auto& [n, v] : s.tallies()) more[n] = static_cast<double>(v);
     more["errands_here"] = static_cast<double>(s.errands());
     more["ready"] = s.ready(now);
   });
   HttpAnswer r;
-  r.body = metrics_of(host_, "switchboard", more);
+  r.body = metrics_of(host_, "gateway", more);
   r.headers["Content-Type"] = "text/plain";
   return r;
 }
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -60,7 +60,7 @@
   BOOST_HANA_DEFINE_STRUCT(CommitReply, (std::string, id), (Outcome, outcome), (std::string, reason), (Epoch, epoch),
                            (std::optional<Metadata>, checkpoint), (Entries, entries));
 };
-/// A daemon's sign of life; a lineman's speaks for its switchboard too.
+/// A daemon's sign of life; a lineman's speaks for its gateway too.
 struct Heartbeat {
   BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, pressure), (Epoch, streamed),
                            (uint32_t, running), (int64_t, sent), (bool, leaving), (uint32_t, lacking));
@@ -152,7 +152,7 @@
   BOOST_HANA_DEFINE_STRUCT(LinesFetched, (SlotId, slot), (std::vector<StreamedLine>, lines));
 };
 
-/// A caller's errand, from HTTP or proxied by another switchboard.
+/// A caller's errand, from HTTP or proxied by another gateway.
 struct Errand {
   BOOST_HANA_DEFINE_STRUCT(Errand, (std::string, attempt), (std::string, cell), (std::string, route),
                            (std::string, program), (std::string, thread), (std::string, key), (std::string, kind),
@@ -179,7 +179,7 @@
 struct LateSettled {
   BOOST_HANA_DEFINE_STRUCT(LateSettled, (std::string, attempt), (Outcome, outcome));
 };
-/// What the switchboard asks of a replica, and hears from it.
+/// What the gateway asks of a replica, and hears from it.
 struct ReplicaAsk {
   BOOST_HANA_DEFINE_STRUCT(ReplicaAsk, (std::string, attempt), (std::string, kind), (std::string, url),
                            (std::string, method), (std::string, body), (int64_t, horizon_ms), (bool, repeatable));
--- a/src/lineman/main.cpp
+++ b/src/lineman/main.cpp
@@ -5,7 +5,7 @@
 
 int main(int argc, const char** argv) {
   auto r = read_props(argc, argv,
-                      {"lineman", "The agent beside a switchboard: keeps its link to the core.", true, false, true,
+                      {"lineman", "The agent beside a gateway: keeps its link to the core.", true, false, true,
                        true, true, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Props>(r);
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -1,4 +1,4 @@
-// The switchboard's word on keys, retention and order, in a simulated fleet without troubles.
+// The gateway's word on keys, retention and order, in a simulated fleet without troubles.
 #include <catch2/catch.hpp>
 
 #include "sim/callers.hpp"
@@ -14,7 +14,7 @@
   Fleet() { REQUIRE(c.introduce()); }
   ~Fleet() { w.died = nullptr; }
 
-  ErrandEnd ask(Errand e, const std::string& front = "switchboard1") {
+  ErrandEnd ask(Errand e, const std::string& front = "gateway1") {
     std::optional<ErrandEnd> got;
     auto old = w.local;
     w.local = [&](Node& n, const Envelope& x) {
@@ -47,7 +47,7 @@
     Errand e{};
     e.kind = "history";
     e.program = program;
-    return ask(e, "switchboard2");
+    return ask(e, "gateway2");
   }
 };
 
@@ -100,7 +100,7 @@
   CHECK(f.turn("p", "k1", "a").status == 200);
   f.w.power_off("recorder1");
   f.w.power_off("recorder2");
-  for (auto& s : f.w.names(Kind::switchboard)) f.w.kill(s), f.w.start(s);
+  for (auto& s : f.w.names(Kind::gateway)) f.w.kill(s), f.w.start(s);
   f.w.run(6000);
   auto e = f.history("p");
   CHECK(e.status == 503);
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -59,7 +59,7 @@
     REQUIRE(ok(r));
     return value(r);
   };
-  auto m = of("controller"), s = of("switchboard"), l = of("lineman"), r = of("recorder");
+  auto m = of("controller"), s = of("gateway"), l = of("lineman"), r = of("recorder");
   CHECK(m.listen == "10.1.0.32:7380");
   CHECK(s.listen == "10.1.0.32:7381");
   CHECK(l.listen == "10.1.0.32:7382");
@@ -99,7 +99,7 @@
   CHECK(places(settings(with("10.2.0.38:8144", "somewhere"), "controller")) == "SeedNodes[1] (line 7)");
   CHECK(places(settings(with("Machines = 2", "Machines = -1"), "controller")) == "ToleratedLosses.Machines");
   CHECK(places(settings(with("ControlPlane = \"10.1.0.33:8144\"", ""), "controller")) == "ListenAddrs.ControlPlane");
-  CHECK(places(settings("", "switchboard")) ==
+  CHECK(places(settings("", "gateway")) ==
         "FirstStart,InternalPorts,Ip,ListenAddrs.FrontHttp,ListenAddrs.Readiness,NodeName,SeedNodes,Zone");
 }
 
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -26,13 +26,13 @@
 }
 pause() { read -r -t "$1" <> <(:) || true; }
 "$BIN/standin" --dir "$DIR" --settings
-for i in 1 2 3; do start "controller$i"; start "recorder$i"; start "lineman$i"; start "switchboard$i"; done
+for i in 1 2 3; do start "controller$i"; start "recorder$i"; start "lineman$i"; start "gateway$i"; done
 "$BIN/standin" --dir "$DIR" --seconds "$SECONDS_OF_TRAFFIC" >"$DIR/out" 2>&1 & STANDIN=$!
 await 80 "traffic begins"
 pause 2
-kill -TERM "${PID[switchboard1]}"
-wait "${PID[switchboard1]}" 2>/dev/null || true
-again switchboard1
+kill -TERM "${PID[gateway1]}"
+wait "${PID[gateway1]}" 2>/dev/null || true
+again gateway1
 pause 2
 kill -KILL "${PID[recorder2]}"
 wait "${PID[recorder2]}" 2>/dev/null || true
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -11,7 +11,7 @@
 [ "$(grep -c event=103 "$DIR/bad")" -ge 5 ]
 rc=0; say apply "$0" at 1 || rc=$?; [ $rc = 1 ]
 # bad input: each its own answer, naming field and reason
-F=$(http_of switchboard1); M=$(http_of controller1); T=http://$F/v1/cells/news/programs/bad/turns
+F=$(http_of gateway1); M=$(http_of controller1); T=http://$F/v1/cells/news/programs/bad/turns
 expect 400 '"place":"body"' -d '{' "$T"
 expect 400 '"place":"input"' -d '{}' "$T"
 expect 400 '"place":"max_tokens"' -d '{"input":"x","max_tokens":-1}' "$T"
@@ -67,8 +67,8 @@
 "$BIN/dialer" -m "$CONTROLLERS" -r 8 -t 8 --runs "$DIR/fleet" >"$DIR/dial" &
 LOAD=$!
 await 10 test -s "$DIR/fleet/runs-model1"
-harm stop switchboard1
-await 30 harm start switchboard1
+harm stop gateway1
+await 30 harm start gateway1
 wait $LOAD || { cat "$DIR/dial"; exit 1; }
 if grep -q "ran unknown" "$DIR/dial"; then cat "$DIR/dial"; echo "an answer was lost in a planned restart"; exit 1; fi
 cat "$DIR/dial"
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -49,7 +49,7 @@
 
 std::string Callers::pick_front() {
   std::vector<std::string> v;
-  for (auto& s : w_.names(Kind::switchboard))
+  for (auto& s : w_.names(Kind::gateway))
     if (only_ready ? w_.alive(s) && w_.ready(s) : w_.node(s).machine != nullptr) v.push_back(s);
   return v.empty() ? "" : v[w_.roll() % v.size()];
 }
--- a/tests/sim/cores.cpp
+++ b/tests/sim/cores.cpp
@@ -116,11 +116,11 @@
       w.power_off(s);
     else
       w.wipe(s);
-  for (auto k : {Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::lineman, Kind::gateway})
     for (auto& s : w.names(k)) w.power_off(s);
   w.heal();
   w.run(200 + w.below(1000));
-  for (auto k : {Kind::recorder, Kind::controller, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::recorder, Kind::controller, Kind::lineman, Kind::gateway})
     for (auto& s : w.names(k)) w.start(s), w.node(s).disk.slow = 0;
   auto back = [&] {
     auto v = latest(w);
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -5,7 +5,7 @@
 void Day::close() {
   w.heal();
   w.net.loss = w.net.twice = 0;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
     for (auto& s : w.names(k)) {
       w.wake(s);
       w.node(s).disk.slow = 0;
@@ -66,7 +66,7 @@
 void in_force(Day& d, uint64_t revision, Millis within) {
   auto& w = d.w;
   auto good = [&] {
-    for (auto& s : w.names(Kind::switchboard))
+    for (auto& s : w.names(Kind::gateway))
       if (w.node(s).machine && w.node(s).machine->view()->revision.v < revision) return false;
     return true;
   };
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -69,7 +69,7 @@
   auto* m = std::get_if<ApplyManifest>(&t);
   if (!m) return;
   w_.at(w_.now() + 2100, [this, rev = Revision{m->base.v + 1}] {
-    for (auto& s : w_.names(Kind::switchboard))
+    for (auto& s : w_.names(Kind::gateway))
       if (w_.alive(s) && w_.ready(s) && w_.node(s).machine->view()->revision < rev)
         w_.fail(s + " serves without revision " + std::to_string(rev.v) + " 2 s after its acknowledgement");
   });
@@ -96,9 +96,9 @@
       60000);
   return w_.until(60000, [&] {
     if (left) return false;
-    for (auto& s : w_.names(Kind::switchboard))
+    for (auto& s : w_.names(Kind::gateway))
       if (!w_.ready(s)) return false;
-    auto v = w_.node("switchboard1").machine->view();
+    auto v = w_.node("gateway1").machine->view();
     for (auto& s : v->slots)
       if (s.recorders.size() < std::min<size_t>(limits::copies, w_.names(Kind::recorder).size()) || !s.owner.v)
         return false;
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -19,7 +19,7 @@
 
   ErrandEnd go(Errand e) {
     for (int i = 0; i < 20; ++i) {
-      auto r = ask(d, e, d.any(Kind::switchboard));
+      auto r = ask(d, e, d.any(Kind::gateway));
       if (r.status && r.status != 503) return r;
       d.w.run(300);
     }
@@ -93,7 +93,7 @@
   w.kill(s);
   w.run(200);
   w.start(s);
-  for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
+  for (auto& f : w.names(Kind::gateway)) w.kill(f), w.run(100), w.start(f);
   at(4 * keep - 1500);
   for (auto& k : a.kept)
     if (k.promise == 4 * keep && w.now() < k.acked + k.promise)
@@ -170,7 +170,7 @@
     same();
   if (!frozen && machine(away).repair().fetched() < 10)
     w.fail("the store that was away fetched hardly anything: " + std::to_string(machine(away).repair().fetched()));
-  for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
+  for (auto& f : w.names(Kind::gateway)) w.kill(f), w.run(100), w.start(f);
   auto lost = stores[w.roll() % stores.size()];
   while (lost == away) lost = stores[w.roll() % stores.size()];
   w.wipe(lost);
@@ -181,7 +181,7 @@
     w.fail("the copies of the lost disk were not restored");
   else
     same();
-  for (auto& f : w.names(Kind::switchboard)) w.until(8000, [&] { return w.ready(f); });
+  for (auto& f : w.names(Kind::gateway)) w.until(8000, [&] { return w.ready(f); });
 }
 
 }  // namespace mosskeel::sim
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -101,7 +101,7 @@
   d.c.traffic(60, w.now() + 25000);
   for (int i = 0; i < 3; ++i) {
     w.run(2000);
-    auto f = d.any(Kind::switchboard);
+    auto f = d.any(Kind::gateway);
     w.isolate(f);
     w.isolate(w.node(f).beside);
     auto n = std::string(i % 2 ? "app" : "model") + std::to_string(i + 1);
@@ -161,9 +161,9 @@
 void rolling(Day& d) {
   auto& w = d.w;
   d.c.traffic(60, w.now() + 25000);
-  for (auto& s : w.names(Kind::switchboard)) {
+  for (auto& s : w.names(Kind::gateway)) {
     w.run(1500);
-    static_cast<SwitchboardMachine&>(*w.node(s).machine).leave();
+    static_cast<GatewayMachine&>(*w.node(s).machine).leave();
     if (!w.until(15000, [&] { return !w.node(s).machine; })) w.fail(s + " did not leave in order");
     w.run(300);
     w.start(s);
@@ -182,7 +182,7 @@
 };
 
 const std::vector<Row>& rows() {
-  static const std::vector<Kind> all{Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard};
+  static const std::vector<Kind> all{Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway};
   static const std::vector<Row> v{
       {"quiet", {3, 3, 3, 4, 3}, 400, quiet},
       {"lossy", {3, 3, 3, 4, 3}, 400, lossy},
@@ -191,7 +191,7 @@
        {3, 3, 4, 4, 3},
        400,
        [](Day& d) {
-         havoc(d, {Kind::switchboard, Kind::lineman}, false);
+         havoc(d, {Kind::gateway, Kind::lineman}, false);
        }},
       {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
       {"controllers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::controller}, true); }},
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -8,14 +8,14 @@
 
 std::vector<std::string> of_zone(World& w, const std::string& z) {
   std::vector<std::string> v;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) v.push_back(s);
   return v;
 }
 
 void front_down(Day& d, bool freeze) {
-  auto f = d.any(Kind::switchboard);
+  auto f = d.any(Kind::gateway);
   for (auto& s : {f, d.w.node(f).beside}) freeze ? d.w.freeze(s) : d.w.kill(s);
 }
 
@@ -43,7 +43,7 @@
       }
       break;
     case 2: {  // a worker dies and comes back
-      auto f = d.any(Kind::switchboard);
+      auto f = d.any(Kind::gateway);
       w.kill(f);
       w.run(4000);
       w.start(f);
@@ -75,8 +75,8 @@
     }
     case 6:  // machines are added
       w.add("recorder9", Kind::recorder, "a");
-      w.add("lineman9", Kind::lineman, "b", "switchboard9");
-      w.add("switchboard9", Kind::switchboard, "b", "lineman9");
+      w.add("lineman9", Kind::lineman, "b", "gateway9");
+      w.add("gateway9", Kind::gateway, "b", "lineman9");
       w.run(8000);
       break;
     case 7:  // the seeds are swapped for other core machines
@@ -117,7 +117,7 @@
     default: {
       auto v = of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))));
       std::set<std::string> in(v.begin(), v.end());
-      for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
+      for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
         for (auto& s : w.names(k))
           if (!in.count(s))
             for (auto& o : v) w.cut(o, s), w.cut(s, o);
@@ -219,7 +219,7 @@
   w.run(3000);
   yes(RestoreZone{"b"}, "the restoring");
   w.run(2000);
-  auto from = latest(w)->at("switchboard1")->id, to = latest(w)->at("switchboard3")->id;
+  auto from = latest(w)->at("gateway1")->id, to = latest(w)->at("gateway3")->id;
   yes(MoveRoutes{from, to}, "the move of routes");
   if (!change(d, 10000)) w.fail("a manifest was not acknowledged");
   w.run(3000);
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -30,7 +30,7 @@
   w.run(2000);
   std::string z(1, static_cast<char>('a' + w.below(3)));
   std::vector<std::string> gone;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::switchboard})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) w.power_off(s), gone.push_back(s);
   for (auto& [n, r] : d.c.replicas)
@@ -111,14 +111,14 @@
     for (auto& s : w.names(Kind::recorder)) w.node(s).disk.slow = 100 + w.below(300);
     w.run(1500 + w.below(1500));
     if (i % 2) {
-      auto f = d.any(Kind::switchboard);
+      auto f = d.any(Kind::gateway);
       for (auto& s : w.names(Kind::recorder)) w.power_off(s);
       w.kill(f);
       w.run(200);
       for (auto& s : w.names(Kind::recorder)) w.start(s);
       w.start(f);
     } else {
-      auto f = d.any(Kind::switchboard);
+      auto f = d.any(Kind::gateway);
       w.kill(f);
       w.run(500);
       w.start(f);
@@ -134,7 +134,7 @@
   d.c.traffic(100, w.now() + 20000);
   for (auto& s : w.names(Kind::recorder)) {
     w.run(1500);
-    for (auto& f : w.names(Kind::switchboard)) w.kill(f), w.run(100), w.start(f);
+    for (auto& f : w.names(Kind::gateway)) w.kill(f), w.run(100), w.start(f);
     w.wipe(s);
     w.run(500);
     w.start(s);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -3,13 +3,13 @@
 #include <queue>
 
 #include "consensus/controller_machine.hpp"
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 #include "follow/lineman_machine.hpp"
 #include "line/recorder_machine.hpp"
 
 namespace mosskeel::sim {
 
-enum class Kind { controller, recorder, lineman, switchboard };
+enum class Kind { controller, recorder, lineman, gateway };
 
 struct SimDisk {
   std::optional<std::string> checkpoint;
--- a/tools/rack/fleet.cpp
+++ b/tools/rack/fleet.cpp
@@ -64,7 +64,7 @@
     auto& l = add("lineman" + n(i), "lineman", i);
     l.listen = agent;
     l.args = {"--listen", agent, "--agent", listen, "--zone", l.zone, "--seeds", seeds};
-    auto& x = add("switchboard" + n(i), "switchboard", i);
+    auto& x = add("gateway" + n(i), "gateway", i);
     x.listen = listen, x.http = http;
     x.args = {"--listen", listen, "--http", http, "--agent", agent, "--zone", x.zone};
   }
--- a/tools/rack/main.cpp
+++ b/tools/rack/main.cpp
@@ -22,7 +22,7 @@
 int ready(rack::Fleet& f) {
   int n = 0;
   for (auto& p : f.list())
-    if (p.program == "switchboard" && p.pid) {
+    if (p.program == "gateway" && p.pid) {
       WebAsk a;
       a.url = "http://" + p.http + "/ready";
       a.horizon_ms = 1000;
@@ -68,7 +68,7 @@
                          "first port; the control port is the one before; 0 finds free ones", "PORT"},
                         {"controllers", 0, POPT_ARG_INT, &p.controllers, 0, "how many controllers", "N"},
                         {"stores", 0, POPT_ARG_INT, &p.stores, 0, "how many recorders", "N"},
-                        {"fronts", 0, POPT_ARG_INT, &p.fronts, 0, "how many switchboards", "N"},
+                        {"fronts", 0, POPT_ARG_INT, &p.fronts, 0, "how many gateways", "N"},
                         {"pace", 0, POPT_ARG_STRING, &pace, 0, "milliseconds between a model's pieces", "MS"},
                         {"keep", 'k', POPT_ARG_NONE, &quiet, 0, "keep the folder of an earlier run", nullptr},
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -180,8 +180,8 @@
   f.run(limits::silence_many * 2);
   size_t serving = 0, cut_off = 0;
   for (auto& s : f.stations()) {
-    if (s.seat.part != Part::switchboard) continue;
-    bool good = static_cast<SwitchboardMachine&>(*s.machine).ready(f.now());
+    if (s.seat.part != Part::gateway) continue;
+    bool good = static_cast<GatewayMachine&>(*s.machine).ready(f.now());
     serving += good, cut_off += !good;
   }
   r.counts["serving"] = static_cast<double>(serving), r.counts["not_serving"] = static_cast<double>(cut_off);
--- a/tools/scale/data.cpp
+++ b/tools/scale/data.cpp
@@ -20,7 +20,7 @@
 /// Callers and replicas of one world: each program asks its turns one after the other.
 class Talk {
  public:
-  Talk(Field& f, int programs) : f_(f), fronts_(f.all(Part::switchboard)), done_(static_cast<size_t>(programs)) {
+  Talk(Field& f, int programs) : f_(f), fronts_(f.all(Part::gateway)), done_(static_cast<size_t>(programs)) {
     f.local = [this](Station&, const Envelope& e) {
       auto* x = std::get_if<ErrandEnd>(&e.body);
       if (!x) return;
@@ -106,7 +106,7 @@
   auto begun = f.now();
   t.run(static_cast<size_t>(turns));
   auto asked = static_cast<double>(static_cast<size_t>(turns) - before) * programs;
-  for (auto p : {Part::switchboard, Part::recorder}) {
+  for (auto p : {Part::gateway, Part::recorder}) {
     auto s = f.sum(p);
     std::string who = name(p);
     Tally all;
--- a/tools/scale/field.cpp
+++ b/tools/scale/field.cpp
@@ -18,7 +18,7 @@
 }
 
 bool diskless(Part p) {
-  return p == Part::lineman || p == Part::switchboard;
+  return p == Part::lineman || p == Part::gateway;
 }
 
 }  // namespace
@@ -80,8 +80,8 @@
     case Part::lineman:
       s.machine = std::make_unique<LinemanMachine>(s.seat.id, now_);
       break;
-    case Part::switchboard:
-      s.machine = std::make_unique<SwitchboardMachine>(s.seat.id, now_);
+    case Part::gateway:
+      s.machine = std::make_unique<GatewayMachine>(s.seat.id, now_);
       break;
   }
   at(now_ + static_cast<Millis>(dice_() % limits::tick), [this, i, life = s.life] { tick(i, life); });
@@ -136,7 +136,7 @@
   if (auto v = s.machine->view(); v->epoch != s.seen) {
     if (v->epoch < s.seen) failures.push_back(s.seat.id.self.addr + " went back in epochs");
     s.seen = v->epoch;
-    if (s.seat.part == Part::switchboard) {
+    if (s.seat.part == Part::gateway) {
       if (took) took(s, s.seen);
     } else if (s.seat.part == Part::controller || (s.seat.part == Part::recorder && s.seat.zone == 0)) {
       auto d = digest(codec::pack(*v));
@@ -236,13 +236,13 @@
 
 size_t Field::fronts_at(Epoch e) const {
   return static_cast<size_t>(std::count_if(stations_.begin(), stations_.end(), [&](auto& s) {
-    return s.seat.part == Part::switchboard && s.machine && s.seen >= e;
+    return s.seat.part == Part::gateway && s.machine && s.seen >= e;
   }));
 }
 
 bool Field::fronts_in_touch() {
   return std::all_of(stations_.begin(), stations_.end(), [&](auto& s) {
-    return s.seat.part != Part::switchboard || !s.machine || static_cast<SwitchboardMachine&>(*s.machine).ready(now_);
+    return s.seat.part != Part::gateway || !s.machine || static_cast<GatewayMachine&>(*s.machine).ready(now_);
   });
 }
 
--- a/tools/scale/field.hpp
+++ b/tools/scale/field.hpp
@@ -2,7 +2,7 @@
 // A world of the daemons' own machines on virtual time that counts every message and the processor time of each step.
 #include <unordered_map>
 
-#include "errand/switchboard_machine.hpp"
+#include "errand/gateway_machine.hpp"
 #include "line/recorder_machine.hpp"
 #include "scale/plan.hpp"
 
@@ -11,7 +11,7 @@
 /// Times of the virtual fleet, in ms; they stand in for a cluster's network and its disks.
 constexpr Millis near_delay = 1, zone_delay = 2, region_delay = 30, sync_time = 2;
 
-/// Of one kind of message; `loop` is what stays on its machine (a lineman and its switchboard, a controller and itself).
+/// Of one kind of message; `loop` is what stays on its machine (a lineman and its gateway, a controller and itself).
 struct Tally {
   uint64_t count = 0, bytes = 0;
   Tally& operator+=(const Tally& o) { return count += o.count, bytes += o.bytes, *this; }
@@ -62,11 +62,11 @@
   /// Sums over all stations of a part, and the largest single one by bytes out and in over the wire.
   Tallies sum(Part p) const;
   uint64_t most(Part p, bool out) const;
-  /// Fronts whose switchboard knows the epoch, and whether every process that runs does.
+  /// Fronts whose gateway knows the epoch, and whether every process that runs does.
   size_t fronts_at(Epoch e) const;
   bool fronts_in_touch();
   std::function<void(Station&, const Envelope&)> local, replica;
-  /// Told when a switchboard takes a new value.
+  /// Told when a gateway takes a new value.
   std::function<void(Station&, Epoch)> took;
   std::function<bool(const Station&, const Station&)> cut;
   std::vector<std::string> failures;
--- a/tools/scale/hollow.cpp
+++ b/tools/scale/hollow.cpp
@@ -1,4 +1,4 @@
-// Hollow fronts: the lineman's own machine on the real transport, and instead of a switchboard its heartbeat alone.
+// Hollow fronts: the lineman's own machine on the real transport, and instead of a gateway its heartbeat alone.
 #include <time.h>
 
 #include <atomic>
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -27,8 +27,8 @@
   auto role = part == Part::controller ? Role::controller : part == Part::recorder ? Role::recorder : Role::front;
   auto port = 7000 + 10 * static_cast<int>(part);
   auto addr = address(s.zone, n, port);
-  if (part == Part::lineman) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::switchboard));
-  if (part == Part::switchboard) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::lineman));
+  if (part == Part::lineman) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::gateway));
+  if (part == Part::gateway) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::lineman));
   s.id.self = {Incarnation{inc},
                role,
                zone_name(s.zone),
@@ -44,7 +44,7 @@
 }  // namespace
 
 const char* name(Part p) {
-  static const char* const n[] = {"controller", "recorder", "lineman", "switchboard"};
+  static const char* const n[] = {"controller", "recorder", "lineman", "gateway"};
   return n[static_cast<int>(p)];
 }
 
@@ -57,13 +57,13 @@
     if (seeds.size() < 3) seeds.push_back(s.id.self.addr);
   for (int i = 0; i < p.recorders(); ++i) v.push_back(seat(p, Part::recorder, static_cast<size_t>(i), inc()));
   for (int i = 0; i < p.fronts(); ++i)
-    for (auto part : {Part::lineman, Part::switchboard}) v.push_back(seat(p, part, static_cast<size_t>(i), inc()));
+    for (auto part : {Part::lineman, Part::gateway}) v.push_back(seat(p, part, static_cast<size_t>(i), inc()));
   for (auto& s : v) s.id.seeds = seeds;
   return v;
 }
 
 std::pair<Seat, Seat> front(const Plan& p, size_t n, uint64_t seed) {
-  return {seat(p, Part::lineman, n, digest("newcomer", seed)), seat(p, Part::switchboard, n, digest("beside", seed))};
+  return {seat(p, Part::lineman, n, digest("newcomer", seed)), seat(p, Part::gateway, n, digest("beside", seed))};
 }
 
 Manifest manifest(const Plan& p) {
@@ -115,7 +115,7 @@
   step(f);
   if (p.slots) m.slots.resize(static_cast<size_t>(p.slots));
   for (auto& s : all)
-    if (s.part == Part::recorder || s.part == Part::switchboard) step(Register{s.id.self});
+    if (s.part == Part::recorder || s.part == Part::gateway) step(Register{s.id.self});
   for (auto& [id, d] : Directory(m.directory))
     if (d.self.role != Role::controller) {
       step(PrepareJoin{id});
@@ -127,7 +127,7 @@
   if (p.replicas) step(ListReplicas{replicas(p), {}});
   for (int i = 0; i < p.remembered; ++i) m.remembered.push_back({"op-" + hex(digest("id", i)), m.epoch});
   for (int i = 0; i < p.left; ++i) {
-    Seat s = seat(p, Part::switchboard, static_cast<size_t>(i % p.daemons), digest("left", i));
+    Seat s = seat(p, Part::gateway, static_cast<size_t>(i % p.daemons), digest("left", i));
     DaemonId id{m.next_id++};
     m.directory[id] = {id, s.id.self, DaemonState::left, m.epoch};
   }
