--- a/src/errand/gateway_machine.hpp
+++ b/src/errand/gateway_machine.hpp
@@ -12,7 +12,7 @@
 
 class GatewayMachine : public Machine {
  public:
-  /// `agent` is where the lineman listens.
+  /// `agent` is where the agent listens.
   GatewayMachine(const Identity& id, Millis now);
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
--- a/src/follow/lineman_machine.cpp
+++ b/src/follow/agent_machine.cpp
@@ -1,12 +1,12 @@
-#include "follow/lineman_machine.hpp"
+#include "follow/agent_machine.hpp"
 
 namespace mosskeel {
 
-LinemanMachine::LinemanMachine(const Identity& id, Millis now) : out_(id), fol_(out_, led_, now) {
+AgentMachine::AgentMachine(const Identity& id, Millis now) : out_(id), fol_(out_, led_, now) {
   fol_.on_entry = [this](const Entry& e) { out_.send(out_.id().self.agent, Decided{e}); };
 }
 
-Actions LinemanMachine::step(const Envelope& e, Millis now) {
+Actions AgentMachine::step(const Envelope& e, Millis now) {
   if (fol_.foreign(e)) {
     out_.note(Event::foreign, "from " + e.from);
     return out_.take();
@@ -25,7 +25,7 @@
   return out_.take();
 }
 
-Actions LinemanMachine::tick(Millis now) {
+Actions AgentMachine::tick(Millis now) {
   if (leaving_ && now - heard_ > limits::farewell) out_.act.stop = true;
   bool fresh = mine_ && now - heard_ < limits::heartbeat * 3;
   fol_.tick(now, fresh ? &*mine_ : nullptr);
--- a/src/follow/lineman_machine.hpp
+++ b/src/follow/agent_machine.hpp
@@ -4,9 +4,9 @@
 
 namespace mosskeel {
 
-class LinemanMachine : public Machine {
+class AgentMachine : public Machine {
  public:
-  LinemanMachine(const Identity& id, Millis now);
+  AgentMachine(const Identity& id, Millis now);
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -60,7 +60,7 @@
   BOOST_HANA_DEFINE_STRUCT(CommitReply, (std::string, id), (Outcome, outcome), (std::string, reason), (Epoch, epoch),
                            (std::optional<Metadata>, checkpoint), (Entries, entries));
 };
-/// A daemon's sign of life; a lineman's speaks for its gateway too.
+/// A daemon's sign of life; a agent's speaks for its gateway too.
 struct Heartbeat {
   BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, pressure), (Epoch, streamed),
                            (uint32_t, running), (int64_t, sent), (bool, leaving), (uint32_t, lacking));
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -51,7 +51,7 @@
 
 uint16_t port_offset(const std::string& program) {
   if (program == "gateway") return limits::gateway_port;
-  if (program == "lineman") return limits::lineman_port;
+  if (program == "agent") return limits::agent_port;
   if (program == "recorder") return limits::recorder_port;
   return limits::controller_port;
 }
@@ -101,7 +101,7 @@
       {"settings", 's', POPT_ARG_STRING, &file, 0, "JSON file with any of the settings below", "FILE"},
       {"listen", 'l', POPT_ARG_STRING, &listen, 0, "address for other daemons", "IP:PORT"},
       {"http", 'w', POPT_ARG_STRING, &http, 0, "address for HTTP", "IP:PORT"},
-      {"agent", 'a', POPT_ARG_STRING, &agent, 0, "a gateway's lineman, or a lineman's gateway", "IP:PORT"},
+      {"agent", 'a', POPT_ARG_STRING, &agent, 0, "a gateway's agent, or a agent's gateway", "IP:PORT"},
       {"zone", 'z', POPT_ARG_STRING, &zone, 0, "the zone of this machine", "NAME"},
       {"seeds", 'e', POPT_ARG_STRING, &seeds, 0, "three addresses of controllers", "A,B,C"},
       {"data", 'd', POPT_ARG_STRING, &data, 0, "the data folder", "DIR"},
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -47,14 +47,14 @@
   REQUIRE(f.fronts_in_touch());
   f.forget();
   f.run(3000);
-  CHECK(f.sum(scale::Part::lineman).in["heartbeat"].count == 0);
+  CHECK(f.sum(scale::Part::agent).in["heartbeat"].count == 0);
   CHECK(f.sum(scale::Part::recorder).in["heartbeat"].count == 0);
   for (auto i : f.all(scale::Part::controller)) f.stop(i);
   for (int k = 0; k < 40; ++k) {
     f.run(100);
     CHECK(f.fronts_in_touch());
   }
-  CHECK(f.sum(scale::Part::lineman).in["heartbeat"].count > 0);
+  CHECK(f.sum(scale::Part::agent).in["heartbeat"].count > 0);
   CHECK(f.failures.empty());
 }
 
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -59,7 +59,7 @@
     REQUIRE(ok(r));
     return value(r);
   };
-  auto m = of("controller"), s = of("gateway"), l = of("lineman"), r = of("recorder");
+  auto m = of("controller"), s = of("gateway"), l = of("agent"), r = of("recorder");
   CHECK(m.listen == "10.1.0.32:7380");
   CHECK(s.listen == "10.1.0.32:7381");
   CHECK(l.listen == "10.1.0.32:7382");
--- a/tests/process/harm.sh
+++ b/tests/process/harm.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Real processes are killed, frozen and emptied under load; every promise holds.
 . "$(dirname "$0")/common.sh"
-"$BIN/dialer" -m "$CONTROLLERS" -r 6 -t 20 --runs "$DIR/fleet" --harm gateway,recorder,controller,lineman,model --control "$CONTROL" --seed 3
+"$BIN/dialer" -m "$CONTROLLERS" -r 6 -t 20 --runs "$DIR/fleet" --harm gateway,recorder,controller,agent,model --control "$CONTROL" --seed 3
 # the busiest store loses its disk and comes back empty
 harm kill recorder1
 harm wipe recorder1
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -26,7 +26,7 @@
 }
 pause() { read -r -t "$1" <> <(:) || true; }
 "$BIN/standin" --dir "$DIR" --settings
-for i in 1 2 3; do start "controller$i"; start "recorder$i"; start "lineman$i"; start "gateway$i"; done
+for i in 1 2 3; do start "controller$i"; start "recorder$i"; start "agent$i"; start "gateway$i"; done
 "$BIN/standin" --dir "$DIR" --seconds "$SECONDS_OF_TRAFFIC" >"$DIR/out" 2>&1 & STANDIN=$!
 await 80 "traffic begins"
 pause 2
--- a/tests/sim/cores.cpp
+++ b/tests/sim/cores.cpp
@@ -116,11 +116,11 @@
       w.power_off(s);
     else
       w.wipe(s);
-  for (auto k : {Kind::lineman, Kind::gateway})
+  for (auto k : {Kind::agent, Kind::gateway})
     for (auto& s : w.names(k)) w.power_off(s);
   w.heal();
   w.run(200 + w.below(1000));
-  for (auto k : {Kind::recorder, Kind::controller, Kind::lineman, Kind::gateway})
+  for (auto k : {Kind::recorder, Kind::controller, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k)) w.start(s), w.node(s).disk.slow = 0;
   auto back = [&] {
     auto v = latest(w);
@@ -140,7 +140,7 @@
   d.c.traffic(100, w.now() + 25000);
   w.run(2000);
   w.seeds = {"controller4", "controller5", "controller99"};
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::agent})
     for (auto& s : w.names(k)) {
       w.kill(s);
       w.run(200);
--- a/tests/sim/cuts.cpp
+++ b/tests/sim/cuts.cpp
@@ -6,7 +6,7 @@
 
 /// Cuts all between the two groups; `there`, `back` tell which ways.
 void part(World& w, const std::set<std::string>& one, bool there, bool back) {
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k))
       if (!one.count(s))
         for (auto& o : one) {
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -182,7 +182,7 @@
 };
 
 const std::vector<Row>& rows() {
-  static const std::vector<Kind> all{Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway};
+  static const std::vector<Kind> all{Kind::controller, Kind::recorder, Kind::agent, Kind::gateway};
   static const std::vector<Row> v{
       {"quiet", {3, 3, 3, 4, 3}, 400, quiet},
       {"lossy", {3, 3, 3, 4, 3}, 400, lossy},
@@ -191,7 +191,7 @@
        {3, 3, 4, 4, 3},
        400,
        [](Day& d) {
-         havoc(d, {Kind::gateway, Kind::lineman}, false);
+         havoc(d, {Kind::gateway, Kind::agent}, false);
        }},
       {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
       {"controllers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::controller}, true); }},
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -8,7 +8,7 @@
 
 std::vector<std::string> of_zone(World& w, const std::string& z) {
   std::vector<std::string> v;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) v.push_back(s);
   return v;
@@ -75,13 +75,13 @@
     }
     case 6:  // machines are added
       w.add("recorder9", Kind::recorder, "a");
-      w.add("lineman9", Kind::lineman, "b", "gateway9");
-      w.add("gateway9", Kind::gateway, "b", "lineman9");
+      w.add("agent9", Kind::agent, "b", "gateway9");
+      w.add("gateway9", Kind::gateway, "b", "agent9");
       w.run(8000);
       break;
     case 7:  // the seeds are swapped for other core machines
       w.seeds = {w.names(Kind::controller).back(), "controller77", "controller78"};
-      for (auto& s : w.names(Kind::lineman)) w.kill(s), w.run(300), w.start(s), w.run(900);
+      for (auto& s : w.names(Kind::agent)) w.kill(s), w.run(300), w.start(s), w.run(900);
       break;
     case 8:  // two operators race in a storm
       for (int i = 0; i < 20; ++i) {
@@ -117,7 +117,7 @@
     default: {
       auto v = of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))));
       std::set<std::string> in(v.begin(), v.end());
-      for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
+      for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
         for (auto& s : w.names(k))
           if (!in.count(s))
             for (auto& o : v) w.cut(o, s), w.cut(s, o);
@@ -200,7 +200,7 @@
     };
     if (!w.until(15000, good)) w.fail(std::string("the fleet is not calm after ") + what);
   };
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::agent})
     for (auto& s : w.names(k)) {
       w.stop(s);
       w.run(300 + w.below(400));
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -30,7 +30,7 @@
   w.run(2000);
   std::string z(1, static_cast<char>('a' + w.below(3)));
   std::vector<std::string> gone;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::lineman, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) w.power_off(s), gone.push_back(s);
   for (auto& [n, r] : d.c.replicas)
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -12,8 +12,8 @@
   for (int i = 0; i < z.stores; ++i) add("recorder" + std::to_string(i + 1), Kind::recorder, zone(i));
   for (int i = 0; i < z.fronts; ++i) {
     auto k = std::to_string(i + 1);
-    add("lineman" + k, Kind::lineman, zone(i), "gateway" + k);
-    add("gateway" + k, Kind::gateway, zone(i), "lineman" + k);
+    add("agent" + k, Kind::agent, zone(i), "gateway" + k);
+    add("gateway" + k, Kind::gateway, zone(i), "agent" + k);
   }
 }
 
@@ -51,7 +51,7 @@
 void World::start(const std::string& name) {
   auto& n = node(name);
   if (n.machine) return;
-  bool diskless = n.kind == Kind::lineman || n.kind == Kind::gateway;
+  bool diskless = n.kind == Kind::agent || n.kind == Kind::gateway;
   if (diskless && n.life) n.id.self.inc = Incarnation{dice_()};
   n.id.dice = dice_();
   n.id.seeds = seeds;
@@ -71,8 +71,8 @@
     case Kind::recorder:
       n.machine = std::make_unique<RecorderMachine>(n.id, r, now);
       break;
-    case Kind::lineman:
-      n.machine = std::make_unique<LinemanMachine>(n.id, now);
+    case Kind::agent:
+      n.machine = std::make_unique<AgentMachine>(n.id, now);
       break;
     case Kind::gateway:
       n.machine = std::make_unique<GatewayMachine>(n.id, now);
@@ -210,7 +210,7 @@
                       std::to_string(static_cast<int>(x.event)) + " " + x.text);
   look(n);
   for (auto& e : a.now) send(n, e);
-  bool diskless = n.kind == Kind::lineman || n.kind == Kind::gateway;
+  bool diskless = n.kind == Kind::agent || n.kind == Kind::gateway;
   if (diskless) {
     for (auto& e : a.synced) send(n, e);
   } else if (!a.journal.empty() || !a.synced.empty() || a.checkpoint) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -4,12 +4,12 @@
 
 #include "consensus/controller_machine.hpp"
 #include "errand/gateway_machine.hpp"
-#include "follow/lineman_machine.hpp"
+#include "follow/agent_machine.hpp"
 #include "line/recorder_machine.hpp"
 
 namespace mosskeel::sim {
 
-enum class Kind { controller, recorder, lineman, gateway };
+enum class Kind { controller, recorder, agent, gateway };
 
 struct SimDisk {
   std::optional<std::string> checkpoint;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -38,7 +38,7 @@
   Plan p{free_base()};
   auto q = [](const std::string& s) { return "\"" + s + "\""; };
   std::string seeds = q(p.control(0)) + "," + q(p.control(1)) + "," + q(p.control(2));
-  for (std::string program : {"controller", "recorder", "gateway", "lineman"})
+  for (std::string program : {"controller", "recorder", "gateway", "agent"})
     for (int i = 0; i < 3; ++i) {
       auto machine = program == "controller" ? "core" : program == "recorder" ? "storage" : "front";
       auto ip = "127.0.0." + std::to_string((program == "controller" ? 11 : program == "recorder" ? 21 : 31) + i);
--- a/tools/rack/fleet.cpp
+++ b/tools/rack/fleet.cpp
@@ -61,7 +61,7 @@
   }
   for (int i = 0; i < plan_.fronts; ++i) {
     auto agent = port(), listen = port(), http = port();
-    auto& l = add("lineman" + n(i), "lineman", i);
+    auto& l = add("agent" + n(i), "agent", i);
     l.listen = agent;
     l.args = {"--listen", agent, "--agent", listen, "--zone", l.zone, "--seeds", seeds};
     auto& x = add("gateway" + n(i), "gateway", i);
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -13,10 +13,10 @@
 struct Fronts {
   Fronts(Field& f) : f(f) {
     for (size_t i = 0; i < f.stations().size(); ++i)
-      if (f.stations()[i].seat.part == Part::lineman) v.push_back(i);
+      if (f.stations()[i].seat.part == Part::agent) v.push_back(i);
   }
-  void stop(size_t lineman) { f.stop(lineman), f.stop(lineman + 1); }
-  void start(size_t lineman) { f.start(lineman, true), f.start(lineman + 1, true); }
+  void stop(size_t agent) { f.stop(agent), f.stop(agent + 1); }
+  void start(size_t agent) { f.start(agent, true), f.start(agent + 1, true); }
   Field& f;
   std::vector<size_t> v;
 };
@@ -41,7 +41,7 @@
   r.counts["epochs"] = static_cast<double>(v->epoch.v - before.v);
   r.counts["seconds"] = static_cast<double>(f.now() - begun) / 1000;
   auto seconds = r.counts["seconds"];
-  for (auto p : {Part::controller, Part::recorder, Part::lineman}) {
+  for (auto p : {Part::controller, Part::recorder, Part::agent}) {
     auto s = f.sum(p);
     auto n = static_cast<double>(f.all(p).size());
     Tally out, in;
@@ -150,7 +150,7 @@
     auto m = core(f);
     size_t n = 0, all = 0;
     for (auto i : gone)
-      if (f.stations()[i].seat.part != Part::lineman) {
+      if (f.stations()[i].seat.part != Part::agent) {
         auto* d = m->find(f.stations()[i].seat.id.self.inc);
         ++all, n += d && (d->state == DaemonState::down || d->state == DaemonState::left);
       }
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -42,7 +42,7 @@
 }
 
 void add_all(Row& r, Field& f, double seconds) {
-  for (auto p : {Part::controller, Part::recorder, Part::lineman, Part::gateway})
+  for (auto p : {Part::controller, Part::recorder, Part::agent, Part::gateway})
     add(r, name(p), f.sum(p), static_cast<double>(f.all(p).size()), seconds);
 }
 
@@ -74,7 +74,7 @@
   f.forget();
   f.run(window);
   std::map<Part, std::pair<Tally, int64_t>> idle;
-  const auto parts = {Part::controller, Part::recorder, Part::lineman, Part::gateway};
+  const auto parts = {Part::controller, Part::recorder, Part::agent, Part::gateway};
   for (auto x : parts) idle[x] = {wire(f.sum(x)), f.sum(x).nanos};
   f.forget();
   auto& m = f.of(Part::controller, 0);
@@ -202,9 +202,9 @@
   auto a = at_rest(p, seed, daemons).counts, b = change(p, seed, daemons).counts;
   char s[300];
   snprintf(s, sizeof s, "| %d | %.1f | %.0f | %.1f | %.0f | %.0f | %.0f | %.0f | %.0f |", daemons,
-           a["lineman.out.msg"] + a["lineman.in.msg"], a["lineman.out.byte"] + a["lineman.in.byte"],
-           a["controller.out.msg"] + a["controller.in.msg"], a["controller.out.byte"] + a["controller.in.byte"], b["lineman.more.msg"],
-           b["lineman.more.byte"], b["in_force.ms.max"], b["acknowledged.ms"]);
+           a["agent.out.msg"] + a["agent.in.msg"], a["agent.out.byte"] + a["agent.in.byte"],
+           a["controller.out.msg"] + a["controller.in.msg"], a["controller.out.byte"] + a["controller.in.byte"], b["agent.more.msg"],
+           b["agent.more.byte"], b["in_force.ms.max"], b["acknowledged.ms"]);
   return s;
 }
 
--- a/tools/scale/field.cpp
+++ b/tools/scale/field.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "consensus/controller_machine.hpp"
-#include "follow/lineman_machine.hpp"
+#include "follow/agent_machine.hpp"
 #include "kernel/wire.hpp"
 
 namespace mosskeel::scale {
@@ -18,7 +18,7 @@
 }
 
 bool diskless(Part p) {
-  return p == Part::lineman || p == Part::gateway;
+  return p == Part::agent || p == Part::gateway;
 }
 
 }  // namespace
@@ -77,8 +77,8 @@
     case Part::recorder:
       s.machine = std::make_unique<RecorderMachine>(s.seat.id, r, now_);
       break;
-    case Part::lineman:
-      s.machine = std::make_unique<LinemanMachine>(s.seat.id, now_);
+    case Part::agent:
+      s.machine = std::make_unique<AgentMachine>(s.seat.id, now_);
       break;
     case Part::gateway:
       s.machine = std::make_unique<GatewayMachine>(s.seat.id, now_);
--- a/tools/scale/hollow.cpp
+++ b/tools/scale/hollow.cpp
@@ -1,4 +1,4 @@
-// Hollow fronts: the lineman's own machine on the real transport, and instead of a gateway its heartbeat alone.
+// Hollow fronts: the agent's own machine on the real transport, and instead of a gateway its heartbeat alone.
 #include <time.h>
 
 #include <atomic>
@@ -7,7 +7,7 @@
 #include <sstream>
 #include <thread>
 
-#include "follow/lineman_machine.hpp"
+#include "follow/agent_machine.hpp"
 #include "kernel/host.hpp"
 #include "kernel/post.hpp"
 #include "kernel/queue.hpp"
@@ -19,7 +19,7 @@
 struct Hollow {
   Address at, shadow;
   std::string zone;
-  std::unique_ptr<LinemanMachine> machine;
+  std::unique_ptr<AgentMachine> machine;
   Candidate self;
   uint64_t life = 0;
   Epoch seen{};
@@ -80,7 +80,7 @@
     if (h.machine) return;
     Identity id{{Incarnation{dice_()}, Role::front, h.zone, h.at, h.shadow, ""}, seeds_, 0, dice_()};
     h.self = {Incarnation{dice_()}, Role::front, h.zone, h.shadow, h.at, h.shadow, "hollow-" + std::to_string(i)};
-    h.machine = std::make_unique<LinemanMachine>(id, process_now());
+    h.machine = std::make_unique<AgentMachine>(id, process_now());
     h.seen = {};
     h.known.clear();
   }
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -27,8 +27,8 @@
   auto role = part == Part::controller ? Role::controller : part == Part::recorder ? Role::recorder : Role::front;
   auto port = 7000 + 10 * static_cast<int>(part);
   auto addr = address(s.zone, n, port);
-  if (part == Part::lineman) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::gateway));
-  if (part == Part::gateway) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::lineman));
+  if (part == Part::agent) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::gateway));
+  if (part == Part::gateway) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::agent));
   s.id.self = {Incarnation{inc},
                role,
                zone_name(s.zone),
@@ -44,7 +44,7 @@
 }  // namespace
 
 const char* name(Part p) {
-  static const char* const n[] = {"controller", "recorder", "lineman", "gateway"};
+  static const char* const n[] = {"controller", "recorder", "agent", "gateway"};
   return n[static_cast<int>(p)];
 }
 
@@ -57,13 +57,13 @@
     if (seeds.size() < 3) seeds.push_back(s.id.self.addr);
   for (int i = 0; i < p.recorders(); ++i) v.push_back(seat(p, Part::recorder, static_cast<size_t>(i), inc()));
   for (int i = 0; i < p.fronts(); ++i)
-    for (auto part : {Part::lineman, Part::gateway}) v.push_back(seat(p, part, static_cast<size_t>(i), inc()));
+    for (auto part : {Part::agent, Part::gateway}) v.push_back(seat(p, part, static_cast<size_t>(i), inc()));
   for (auto& s : v) s.id.seeds = seeds;
   return v;
 }
 
 std::pair<Seat, Seat> front(const Plan& p, size_t n, uint64_t seed) {
-  return {seat(p, Part::lineman, n, digest("newcomer", seed)), seat(p, Part::gateway, n, digest("beside", seed))};
+  return {seat(p, Part::agent, n, digest("newcomer", seed)), seat(p, Part::gateway, n, digest("beside", seed))};
 }
 
 Manifest manifest(const Plan& p) {
--- a/tools/scale/plan.hpp
+++ b/tools/scale/plan.hpp
@@ -4,7 +4,7 @@
 
 namespace mosskeel::scale {
 
-enum class Part { controller, recorder, lineman, gateway };
+enum class Part { controller, recorder, agent, gateway };
 const char* name(Part p);
 
 /// The target of two years is the default. `daemons` are fronts and recorders together, one recorder in ten.
@@ -23,7 +23,7 @@
   Address beside;
 };
 
-/// Every process of the plan's fleet, controllers first, then recorders, then each lineman with its gateway.
+/// Every process of the plan's fleet, controllers first, then recorders, then each agent with its gateway.
 std::vector<Seat> seats(const Plan& p, uint64_t seed);
 /// One more front, as `seats` makes them.
 std::pair<Seat, Seat> front(const Plan& p, size_t n, uint64_t seed);
