--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -60,10 +60,10 @@
     auto& s = m.slots[x.slot.v];
     affected.insert(s.owner);
     affected.insert(x.owner);
-    affected.insert(s.recorders.begin(), s.recorders.end());
-    affected.insert(x.recorders.begin(), x.recorders.end());
-    for (auto r : x.recorders)
-      if (std::find(s.recorders.begin(), s.recorders.end(), r) == s.recorders.end()) fresh.insert(r);
+    affected.insert(s.stores.begin(), s.stores.end());
+    affected.insert(x.stores.begin(), x.stores.end());
+    for (auto r : x.stores)
+      if (std::find(s.stores.begin(), s.stores.end(), r) == s.stores.end()) fresh.insert(r);
   }
   size_t all = 0, know = 0;
   for (auto id : affected) {
@@ -111,14 +111,14 @@
   return repair(now);
 }
 
-/// The places of a recorder that stays down go to the others, where there are enough of them to hold every copy.
+/// The places of a store that stays down go to the others, where there are enough of them to hold every copy.
 std::optional<Transformation> Supervisor::repair(Millis now) {
   auto& m = *led_.view();
   for (auto& [id, d] : m.directory) {
-    if (d.self.role != Role::recorder || d.state != DaemonState::down || !silent(d, now, limits::repair_after)) continue;
+    if (d.self.role != Role::store || d.state != DaemonState::down || !silent(d, now, limits::repair_after)) continue;
     if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
     bool holds = std::any_of(m.slots.begin(), m.slots.end(),
-                             [&](auto& s) { return std::count(s.recorders.begin(), s.recorders.end(), id) > 0; });
+                             [&](auto& s) { return std::count(s.stores.begin(), s.stores.end(), id) > 0; });
     if (holds && ok(places::for_drain(m, d))) return PrepareDrain{id};
   }
   return std::nullopt;
--- a/src/controller/commits.cpp
+++ b/src/controller/commits.cpp
@@ -11,12 +11,12 @@
   auto* p = std::get_if<PrepareDrain>(&t);
   auto v = host_.view();
   auto* d = p ? v->find(p->node) : nullptr;
-  if (!d || d->self.role != Role::recorder) return "";
+  if (!d || d->self.role != Role::store) return "";
   std::string s;
   host_.ask([&](Machine& m, Millis now) {
     auto& h = static_cast<ControllerMachine&>(m).hearing();
     for (auto& [id, x] : v->directory) {
-      if (x.self.role != Role::recorder || x.state != DaemonState::up) continue;
+      if (x.self.role != Role::store || x.state != DaemonState::up) continue;
       auto* o = h.of(x.self.inc);
       if (!o || now - o->last > limits::silence)
         s += " daemon " + std::to_string(id.v) + " is silent;";
--- a/src/controller/orders.cpp
+++ b/src/controller/orders.cpp
@@ -23,7 +23,7 @@
 const Daemon* store_on(const Metadata& m, const std::string& machine) {
   const Daemon* last = nullptr;
   for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::recorder && !machine.empty() && d.self.machine == machine) last = &d;
+    if (d.self.role == Role::store && !machine.empty() && d.self.machine == machine) last = &d;
   return last;
 }
 
@@ -35,7 +35,7 @@
 bool emptied(const Metadata& m, const Daemon& d) {
   if (d.state != DaemonState::left || m.sequences.count(d.id)) return false;
   return std::none_of(m.slots.begin(), m.slots.end(), [&](auto& s) {
-    return std::count(s.recorders.begin(), s.recorders.end(), d.id) ||
+    return std::count(s.stores.begin(), s.stores.end(), d.id) ||
            std::count(s.pending.begin(), s.pending.end(), d.id);
   });
 }
--- a/src/errand/ending.cpp
+++ b/src/errand/ending.cpp
@@ -11,7 +11,7 @@
   refuse(w, 410, "the program has ended: its retention is over", 0, now, fresh ? Outcome::no : Outcome::unknown);
 }
 
-/// A majority of the line's recorders must say it, each by its own clock, and nothing may be under way.
+/// A majority of the line's stores must say it, each by its own clock, and nothing may be under way.
 void GatewayMachine::on(const Envelope& e, const LineAged& x, Millis now) {
   auto* d = led_.view()->find(e.from_inc);
   if (!d || x.slot != slot_of(x.line.cell, x.line.program)) return;
--- a/src/errand/gateway_machine.hpp
+++ b/src/errand/gateway_machine.hpp
@@ -120,7 +120,7 @@
   std::map<std::string, Work> works_;
   std::map<std::string, std::pair<Millis, std::optional<ErrandEnd>>> ended_;
   std::vector<Late> lates_;
-  /// Which recorders say that a line has outlived its retention, and at which length.
+  /// Which stores say that a line has outlived its retention, and at which length.
   std::map<LineName, std::map<DaemonId, uint64_t>> aged_;
   std::map<std::tuple<LineName, std::string, DaemonId>, Asked> runners_;
   boost::heap::priority_queue<Key> queue_;
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -108,7 +108,7 @@
   BOOST_HANA_DEFINE_STRUCT(LineWriteReply, (LineName, line), (Epoch, term), (bool, granted), (bool, gap),
                            (uint64_t, length));
 };
-/// A recorder's own clock says that the line of this length has outlived its retention.
+/// A store's own clock says that the line of this length has outlived its retention.
 struct LineAged {
   BOOST_HANA_DEFINE_STRUCT(LineAged, (LineName, line), (SlotId, slot), (uint64_t, length));
 };
@@ -128,7 +128,7 @@
                            (bool, more));
 };
 
-/// Recorders compare their slots' lines in the background and fetch what they lack.
+/// Stores compare their slots' lines in the background and fetch what they lack.
 struct SlotCheck {
   BOOST_HANA_DEFINE_STRUCT(SlotCheck, (SlotId, slot), (Epoch, changed), (uint64_t, sum));
 };
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -52,7 +52,7 @@
 uint16_t port_offset(const std::string& program) {
   if (program == "gateway") return limits::gateway_port;
   if (program == "agent") return limits::agent_port;
-  if (program == "recorder") return limits::recorder_port;
+  if (program == "store") return limits::store_port;
   return limits::controller_port;
 }
 
--- a/src/kernel/turn_messages.hpp
+++ b/src/kernel/turn_messages.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// What fronts, owners and recorders say to each other of callers' turns.
+// What fronts, owners and stores say to each other of callers' turns.
 #include <boost/hana/define_struct.hpp>
 
 #include "mosskeel.hpp"
@@ -26,7 +26,7 @@
 struct TurnSettled {
   BOOST_HANA_DEFINE_STRUCT(TurnSettled, (std::string, attempt), (bool, kept));
 };
-/// Asks a recorder for the chain that ends with this turn, whichever program it was of.
+/// Asks a store for the chain that ends with this turn, whichever program it was of.
 struct ChainFind {
   BOOST_HANA_DEFINE_STRUCT(ChainFind, (std::string, turn));
 };
--- a/src/line/chains.cpp
+++ b/src/line/chains.cpp
@@ -1,8 +1,8 @@
-// How a recorder finds the chain of a turn whose program it is not told.
+// How a store finds the chain of a turn whose program it is not told.
 #include <algorithm>
 #include <unordered_map>
 
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 
 namespace mosskeel {
 namespace {
@@ -31,7 +31,7 @@
 
 }  // namespace
 
-void RecorderMachine::on(const Envelope& e, const ChainFind& f) {
+void StoreMachine::on(const Envelope& e, const ChainFind& f) {
   ChainFound a{f.turn, false, {}};
   for (auto& [slot, s] : slots_)
     for (auto& [n, l] : s.lines) {
--- a/src/line/expiry.cpp
+++ b/src/line/expiry.cpp
@@ -1,18 +1,18 @@
-// How a line ends: by the clocks of a majority of its recorders, and by its owner's own record.
+// How a line ends: by the clocks of a majority of its stores, and by its owner's own record.
 #include <algorithm>
 
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 
 namespace mosskeel {
 
-void RecorderMachine::bury(SlotStore& s, const LineName& n) {
+void StoreMachine::bury(SlotStore& s, const LineName& n) {
   s.lines.erase(n);
   s.graves.add(grave_of(n));
 }
 
-/// Time counts from the last write, over this recorder's own uptime only, stretched by a margin: what clocks do can
+/// Time counts from the last write, over this store's own uptime only, stretched by a margin: what clocks do can
 /// only lengthen the retention. A line keeps the longest promise that any of its records was given.
-bool RecorderMachine::aged(const Line& l) const {
+bool StoreMachine::aged(const Line& l) const {
   if (l.records.empty()) return false;
   if (l.records.back().kind == RecordKind::ended) return true;
   int64_t keep = 0;
@@ -20,7 +20,7 @@
   return uptime() - l.touched > keep + keep / limits::retention_slack + limits::retention_margin;
 }
 
-void RecorderMachine::expire(Millis now) {
+void StoreMachine::expire(Millis now) {
   next_expire_ = now + limits::expiry_pace;
   auto& m = *led_.view();
   if (m.slots.empty()) return;
@@ -34,20 +34,20 @@
       out_.send(o->self.addr, LineAged{name, expiring_, l.records.size()}, o->self.inc);
 }
 
-void RecorderMachine::on(const Envelope& e, const LineBury& b) {
+void StoreMachine::on(const Envelope& e, const LineBury& b) {
   auto& s = slots_[b.slot];
   if (!placed(e, b.slot) || s.fence > b.term || s.graves.has(grave_of(b.line))) return;
   bury(s, b.line);
   journal(BuryRecord{b.slot, b.line});
 }
 
-size_t RecorderMachine::kept_lines() const {
+size_t StoreMachine::kept_lines() const {
   size_t n = 0;
   for (auto& [s, x] : slots_) n += x.lines.size();
   return n;
 }
 
-size_t RecorderMachine::kept_graves() const {
+size_t StoreMachine::kept_graves() const {
   size_t n = 0;
   for (auto& [s, x] : slots_) n += x.graves.size();
   return n;
--- a/src/line/keeper.cpp
+++ b/src/line/keeper.cpp
@@ -14,7 +14,7 @@
 std::vector<const Daemon*> Keeper::targets(const Held& h) const {
   auto& m = *led_.view();
   auto& s = m.slots[h.slot.v];
-  std::set<DaemonId> ids(s.recorders.begin(), s.recorders.end());
+  std::set<DaemonId> ids(s.stores.begin(), s.stores.end());
   ids.insert(s.pending.begin(), s.pending.end());
   std::vector<const Daemon*> v;
   for (auto id : ids)
@@ -28,7 +28,7 @@
     auto n = static_cast<size_t>(std::count_if(v.begin(), v.end(), has));
     return n >= majority_of(std::max<size_t>(v.size(), limits::copies));
   };
-  return good(s.recorders) && (s.pending.empty() || h.reading || good(s.pending));
+  return good(s.stores) && (s.pending.empty() || h.reading || good(s.pending));
 }
 
 Keeper::State Keeper::open(const LineName& n, Millis now) {
--- a/src/line/keeper.hpp
+++ b/src/line/keeper.hpp
@@ -27,7 +27,7 @@
   void tick(Millis now);
   /// Lines whose state or committed length changed since the last call.
   std::set<LineName> changed() { return std::exchange(changed_, {}); }
-  /// Whether those who said so are a majority of the line's recorders.
+  /// Whether those who said so are a majority of the line's stores.
   bool agreed(const LineName& n, const std::function<bool(DaemonId)>& has) const;
   size_t open_lines() const { return lines_.size(); }
 
--- a/src/line/repair.cpp
+++ b/src/line/repair.cpp
@@ -11,8 +11,8 @@
   if (!me) return v;
   for (uint32_t i = 0; i < m.slots.size(); ++i) {
     auto& s = m.slots[i];
-    if (!s.pending.empty() || !std::count(s.recorders.begin(), s.recorders.end(), me->id)) continue;
-    for (auto id : s.recorders)
+    if (!s.pending.empty() || !std::count(s.stores.begin(), s.stores.end(), me->id)) continue;
+    for (auto id : s.stores)
       if (auto* d = m.find(id); d && id != me->id && d->state == DaemonState::up) v.push_back({SlotId{i}, id});
   }
   std::sort(v.begin(), v.end());
--- a/src/line/repair.hpp
+++ b/src/line/repair.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// A recorder's background repair: compare slots with the other recorders, fetch the lines that are lacking here.
+// A store's background repair: compare slots with the other stores, fetch the lines that are lacking here.
 #include "follow/ledger.hpp"
 #include "line/store.hpp"
 
@@ -11,7 +11,7 @@
   /// Handles what concerns repair; false leaves the message to the caller.
   bool on(const Envelope& e, Millis now);
   void tick(Millis now);
-  /// How many slots, each with one other recorder in place, are not known to be whole here.
+  /// How many slots, each with one other store in place, are not known to be whole here.
   uint32_t lacking() const;
   /// Lines fetched since the start.
   uint64_t fetched() const { return fetched_; }
--- a/src/line/store.hpp
+++ b/src/line/store.hpp
@@ -1,10 +1,10 @@
 #pragma once
-// What a recorder keeps of its slots.
+// What a store keeps of its slots.
 #include "line/graves.hpp"
 
 namespace mosskeel {
 
-/// `touched` is when it was last written, by the recorder's own count of the time that it was up.
+/// `touched` is when it was last written, by the store's own count of the time that it was up.
 struct Line {
   BOOST_HANA_DEFINE_STRUCT(Line, (Epoch, term), (Records, records), (Millis, touched));
 };
--- a/src/line/recorder_machine.cpp
+++ b/src/line/store_machine.cpp
@@ -1,10 +1,10 @@
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 
 #include <algorithm>
 
 namespace mosskeel {
 
-RecorderMachine::RecorderMachine(const Identity& id, const Recovered& r, Millis now)
+StoreMachine::StoreMachine(const Identity& id, const Recovered& r, Millis now)
     : out_(id), fol_(out_, led_, now), rep_(out_, led_, slots_), born_(now), now_(now) {
   rep_.take = [this](const StreamRecord& q) {
     merge(slots_[q.slot], q);
@@ -12,13 +12,13 @@
   };
   rep_.uptime = [this] { return uptime(); };
   if (r.checkpoint)
-    if (auto c = codec::unpack<RecorderCheckpoint>(*r.checkpoint)) {
+    if (auto c = codec::unpack<StoreCheckpoint>(*r.checkpoint)) {
       led_.jump(c->metadata);
       slots_ = std::move(c->slots);
       before_ = c->uptime;
     }
   for (auto& s : r.journal) {
-    auto x = codec::unpack<RecorderRecord>(s);
+    auto x = codec::unpack<StoreRecord>(s);
     if (!x) continue;
     std::visit(overload{[&](const Fence& f) { slots_[f.slot].fence = std::max(slots_[f.slot].fence, f.term); },
                         [&](const LineWrite& w) { write(slots_[w.slot], w); },
@@ -34,11 +34,11 @@
   fol_.on_jump = [this](const Metadata& m) { journal(m); };
 }
 
-std::string RecorderMachine::checkpoint() const {
-  return codec::pack(RecorderCheckpoint{*led_.view(), slots_, uptime()});
+std::string StoreMachine::checkpoint() const {
+  return codec::pack(StoreCheckpoint{*led_.view(), slots_, uptime()});
 }
 
-Actions RecorderMachine::done() {
+Actions StoreMachine::done() {
   for (auto& s : out_.act.journal) grown_ += s.size();
   if (grown_ > limits::checkpoint_bytes) {
     out_.act.checkpoint = checkpoint();
@@ -47,17 +47,17 @@
   return out_.take();
 }
 
-bool RecorderMachine::placed(const Envelope& e, SlotId s) const {
+bool StoreMachine::placed(const Envelope& e, SlotId s) const {
   auto& m = *led_.view();
   auto* me = m.find(out_.id().self.inc);
   auto* you = m.find(e.from_inc);
   if (!me || !you || s.v >= m.slots.size()) return false;
   auto& x = m.slots[s.v];
   auto in = [&](auto& v) { return std::count(v.begin(), v.end(), me->id) > 0; };
-  return e.epoch >= std::max(x.term, x.changed) && x.owner == you->id && (in(x.recorders) || in(x.pending));
+  return e.epoch >= std::max(x.term, x.changed) && x.owner == you->id && (in(x.stores) || in(x.pending));
 }
 
-bool RecorderMachine::fence(SlotId s, Epoch term) {
+bool StoreMachine::fence(SlotId s, Epoch term) {
   auto& x = slots_[s];
   if (term < x.fence) return false;
   if (term > x.fence) {
@@ -67,7 +67,7 @@
   return true;
 }
 
-void RecorderMachine::on(const Envelope& e, const LineRead& r) {
+void StoreMachine::on(const Envelope& e, const LineRead& r) {
   bool yes = placed(e, r.slot) && fence(r.slot, r.term);
   auto& s = slots_[r.slot];
   LineReadReply a{r.line, r.term, yes, {}, s.graves.has(grave_of(r.line)), {}};
@@ -76,7 +76,7 @@
   out_.send_synced(e.from, a, e.from_inc);
 }
 
-LineWriteReply RecorderMachine::write(SlotStore& s, const LineWrite& w) {
+LineWriteReply StoreMachine::write(SlotStore& s, const LineWrite& w) {
   s.fence = std::max(s.fence, w.term);
   if (s.graves.has(grave_of(w.line))) return {w.line, w.term, false, false, 0};
   auto i = s.lines.find(w.line);
@@ -96,7 +96,7 @@
   return {w.line, w.term, true, false, v.size()};
 }
 
-void RecorderMachine::on(const Envelope& e, const LineWrite& w) {
+void StoreMachine::on(const Envelope& e, const LineWrite& w) {
   if (!placed(e, w.slot) || slots_[w.slot].fence > w.term) {
     out_.send(e.from, LineWriteReply{w.line, w.term, false, false, 0}, e.from_inc);
     return;
@@ -106,7 +106,7 @@
   out_.send_synced(e.from, r, e.from_inc);
 }
 
-void RecorderMachine::on(const Envelope& e, const SlotStream& q) {
+void StoreMachine::on(const Envelope& e, const SlotStream& q) {
   SlotStreamReply r{q.slot, q.sequence, q.after, q.grave, {}, {}, {}, false};
   if (auto i = slots_.find(q.slot); i != slots_.end()) {
     r.fence = i->second.fence;
@@ -126,7 +126,7 @@
   out_.send(e.from, r, e.from_inc);
 }
 
-void RecorderMachine::merge(SlotStore& s, const StreamRecord& r) {
+void StoreMachine::merge(SlotStore& s, const StreamRecord& r) {
   s.fence = std::max(s.fence, r.fence);
   for (auto g : r.graves) s.graves.add(g);
   if (!r.graves.empty()) std::erase_if(s.lines, [&](auto& l) { return s.graves.has(grave_of(l.first)); });
@@ -138,7 +138,7 @@
   }
 }
 
-void RecorderMachine::on(const Envelope& e, const SlotStreamReply& r, Millis now) {
+void StoreMachine::on(const Envelope& e, const SlotStreamReply& r, Millis now) {
   auto i = streams_.find(r.slot);
   auto* d = led_.view()->find(e.from_inc);
   if (i == streams_.end() || i->second.sequence != r.sequence || !d || i->second.complete) return;
@@ -156,7 +156,7 @@
   }
   x.done.insert(d->id);
   auto& s = led_.view()->slots[r.slot.v];
-  x.complete = x.done.size() >= majority_of(s.recorders.size());
+  x.complete = x.done.size() >= majority_of(s.stores.size());
   if (x.complete && streamed() >= r.sequence) {
     out_.note(Event::streamed, "sequence of epoch " + std::to_string(r.sequence.v));
     fol_.hurry();
@@ -164,7 +164,7 @@
   x.last = now;
 }
 
-void RecorderMachine::stream(Millis now) {
+void StoreMachine::stream(Millis now) {
   auto& m = *led_.view();
   auto* me = m.find(out_.id().self.inc);
   if (!me) return;
@@ -172,23 +172,23 @@
     auto& s = m.slots[i];
     SlotId id{i};
     bool in = std::count(s.pending.begin(), s.pending.end(), me->id),
-         old = std::count(s.recorders.begin(), s.recorders.end(), me->id);
+         old = std::count(s.stores.begin(), s.stores.end(), me->id);
     if (!in || old) {
       streams_.erase(id);
       continue;
     }
     auto& x = streams_[id];
     if (x.sequence != s.changed) x = {s.changed, {}, {}, 0, false};
-    if (s.recorders.empty()) x.complete = true;
+    if (s.stores.empty()) x.complete = true;
     if (x.complete || now - x.last < limits::line_retry) continue;
     x.last = now;
-    for (auto r : s.recorders)
+    for (auto r : s.stores)
       if (auto* d = m.find(r); d && !x.done.count(r))
         out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].grave}, d->self.inc);
   }
 }
 
-Epoch RecorderMachine::streamed() const {
+Epoch StoreMachine::streamed() const {
   Epoch e{0};
   for (auto& [id, x] : streams_) {
     if (!x.complete) return {};
@@ -197,7 +197,7 @@
   return e;
 }
 
-void RecorderMachine::handle(const Envelope& e, Millis now) {
+void StoreMachine::handle(const Envelope& e, Millis now) {
   if (fol_.handle(e, now)) return;
   if (fol_.park(e)) return;
   if (rep_.on(e, now)) return;
@@ -208,7 +208,7 @@
              e.body);
 }
 
-Actions RecorderMachine::step(const Envelope& e, Millis now) {
+Actions StoreMachine::step(const Envelope& e, Millis now) {
   now_ = now;
   if (fol_.foreign(e)) {
     out_.note(Event::foreign, "from " + e.from);
@@ -223,13 +223,13 @@
   return done();
 }
 
-Actions RecorderMachine::tick(Millis now) {
+Actions StoreMachine::tick(Millis now) {
   now_ = now;
   turn(now);
   return done();
 }
 
-void RecorderMachine::turn(Millis now) {
+void StoreMachine::turn(Millis now) {
   stream(now);
   if (now >= next_expire_) expire(now);
   rep_.tick(now);
--- a/src/line/recorder_machine.hpp
+++ b/src/line/store_machine.hpp
@@ -1,12 +1,12 @@
 #pragma once
-// A recorder: fenced append logs, one a line; it syncs before it answers.
+// A store: fenced append logs, one a line; it syncs before it answers.
 #include "follow/follower.hpp"
 #include "line/repair.hpp"
 
 namespace mosskeel {
 
-struct RecorderCheckpoint {
-  BOOST_HANA_DEFINE_STRUCT(RecorderCheckpoint, (Metadata, metadata), (SlotStores, slots), (Millis, uptime));
+struct StoreCheckpoint {
+  BOOST_HANA_DEFINE_STRUCT(StoreCheckpoint, (Metadata, metadata), (SlotStores, slots), (Millis, uptime));
 };
 struct Fence {
   BOOST_HANA_DEFINE_STRUCT(Fence, (SlotId, slot), (Epoch, term));
@@ -14,11 +14,11 @@
 struct BuryRecord {
   BOOST_HANA_DEFINE_STRUCT(BuryRecord, (SlotId, slot), (LineName, line));
 };
-using RecorderRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata>;
+using StoreRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata>;
 
-class RecorderMachine : public Machine {
+class StoreMachine : public Machine {
  public:
-  RecorderMachine(const Identity& id, const Recovered& r, Millis now);
+  StoreMachine(const Identity& id, const Recovered& r, Millis now);
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
@@ -53,14 +53,14 @@
   LineWriteReply write(SlotStore& s, const LineWrite& w);
   void merge(SlotStore& s, const StreamRecord& r);
   static void bury(SlotStore& s, const LineName& n);
-  /// Tells the owner of lines that have outlived their retention by this recorder's own clock.
+  /// Tells the owner of lines that have outlived their retention by this store's own clock.
   void expire(Millis now);
   bool aged(const Line& l) const;
   Millis uptime() const { return before_ + (now_ - born_); }
   void stream(Millis now);
   void turn(Millis now);
   Epoch streamed() const;
-  void journal(const RecorderRecord& r) { out_.write(codec::pack(r)); }
+  void journal(const StoreRecord& r) { out_.write(codec::pack(r)); }
   Actions done();
 
   Outbox out_;
--- a/src/metadata/places.cpp
+++ b/src/metadata/places.cpp
@@ -1,4 +1,4 @@
-// Placement: which front owns a slot, which recorders keep it.
+// Placement: which front owns a slot, which stores keep it.
 #include <algorithm>
 
 #include "kernel/limits.hpp"
@@ -21,9 +21,9 @@
 std::map<DaemonId, int> kept(const Metadata& m) {
   std::map<DaemonId, int> n;
   for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::recorder && d.state == DaemonState::up) n[id] = 0;
+    if (d.self.role == Role::store && d.state == DaemonState::up) n[id] = 0;
   for (auto& s : m.slots)
-    for (auto id : s.recorders) ++n[id];
+    for (auto id : s.stores) ++n[id];
   return n;
 }
 
@@ -38,7 +38,7 @@
   size_t share = m.slots.size() / std::max<size_t>(n.size(), 1);
   std::set<SlotId> taken;
   auto take = [&](uint32_t i) {
-    v.push_back({SlotId{i}, d.id, m.slots[i].recorders});
+    v.push_back({SlotId{i}, d.id, m.slots[i].stores});
     taken.insert(SlotId{i});
     if (n.count(m.slots[i].owner)) --n[m.slots[i].owner];
     ++n[d.id];
@@ -58,7 +58,7 @@
   return v;
 }
 
-std::vector<Move> join_recorder(const Metadata& m, const Daemon& d) {
+std::vector<Move> join_store(const Metadata& m, const Daemon& d) {
   std::vector<Move> v;
   auto n = kept(m);
   n[d.id];
@@ -67,8 +67,8 @@
   int share = static_cast<int>(m.slots.size() * std::min<size_t>(limits::copies, live)) / std::max(live, 1);
   for (uint32_t i = 0; i < m.slots.size(); ++i) {
     auto& s = m.slots[i];
-    if (m.locks.count(SlotId{i}) || std::count(s.recorders.begin(), s.recorders.end(), d.id)) continue;
-    auto set = s.recorders;
+    if (m.locks.count(SlotId{i}) || std::count(s.stores.begin(), s.stores.end(), d.id)) continue;
+    auto set = s.stores;
     auto dead = std::find_if(set.begin(), set.end(), [&](auto id) {
       auto* x = m.find(id);
       return !x || x->state == DaemonState::down || x->state == DaemonState::left;
@@ -116,7 +116,7 @@
 }
 
 std::vector<Move> for_join(const Metadata& m, const Daemon& d) {
-  return d.self.role == Role::front ? join_front(m, d) : join_recorder(m, d);
+  return d.self.role == Role::front ? join_front(m, d) : join_store(m, d);
 }
 
 Result<std::vector<Move>> for_drain(const Metadata& m, const Daemon& d) {
@@ -130,11 +130,11 @@
       if (to.v == 0)
         return Findings{{"daemon " + std::to_string(d.id.v), "no other front worker could take its slots"}};
       ++own[to];
-      v.push_back({SlotId{i}, to, s.recorders});
+      v.push_back({SlotId{i}, to, s.stores});
     }
-    auto set = s.recorders;
+    auto set = s.stores;
     auto w = std::find(set.begin(), set.end(), d.id);
-    if (d.self.role != Role::recorder || w == set.end()) continue;
+    if (d.self.role != Role::store || w == set.end()) continue;
     DaemonId best{0};
     for (auto& [id, k] : n) {
       if (id == d.id || !alive(m, id) || std::count(set.begin(), set.end(), id)) continue;
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -8,8 +8,8 @@
 using namespace steps;
 using steps::go;
 
-void recorders_to(Metadata& m, Slot& s, std::vector<DaemonId> v) {
-  s.recorders = std::move(v);
+void stores_to(Metadata& m, Slot& s, std::vector<DaemonId> v) {
+  s.stores = std::move(v);
   s.pending.clear();
   s.changed = m.epoch;
 }
@@ -128,7 +128,7 @@
   if (q.due != t.step) return no(who(t.node), std::string("its next step is ") + name(q.due) + ", not " + name(t.step));
   if (t.step == Step::start)
     for (auto& x : q.moves)
-      if (auto& s = m.slots[x.slot.v]; x.recorders != s.recorders) s.pending = x.recorders, s.changed = m.epoch;
+      if (auto& s = m.slots[x.slot.v]; x.stores != s.stores) s.pending = x.stores, s.changed = m.epoch;
   if (t.step != Step::finish) {
     q.due = t.step == Step::start ? Step::mid : Step::finish;
     q.last = m.epoch;
@@ -136,7 +136,7 @@
   }
   for (auto& x : q.moves) {
     auto& s = m.slots[x.slot.v];
-    if (!s.pending.empty()) recorders_to(m, s, x.recorders);
+    if (!s.pending.empty()) stores_to(m, s, x.stores);
     auto* o = m.find(x.owner);
     if (s.owner != x.owner && o && o->state != DaemonState::down && o->state != DaemonState::left)
       owner_to(m, s, x.owner);
@@ -149,9 +149,9 @@
   d.since = m.epoch;
   unlock(m, t.node);
   std::set<DaemonId> kept;
-  for (auto& s : m.slots) kept.insert(s.recorders.begin(), s.recorders.end());
+  for (auto& s : m.slots) kept.insert(s.stores.begin(), s.stores.end());
   for (auto& [id, x] : m.directory)
-    if (x.self.role == Role::recorder && x.state == DaemonState::down && !kept.count(id))
+    if (x.self.role == Role::store && x.state == DaemonState::down && !kept.count(id))
       x.state = DaemonState::left, x.since = m.epoch;
   return m;
 }
@@ -160,7 +160,7 @@
   auto i = m.sequences.find(t.node);
   if (i == m.sequences.end()) return no(who(t.node), "has no sequence in progress");
   for (auto& x : i->second.moves)
-    if (auto& s = m.slots[x.slot.v]; !s.pending.empty()) recorders_to(m, s, s.recorders);
+    if (auto& s = m.slots[x.slot.v]; !s.pending.empty()) stores_to(m, s, s.stores);
   if (auto& d = m.directory[t.node]; d.state == DaemonState::draining) d.state = DaemonState::up;
   unlock(m, t.node);
   return m;
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -4,7 +4,7 @@
 
 namespace mosskeel {
 
-/// `core_most` lets further controllers be admitted up to that number (0: core_size); `copies` is how many recorders
+/// `core_most` lets further controllers be admitted up to that number (0: core_size); `copies` is how many stores
 /// keep a line (0: the default).
 struct Found {
   BOOST_HANA_DEFINE_STRUCT(Found, (uint64_t, cluster), (uint32_t, core_size), (std::vector<Candidate>, members),
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -7,7 +7,7 @@
 namespace mosskeel {
 
 const char* name(Role r) {
-  static const char* const n[] = {"controller", "front", "recorder"};
+  static const char* const n[] = {"controller", "front", "store"};
   return n[static_cast<int>(r)];
 }
 const char* name(DaemonState s) {
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -6,7 +6,7 @@
 
 namespace mosskeel {
 
-enum class Role : uint8_t { controller, front, recorder };
+enum class Role : uint8_t { controller, front, store };
 enum class DaemonState : uint8_t { registered, up, draining, down, left };
 enum class Fitness : uint8_t { cold, ready, leaving };
 enum class SequenceKind : uint8_t { join, drain };
@@ -41,13 +41,13 @@
 
 /// Who owns a slot's programs, since when, and where their lines lie.
 struct Slot {
-  BOOST_HANA_DEFINE_STRUCT(Slot, (DaemonId, owner), (Epoch, term), (std::vector<DaemonId>, recorders),
+  BOOST_HANA_DEFINE_STRUCT(Slot, (DaemonId, owner), (Epoch, term), (std::vector<DaemonId>, stores),
                            (std::vector<DaemonId>, pending), (Epoch, changed));
   bool operator==(const Slot&) const = default;
 };
 
 struct Move {
-  BOOST_HANA_DEFINE_STRUCT(Move, (SlotId, slot), (DaemonId, owner), (std::vector<DaemonId>, recorders));
+  BOOST_HANA_DEFINE_STRUCT(Move, (SlotId, slot), (DaemonId, owner), (std::vector<DaemonId>, stores));
   bool operator==(const Move&) const = default;
 };
 
@@ -172,7 +172,7 @@
 /// The slot of a program, by its root's id.
 SlotId slot_of(const std::string& cell, const std::string& program);
 
-/// How many recorders keep a line, so that a majority outlives these losses at once.
+/// How many stores keep a line, so that a majority outlives these losses at once.
 uint32_t copies_for(uint32_t machines, uint32_t zones);
 
 /// How many of a set must agree; never fewer than a majority of the full number of copies.
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -17,7 +17,7 @@
   std::map<DaemonId, int> own, keep;
   for (auto& s : m.slots) {
     ++own[s.owner];
-    for (auto r : s.recorders) ++keep[r];
+    for (auto r : s.stores) ++keep[r];
   }
   for (auto& [id, d] : m.directory) {
     o << id.v << " " << name(d.self.role) << " " << name(d.state) << " zone " << d.self.zone << " at " << d.self.addr;
@@ -45,7 +45,7 @@
 void slot_line(std::ostream& o, const Metadata& m, uint32_t i) {
   auto& s = m.slots[i];
   o << "slot " << i << ": owned by daemon " << s.owner.v << " since epoch " << s.term.v << ", kept by "
-    << ids(s.recorders) << " since epoch " << s.changed.v;
+    << ids(s.stores) << " since epoch " << s.changed.v;
   if (!s.pending.empty()) o << ", moving to " << ids(s.pending);
   if (auto l = m.locks.find(SlotId{i}); l != m.locks.end()) o << ", locked by the sequence of daemon " << l->second.v;
   o << "\n";
--- a/src/recorder/main.cpp
+++ b/src/store/main.cpp
@@ -1,39 +1,39 @@
 #include "kernel/daemon.hpp"
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
   auto r = read_props(
-      argc, argv, {"recorder", "A storage daemon: keeps the histories.", true, true, false, true, true, true, false});
+      argc, argv, {"store", "A storage daemon: keeps the histories.", true, true, false, true, true, true, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Props>(r);
-  start_log("recorder");
+  start_log("store");
   hold_signals();
   auto d = open_disk(p.data);
   if (auto* rc = std::get_if<int>(&d)) return *rc;
   auto disk = std::get<0>(d);
-  Identity id{{disk->recovered().inc, Role::recorder, p.zone, p.listen, "", p.http, p.machine},
+  Identity id{{disk->recovered().inc, Role::store, p.zone, p.listen, "", p.http, p.machine},
               p.seeds,
               0,
               dice(),
               p.tcm_rpc_ms};
   Host host(disk, p.listen);
   if (auto f =
-          host.start([&](const Recovered& r, Millis now) { return std::make_unique<RecorderMachine>(id, r, now); });
+          host.start([&](const Recovered& r, Millis now) { return std::make_unique<StoreMachine>(id, r, now); });
       !f.empty())
-    return cannot_start("recorder", f);
+    return cannot_start("store", f);
   auto answer = [&](const HttpAsk& a) {
     HttpAnswer x;
     if (a.path == "/metrics") {
       size_t n = 0, g = 0, lacking = 0, fetched = 0;
       host.ask([&](Machine& m, Millis) {
-        n = static_cast<RecorderMachine&>(m).kept_lines();
-        g = static_cast<RecorderMachine&>(m).kept_graves();
-        lacking = static_cast<RecorderMachine&>(m).repair().lacking();
-        fetched = static_cast<RecorderMachine&>(m).repair().fetched();
+        n = static_cast<StoreMachine&>(m).kept_lines();
+        g = static_cast<StoreMachine&>(m).kept_graves();
+        lacking = static_cast<StoreMachine&>(m).repair().lacking();
+        fetched = static_cast<StoreMachine&>(m).repair().fetched();
       });
-      x.body = metrics_of(host, "recorder",
+      x.body = metrics_of(host, "store",
                           {{"lines", static_cast<double>(n)},
                            {"graves", static_cast<double>(g)},
                            {"slots_lacking", static_cast<double>(lacking)},
@@ -50,8 +50,8 @@
   };
   Result<std::unique_ptr<HttpServer>> web;
   if (!p.http.empty()) web = HttpServer::open(p.http, answer);
-  if (!ok(web)) return cannot_start("recorder", findings(web));
-  auto rc = run_until_stopped(host, "recorder", [] { return true; });
+  if (!ok(web)) return cannot_start("store", findings(web));
+  auto rc = run_until_stopped(host, "store", [] { return true; });
   std::get<0>(web).reset();
   return rc;
 }
--- a/src/traffic/registrar.cpp
+++ b/src/traffic/registrar.cpp
@@ -116,12 +116,12 @@
 }
 
 /// A turn of another program, taken over into this one's line as one record, for its owner may change at any point: any
-/// recorder that has it settled has the chain. Missing is said only if all answer so.
+/// store that has it settled has the chain. Missing is said only if all answer so.
 Registrar::Verdict Registrar::search(Pending& p, Millis now) {
   p.searching = true;
   size_t lacking = 0;
   for (auto& [id, d] : led_.view()->directory) {
-    if (d.self.role != Role::recorder || d.state == DaemonState::left || p.without.count(id)) continue;
+    if (d.self.role != Role::store || d.state == DaemonState::left || p.without.count(id)) continue;
     ++lacking;
     if (now - p.searched >= limits::line_retry) out_.send(d.self.addr, ChainFind{p.ask.parent}, d.self.inc);
   }
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -48,7 +48,7 @@
   f.forget();
   f.run(3000);
   CHECK(f.sum(scale::Part::agent).in["heartbeat"].count == 0);
-  CHECK(f.sum(scale::Part::recorder).in["heartbeat"].count == 0);
+  CHECK(f.sum(scale::Part::store).in["heartbeat"].count == 0);
   for (auto i : f.all(scale::Part::controller)) f.stop(i);
   for (int k = 0; k < 40; ++k) {
     f.run(100);
--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -1,7 +1,7 @@
 #include "consensus/acceptor.hpp"
 #include "disk_fixture.hpp"
 #include "kernel/log_frame.hpp"
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 
 using namespace mosskeel;
 namespace fs = std::filesystem;
@@ -126,7 +126,7 @@
 TEST_CASE("daemons that do not know marks pass over them") {
   auto m = codec::pack(SyncMark{SyncMark::word, Incarnation{1}, 2, 3});
   CHECK(m.size() == SyncMark::bytes);
-  CHECK_FALSE(codec::unpack<RecorderRecord>(m));
+  CHECK_FALSE(codec::unpack<StoreRecord>(m));
   CHECK_FALSE(codec::unpack<ControllerRecord>(m));
   CHECK(mark_of(m, Incarnation{1}, 2)->synced == 3);
   CHECK_FALSE(mark_of(m, Incarnation{1}, 3));
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -98,15 +98,15 @@
 TEST_CASE("nothing is called missing while too few stores answer") {
   Fleet f;
   CHECK(f.turn("p", "k1", "a").status == 200);
-  f.w.power_off("recorder1");
-  f.w.power_off("recorder2");
+  f.w.power_off("store1");
+  f.w.power_off("store2");
   for (auto& s : f.w.names(Kind::gateway)) f.w.kill(s), f.w.start(s);
   f.w.run(6000);
   auto e = f.history("p");
   CHECK(e.status == 503);
   CHECK(e.retry_ms > 0);
   CHECK(f.turn("p", "k2", "b", 1).status == 503);
-  f.w.start("recorder1");
+  f.w.start("store1");
   f.w.run(6000);
   CHECK(f.history("p").status == 200);
 }
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -1,4 +1,4 @@
-// What a recorder keeps of ended lines, and how a replica's places are shared.
+// What a store keeps of ended lines, and how a replica's places are shared.
 #include <catch2/catch.hpp>
 
 #include "errand/policy.hpp"
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -43,8 +43,8 @@
   Fleet() {
     must(Found{7, 3, {who(1, Role::controller, "a"), who(2, Role::controller, "b"), who(3, Role::controller, "c")}});
     for (uint64_t n = 11; n <= 13; ++n)
-      must(Register{who(n, Role::recorder, std::string(1, static_cast<char>('a' + n - 11)))});
-    for (uint64_t n = 11; n <= 13; ++n) join("recorder" + std::to_string(n));
+      must(Register{who(n, Role::store, std::string(1, static_cast<char>('a' + n - 11)))});
+    for (uint64_t n = 11; n <= 13; ++n) join("store" + std::to_string(n));
     for (uint64_t n = 21; n <= 22; ++n)
       must(Register{who(n, Role::front, n == 21 ? "a" : "b")}), join("front" + std::to_string(n));
   }
@@ -151,8 +151,8 @@
 
 TEST_CASE("between start and finish a line's writes need both sets; cancel gives back the old one") {
   Fleet f;
-  f.must(Register{who(14, Role::recorder, "a")});
-  auto n = f.id("recorder14");
+  f.must(Register{who(14, Role::store, "a")});
+  auto n = f.id("store14");
   auto before = f.m.slots;
   f.must(PrepareJoin{n});
   f.must(Advance{n, Step::start});
@@ -161,7 +161,7 @@
   f.must(CancelSequence{n, "test"});
   for (size_t i = 0; i < before.size(); ++i) {
     CHECK(f.m.slots[i].pending.empty());
-    CHECK(f.m.slots[i].recorders == before[i].recorders);
+    CHECK(f.m.slots[i].stores == before[i].stores);
   }
 }
 
@@ -171,7 +171,7 @@
     Transformation t;
     const char* why;
   };
-  auto store = f.id("recorder11"), front = f.id("front21"), core = f.id("controller1");
+  auto store = f.id("store11"), front = f.id("front21"), core = f.id("controller1");
   const Row rows[] = {
       {PrepareDrain{store}, "would leave 2 of 3 copies"},
       {ReplaceCore{core, front}, "is not a spare controller"},
@@ -199,8 +199,8 @@
     INFO(describe(r.t));
     CHECK(f.refused(r.t).find(r.why) != std::string::npos);
   }
-  auto fresh = who(31, Role::recorder, "a");
-  fresh.addr = "recorder11";
+  auto fresh = who(31, Role::store, "a");
+  fresh.addr = "store11";
   CHECK(f.refused(Register{fresh}).find("not known to be down") != std::string::npos);
   f.must(Register{who(4, Role::controller, "a")});
   CHECK(f.refused(ReplaceCore{core, f.id("controller4")}).find("is a live member") != std::string::npos);
@@ -247,16 +247,16 @@
   Fleet f;
   for (auto& s : f.m.slots) {
     std::set<std::string> z;
-    for (auto r : s.recorders) z.insert(f.m.find(r)->self.zone);
+    for (auto r : s.stores) z.insert(f.m.find(r)->self.zone);
     CHECK(z.size() == 3);
   }
-  f.must(Register{who(14, Role::recorder, "a")});
-  f.join("recorder14");
-  f.must(PrepareDrain{f.id("recorder11")});
-  for (auto s : {Step::start, Step::mid, Step::finish}) f.must(Advance{f.id("recorder11"), s});
+  f.must(Register{who(14, Role::store, "a")});
+  f.join("store14");
+  f.must(PrepareDrain{f.id("store11")});
+  for (auto s : {Step::start, Step::mid, Step::finish}) f.must(Advance{f.id("store11"), s});
   for (auto& s : f.m.slots) {
     std::set<std::string> z;
-    for (auto r : s.recorders) z.insert(f.m.find(r)->self.zone);
+    for (auto r : s.stores) z.insert(f.m.find(r)->self.zone);
     CHECK(z.size() == 3);
   }
 }
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -59,7 +59,7 @@
     REQUIRE(ok(r));
     return value(r);
   };
-  auto m = of("controller"), s = of("gateway"), l = of("agent"), r = of("recorder");
+  auto m = of("controller"), s = of("gateway"), l = of("agent"), r = of("store");
   CHECK(m.listen == "10.1.0.32:7380");
   CHECK(s.listen == "10.1.0.32:7381");
   CHECK(l.listen == "10.1.0.32:7382");
@@ -95,7 +95,7 @@
   CHECK(places(settings(with("Zone = \"hafnarfj-a\"", "Zone = 7"), "controller")) == "Zone (line 5)");
   CHECK(places(settings(with("FirstStart = true", "FirstStart = 1"), "controller")) == "FirstStart (line 8)");
   CHECK(places(settings(with("[7380,7395]", "[7380]"), "controller")) == "InternalPorts");
-  CHECK(places(settings(with("[7380,7395]", "[7380,7382]"), "recorder")) == "InternalPorts");
+  CHECK(places(settings(with("[7380,7395]", "[7380,7382]"), "store")) == "InternalPorts");
   CHECK(places(settings(with("10.2.0.38:8144", "somewhere"), "controller")) == "SeedNodes[1] (line 7)");
   CHECK(places(settings(with("Machines = 2", "Machines = -1"), "controller")) == "ToleratedLosses.Machines");
   CHECK(places(settings(with("ControlPlane = \"10.1.0.33:8144\"", ""), "controller")) == "ListenAddrs.ControlPlane");
@@ -107,14 +107,14 @@
   auto path = (std::filesystem::temp_directory_path() / ("mosskeel-settings-" + hex(dice()))).string();
   std::ofstream(path) << text;
   setenv("MOSSKEEL_CONFIG", path.c_str(), 1);
-  const Needs recorder{"recorder", "", true, true, false, true, true, true, false};
-  const char* bare[] = {"recorder", nullptr};
-  auto r = read_props(1, bare, recorder);
+  const Needs store{"store", "", true, true, false, true, true, true, false};
+  const char* bare[] = {"store", nullptr};
+  auto r = read_props(1, bare, store);
   REQUIRE(std::holds_alternative<Props>(r));
   CHECK(std::get<Props>(r).listen == "10.1.0.32:7383");
   CHECK(std::get<Props>(r).tcm_await_ms == limits::tcm_await);
-  const char* flags[] = {"recorder", "--zone", "b", nullptr};
-  CHECK(std::get<int>(read_props(3, flags, recorder)) == 2);
+  const char* flags[] = {"store", "--zone", "b", nullptr};
+  CHECK(std::get<int>(read_props(3, flags, store)) == 2);
   std::ofstream(path) << with("SeedNodes = [\"10.1.0.33:8144\",", "SeedNodes = [");
   const Needs controller{"controller", "", true, true, false, true, true, true, true};
   const char* core[] = {"controller", nullptr};
@@ -122,9 +122,9 @@
   REQUIRE(std::holds_alternative<Props>(even));
   CHECK(std::get<Props>(even).core_size == 2);
   std::filesystem::remove(path);
-  CHECK(std::get<int>(read_props(1, bare, recorder)) == 2);
+  CHECK(std::get<int>(read_props(1, bare, store)) == 2);
   unsetenv("MOSSKEEL_CONFIG");
-  CHECK(std::get<int>(read_props(1, bare, recorder)) == 2);
+  CHECK(std::get<int>(read_props(1, bare, store)) == 2);
 }
 
 TEST_CASE("a majority of a line's copies outlives the tolerated losses") {
--- a/tests/process/platform.sh
+++ b/tests/process/platform.sh
@@ -26,7 +26,7 @@
 }
 pause() { read -r -t "$1" <> <(:) || true; }
 "$BIN/standin" --dir "$DIR" --settings
-for i in 1 2 3; do start "controller$i"; start "recorder$i"; start "agent$i"; start "gateway$i"; done
+for i in 1 2 3; do start "controller$i"; start "store$i"; start "agent$i"; start "gateway$i"; done
 "$BIN/standin" --dir "$DIR" --seconds "$SECONDS_OF_TRAFFIC" >"$DIR/out" 2>&1 & STANDIN=$!
 await 80 "traffic begins"
 pause 2
@@ -34,10 +34,10 @@
 wait "${PID[gateway1]}" 2>/dev/null || true
 again gateway1
 pause 2
-kill -KILL "${PID[recorder2]}"
-wait "${PID[recorder2]}" 2>/dev/null || true
+kill -KILL "${PID[store2]}"
+wait "${PID[store2]}" 2>/dev/null || true
 pause 1
-again recorder2
+again store2
 pause 2
 kill -KILL "${PID[controller3]}"
 wait "${PID[controller3]}" 2>/dev/null || true
--- a/tests/sim/cores.cpp
+++ b/tests/sim/cores.cpp
@@ -12,11 +12,11 @@
     auto r = change(d, 10000);
     auto all = w.names(Kind::controller);
     for (auto& s : all) w.power_off(s);
-    if (w.chance(0.5)) w.power_off(d.any(Kind::recorder));
+    if (w.chance(0.5)) w.power_off(d.any(Kind::store));
     if (i == 2) w.wipe(all[w.roll() % all.size()]);
     w.run(500 + w.below(1500));
     for (auto& s : all) w.start(s), w.node(s).disk.slow = w.chance(0.5) ? w.below(200) : 0;
-    for (auto& s : w.names(Kind::recorder)) w.start(s);
+    for (auto& s : w.names(Kind::store)) w.start(s);
     if (r) in_force(d, r, 8000);
   }
   w.run(5000);
@@ -102,11 +102,11 @@
   d.c.traffic(150, w.now() + 4000);
   w.run(2000);
   auto disks = w.names(Kind::controller);
-  for (auto& s : w.names(Kind::recorder)) disks.push_back(s);
+  for (auto& s : w.names(Kind::store)) disks.push_back(s);
   auto stay = disks[w.roll() % disks.size()];
-  auto other = d.any(Kind::recorder);
+  auto other = d.any(Kind::store);
   if (w.chance(0.4))
-    w.node(d.any(Kind::recorder)).disk.slow = 100 + w.below(400);
+    w.node(d.any(Kind::store)).disk.slow = 100 + w.below(400);
   else if (other != stay && w.chance(0.5))
     w.isolate(other);
   auto r = change(d, 10000);
@@ -120,7 +120,7 @@
     for (auto& s : w.names(k)) w.power_off(s);
   w.heal();
   w.run(200 + w.below(1000));
-  for (auto k : {Kind::recorder, Kind::controller, Kind::agent, Kind::gateway})
+  for (auto k : {Kind::store, Kind::controller, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k)) w.start(s), w.node(s).disk.slow = 0;
   auto back = [&] {
     auto v = latest(w);
@@ -140,7 +140,7 @@
   d.c.traffic(100, w.now() + 25000);
   w.run(2000);
   w.seeds = {"controller4", "controller5", "controller99"};
-  for (auto k : {Kind::controller, Kind::recorder, Kind::agent})
+  for (auto k : {Kind::controller, Kind::store, Kind::agent})
     for (auto& s : w.names(k)) {
       w.kill(s);
       w.run(200);
--- a/tests/sim/cuts.cpp
+++ b/tests/sim/cuts.cpp
@@ -6,7 +6,7 @@
 
 /// Cuts all between the two groups; `there`, `back` tell which ways.
 void part(World& w, const std::set<std::string>& one, bool there, bool back) {
-  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::store, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k))
       if (!one.count(s))
         for (auto& o : one) {
@@ -35,7 +35,7 @@
     if (how < 4)
       for (auto& s : w.names(Kind::controller)) one.insert(s);
     if (how == 1 || how == 4)
-      for (auto k : {Kind::controller, Kind::recorder, Kind::gateway})
+      for (auto k : {Kind::controller, Kind::store, Kind::gateway})
         for (auto& s : w.names(k))
           if (w.chance(0.4)) take(w, one, s);
     part(w, one, how != 3, how != 2);
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -5,7 +5,7 @@
 void Day::close() {
   w.heal();
   w.net.loss = w.net.twice = 0;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::store, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k)) {
       w.wake(s);
       w.node(s).disk.slow = 0;
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -100,7 +100,7 @@
       if (!w_.ready(s)) return false;
     auto v = w_.node("gateway1").machine->view();
     for (auto& s : v->slots)
-      if (s.recorders.size() < std::min<size_t>(limits::copies, w_.names(Kind::recorder).size()) || !s.owner.v)
+      if (s.stores.size() < std::min<size_t>(limits::copies, w_.names(Kind::store).size()) || !s.owner.v)
         return false;
     return v->sequences.empty();
   });
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -77,19 +77,19 @@
     for (auto* c : {"plain", "cut", "gone"}) a.add(c, std::string(c) == "cut" ? 4 * keep : keep);
   a.cells({brief("plain", 3 * keep), brief("cut", 1000)});
   a.add("plain", 3 * keep);
-  auto s = d.any(Kind::recorder);
+  auto s = d.any(Kind::store);
   w.kill(s);
   w.run(1000);
   w.start(s);
   a.cells({brief("plain", keep), brief("cut", 1000), brief("gone", keep)});
   for (auto& k : a.kept)
     if (k.cell == "cut" && a.turn(k.cell, k.program, k.key + "-short").status != 200) w.fail("a second turn failed");
-  w.node(d.any(Kind::recorder)).rate = 30;
+  w.node(d.any(Kind::store)).rate = 30;
   auto at = [&](Millis after) { w.run(std::max<Millis>(0, a.kept.front().acked + after - w.now())); };
   at(keep - 500);
   for (auto& k : a.kept)
     if (w.now() < k.acked + k.promise) a.expect(k, 200, "inside its retention");
-  s = d.any(Kind::recorder);
+  s = d.any(Kind::store);
   w.kill(s);
   w.run(200);
   w.start(s);
@@ -112,8 +112,8 @@
   }
   at(4 * keep + 110000);
   for (auto& k : a.kept) a.expect(k, 410, "at the end");
-  for (auto& n : w.names(Kind::recorder))
-    for (auto& [id, x] : static_cast<RecorderMachine&>(*w.node(n).machine).slots())
+  for (auto& n : w.names(Kind::store))
+    for (auto& [id, x] : static_cast<StoreMachine&>(*w.node(n).machine).slots())
       for (auto& [l, y] : x.lines)
         if (l.cell != "news") w.fail(n + " still keeps " + l.cell + "/" + l.program);
 }
@@ -121,8 +121,8 @@
 /// A store is away while lines are written; once repair says that nothing is lacking, all stores hold the same.
 void idle_lines(Day& d) {
   auto& w = d.w;
-  auto stores = w.names(Kind::recorder);
-  auto away = d.any(Kind::recorder);
+  auto stores = w.names(Kind::store);
+  auto away = d.any(Kind::store);
   d.c.traffic(80, w.now() + 8000);
   w.run(500 + w.below(1500));
   bool frozen = w.chance(0.4);
@@ -136,8 +136,8 @@
   else
     w.start(away);
   w.run(1000);
-  auto machine = [&](const std::string& s) -> RecorderMachine& {
-    return static_cast<RecorderMachine&>(*w.node(s).machine);
+  auto machine = [&](const std::string& s) -> StoreMachine& {
+    return static_cast<StoreMachine&>(*w.node(s).machine);
   };
   auto whole = [&] {
     auto v = latest(w);
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -123,13 +123,13 @@
   auto& w = d.w;
   d.c.traffic(80, w.now() + 40000);
   w.run(3000);
-  w.add("recorder9", Kind::recorder, "a");
+  w.add("store9", Kind::store, "a");
   w.run(6000);
   auto v = w.node("controller1").machine->view();
-  auto* r2 = v->at("recorder2");
+  auto* r2 = v->at("store2");
   d.c.commit(PrepareDrain{r2 ? r2->id : DaemonId{}}, [](const CommitReply&) {});
   w.run(8000);
-  auto n = d.any(Kind::recorder);
+  auto n = d.any(Kind::store);
   w.wipe(n);
   w.run(1000);
   w.start(n);
@@ -182,7 +182,7 @@
 };
 
 const std::vector<Row>& rows() {
-  static const std::vector<Kind> all{Kind::controller, Kind::recorder, Kind::agent, Kind::gateway};
+  static const std::vector<Kind> all{Kind::controller, Kind::store, Kind::agent, Kind::gateway};
   static const std::vector<Row> v{
       {"quiet", {3, 3, 3, 4, 3}, 400, quiet},
       {"lossy", {3, 3, 3, 4, 3}, 400, lossy},
@@ -193,7 +193,7 @@
        [](Day& d) {
          havoc(d, {Kind::gateway, Kind::agent}, false);
        }},
-      {"recorders", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::recorder}, true); }},
+      {"stores", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::store}, true); }},
       {"controllers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::controller}, true); }},
       {"havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, all, true); }},
       {"faults", {3, 3, 3, 6, 3}, 40, faults},
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -8,7 +8,7 @@
 
 std::vector<std::string> of_zone(World& w, const std::string& z) {
   std::vector<std::string> v;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::store, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) v.push_back(s);
   return v;
@@ -51,7 +51,7 @@
       break;
     }
     case 3: {  // a store's disk is lost
-      auto s = d.any(Kind::recorder);
+      auto s = d.any(Kind::store);
       w.wipe(s);
       w.run(2000);
       w.start(s);
@@ -74,7 +74,7 @@
       break;
     }
     case 6:  // machines are added
-      w.add("recorder9", Kind::recorder, "a");
+      w.add("store9", Kind::store, "a");
       w.add("agent9", Kind::agent, "b", "gateway9");
       w.add("gateway9", Kind::gateway, "b", "agent9");
       w.run(8000);
@@ -103,7 +103,7 @@
     case 1:
       return front_down(d, true), "a front frozen";
     case 2:
-      return w.power_off(d.any(Kind::recorder)), "a store lost";
+      return w.power_off(d.any(Kind::store)), "a store lost";
     case 3:
       return w.wipe(d.any(Kind::controller)), "a core machine lost";
     case 4: {
@@ -117,7 +117,7 @@
     default: {
       auto v = of_zone(w, std::string(1, static_cast<char>('a' + w.below(3))));
       std::set<std::string> in(v.begin(), v.end());
-      for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
+      for (auto k : {Kind::controller, Kind::store, Kind::agent, Kind::gateway})
         for (auto& s : w.names(k))
           if (!in.count(s))
             for (auto& o : v) w.cut(o, s), w.cut(s, o);
@@ -161,21 +161,21 @@
   auto& w = d.w;
   d.c.traffic(50, w.now() + 40000);
   w.run(3000 + w.below(1000));
-  auto lost = latest(w)->at("recorder1")->id;
-  w.power_off("recorder1");
+  auto lost = latest(w)->at("store1")->id;
+  w.power_off("store1");
   w.run(300 + w.below(1000));
-  w.add("recorder9", Kind::recorder, "a");
+  w.add("store9", Kind::store, "a");
   auto rid = [&] {
     auto v = latest(w);
     return v->sequences.empty() && std::none_of(v->slots.begin(), v->slots.end(), [&](auto& s) {
-             return std::count(s.recorders.begin(), s.recorders.end(), lost) > 0;
+             return std::count(s.stores.begin(), s.stores.end(), lost) > 0;
            });
   };
   if (!w.until(12000, rid)) w.fail("slots still count on a store that is gone");
   w.run(1000);
-  w.wipe("recorder2");
+  w.wipe("store2");
   w.run(1000);
-  w.start("recorder2");
+  w.start("store2");
   w.run(9000);
   if (!latest(w)->sequences.empty()) w.fail("the wiped store's join does not end");
 }
@@ -200,7 +200,7 @@
     };
     if (!w.until(15000, good)) w.fail(std::string("the fleet is not calm after ") + what);
   };
-  for (auto k : {Kind::controller, Kind::recorder, Kind::agent})
+  for (auto k : {Kind::controller, Kind::store, Kind::agent})
     for (auto& s : w.names(k)) {
       w.stop(s);
       w.run(300 + w.below(400));
@@ -208,13 +208,13 @@
       w.run(1500);
       calm("a restart");
     }
-  w.add("recorder9", Kind::recorder, "a");
+  w.add("store9", Kind::store, "a");
   w.run(3000);
   calm("a store was added");
-  yes(PrepareDrain{latest(w)->at("recorder1")->id}, "the retirement");
+  yes(PrepareDrain{latest(w)->at("store1")->id}, "the retirement");
   if (!w.until(15000, [&] { return latest(w)->sequences.empty(); })) w.fail("the retirement did not end");
   w.run(1000);
-  w.stop("recorder1");
+  w.stop("store1");
   yes(EvacuateZone{"b"}, "the evacuation");
   w.run(3000);
   yes(RestoreZone{"b"}, "the restoring");
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -30,7 +30,7 @@
   w.run(2000);
   std::string z(1, static_cast<char>('a' + w.below(3)));
   std::vector<std::string> gone;
-  for (auto k : {Kind::controller, Kind::recorder, Kind::agent, Kind::gateway})
+  for (auto k : {Kind::controller, Kind::store, Kind::agent, Kind::gateway})
     for (auto& s : w.names(k))
       if (w.node(s).id.self.zone == z) w.power_off(s), gone.push_back(s);
   for (auto& [n, r] : d.c.replicas)
@@ -108,14 +108,14 @@
   auto& w = d.w;
   d.c.traffic(80, w.now() + 25000);
   for (int i = 0; i < 8; ++i) {
-    for (auto& s : w.names(Kind::recorder)) w.node(s).disk.slow = 100 + w.below(300);
+    for (auto& s : w.names(Kind::store)) w.node(s).disk.slow = 100 + w.below(300);
     w.run(1500 + w.below(1500));
     if (i % 2) {
       auto f = d.any(Kind::gateway);
-      for (auto& s : w.names(Kind::recorder)) w.power_off(s);
+      for (auto& s : w.names(Kind::store)) w.power_off(s);
       w.kill(f);
       w.run(200);
-      for (auto& s : w.names(Kind::recorder)) w.start(s);
+      for (auto& s : w.names(Kind::store)) w.start(s);
       w.start(f);
     } else {
       auto f = d.any(Kind::gateway);
@@ -132,7 +132,7 @@
 void carousel(Day& d) {
   auto& w = d.w;
   d.c.traffic(100, w.now() + 20000);
-  for (auto& s : w.names(Kind::recorder)) {
+  for (auto& s : w.names(Kind::store)) {
     w.run(1500);
     for (auto& f : w.names(Kind::gateway)) w.kill(f), w.run(100), w.start(f);
     w.wipe(s);
@@ -143,7 +143,7 @@
       auto* me = v->find(w.node(s).id.self.inc);
       if (!me || me->state != DaemonState::up || !v->sequences.empty()) return false;
       for (auto& x : v->slots)
-        for (auto r : x.recorders)
+        for (auto r : x.stores)
           if (v->find(r)->state != DaemonState::up) return false;
       return true;
     };
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -9,7 +9,7 @@
   auto zone = [&](int i) { return std::string(1, static_cast<char>('a' + i % z.zones)); };
   for (int i = 0; i < z.controllers && i < 3; ++i) seeds.push_back("controller" + std::to_string(i + 1));
   for (int i = 0; i < z.controllers; ++i) add("controller" + std::to_string(i + 1), Kind::controller, zone(i));
-  for (int i = 0; i < z.stores; ++i) add("recorder" + std::to_string(i + 1), Kind::recorder, zone(i));
+  for (int i = 0; i < z.stores; ++i) add("store" + std::to_string(i + 1), Kind::store, zone(i));
   for (int i = 0; i < z.fronts; ++i) {
     auto k = std::to_string(i + 1);
     add("agent" + k, Kind::agent, zone(i), "gateway" + k);
@@ -22,7 +22,7 @@
   n->name = name;
   n->kind = k;
   n->beside = beside;
-  auto role = k == Kind::controller ? Role::controller : k == Kind::recorder ? Role::recorder : Role::front;
+  auto role = k == Kind::controller ? Role::controller : k == Kind::store ? Role::store : Role::front;
   n->id = {{Incarnation{dice_()}, role, zone, name, beside, "http-" + name}, seeds, core_size, dice_()};
   by_addr_[name] = name;
   nodes_[name] = std::move(n);
@@ -68,8 +68,8 @@
     case Kind::controller:
       n.machine = std::make_unique<ControllerMachine>(n.id, r, now);
       break;
-    case Kind::recorder:
-      n.machine = std::make_unique<RecorderMachine>(n.id, r, now);
+    case Kind::store:
+      n.machine = std::make_unique<StoreMachine>(n.id, r, now);
       break;
     case Kind::agent:
       n.machine = std::make_unique<AgentMachine>(n.id, now);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -5,11 +5,11 @@
 #include "consensus/controller_machine.hpp"
 #include "errand/gateway_machine.hpp"
 #include "follow/agent_machine.hpp"
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 
 namespace mosskeel::sim {
 
-enum class Kind { controller, recorder, agent, gateway };
+enum class Kind { controller, store, agent, gateway };
 
 struct SimDisk {
   std::optional<std::string> checkpoint;
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -38,10 +38,10 @@
   Plan p{free_base()};
   auto q = [](const std::string& s) { return "\"" + s + "\""; };
   std::string seeds = q(p.control(0)) + "," + q(p.control(1)) + "," + q(p.control(2));
-  for (std::string program : {"controller", "recorder", "gateway", "agent"})
+  for (std::string program : {"controller", "store", "gateway", "agent"})
     for (int i = 0; i < 3; ++i) {
-      auto machine = program == "controller" ? "core" : program == "recorder" ? "storage" : "front";
-      auto ip = "127.0.0." + std::to_string((program == "controller" ? 11 : program == "recorder" ? 21 : 31) + i);
+      auto machine = program == "controller" ? "core" : program == "store" ? "storage" : "front";
+      auto ip = "127.0.0." + std::to_string((program == "controller" ? 11 : program == "store" ? 21 : 31) + i);
       auto name = program + std::to_string(i + 1);
       std::ofstream f(dir + "/" + name + ".toml");
       f << "NodeName = " << q(std::string(machine) + "-" + std::to_string(i + 1)) << "\nIp = " << q(ip)
--- a/tests/traffic/fixture.hpp
+++ b/tests/traffic/fixture.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// A front with three recorders in a directory of its own making, for the parts of the traffic.
+// A front with three stores in a directory of its own making, for the parts of the traffic.
 #include "traffic/registrar.hpp"
 
 namespace mosskeel::test {
@@ -8,14 +8,14 @@
   return {Incarnation{inc}, r, zone, "10.0.0." + std::to_string(inc) + ":1", "", "", "machine-" + std::to_string(inc)};
 }
 
-/// Front 1 owns all slots; recorders 11, 12, 13 keep them.
+/// Front 1 owns all slots; stores 11, 12, 13 keep them.
 inline Metadata small_fleet() {
   Metadata m{};
   m.epoch = Epoch{5};
   m.cluster = 7;
   m.copies = 3;
   for (uint64_t i : {1, 2, 11, 12, 13}) {
-    auto r = i < 10 ? Role::front : Role::recorder;
+    auto r = i < 10 ? Role::front : Role::store;
     m.directory[DaemonId{i}] = {DaemonId{i}, candidate(i, r, "z" + std::to_string(i)), DaemonState::up, Epoch{2}};
   }
   Slot s{DaemonId{1}, Epoch{4}, {DaemonId{11}, DaemonId{12}, DaemonId{13}}, {}, Epoch{3}};
@@ -58,7 +58,7 @@
     if (!keep.on(e, now)) reg.on(e, now);
     reg.advance(keep.changed(), now);
   }
-  /// Lets two recorders answer whatever is under way, until nothing is; what they were told to keep comes back.
+  /// Lets two stores answer whatever is under way, until nothing is; what they were told to keep comes back.
   Records settle_writes() {
     Records all;
     for (int i = 0; i < 20; ++i) {
--- a/tools/rack/fleet.cpp
+++ b/tools/rack/fleet.cpp
@@ -55,7 +55,7 @@
               "--seeds",  seeds,    "--data", x.data, "--core-size", std::to_string(plan_.controllers)};
   }
   for (int i = 0; i < plan_.stores; ++i) {
-    auto& x = add("recorder" + n(i), "recorder", i);
+    auto& x = add("store" + n(i), "store", i);
     x.listen = port(), x.http = port();
     x.args = {"--listen", x.listen, "--http", x.http, "--zone", x.zone, "--seeds", seeds, "--data", x.data};
   }
--- a/tools/rack/main.cpp
+++ b/tools/rack/main.cpp
@@ -67,7 +67,7 @@
                         {"base", 'b', POPT_ARG_INT, &p.base, 0,
                          "first port; the control port is the one before; 0 finds free ones", "PORT"},
                         {"controllers", 0, POPT_ARG_INT, &p.controllers, 0, "how many controllers", "N"},
-                        {"stores", 0, POPT_ARG_INT, &p.stores, 0, "how many recorders", "N"},
+                        {"stores", 0, POPT_ARG_INT, &p.stores, 0, "how many stores", "N"},
                         {"fronts", 0, POPT_ARG_INT, &p.fronts, 0, "how many gateways", "N"},
                         {"pace", 0, POPT_ARG_STRING, &pace, 0, "milliseconds between a model's pieces", "MS"},
                         {"keep", 'k', POPT_ARG_NONE, &quiet, 0, "keep the folder of an earlier run", nullptr},
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -41,7 +41,7 @@
   r.counts["epochs"] = static_cast<double>(v->epoch.v - before.v);
   r.counts["seconds"] = static_cast<double>(f.now() - begun) / 1000;
   auto seconds = r.counts["seconds"];
-  for (auto p : {Part::controller, Part::recorder, Part::agent}) {
+  for (auto p : {Part::controller, Part::store, Part::agent}) {
     auto s = f.sum(p);
     auto n = static_cast<double>(f.all(p).size());
     Tally out, in;
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -42,7 +42,7 @@
 }
 
 void add_all(Row& r, Field& f, double seconds) {
-  for (auto p : {Part::controller, Part::recorder, Part::agent, Part::gateway})
+  for (auto p : {Part::controller, Part::store, Part::agent, Part::gateway})
     add(r, name(p), f.sum(p), static_cast<double>(f.all(p).size()), seconds);
 }
 
@@ -74,7 +74,7 @@
   f.forget();
   f.run(window);
   std::map<Part, std::pair<Tally, int64_t>> idle;
-  const auto parts = {Part::controller, Part::recorder, Part::agent, Part::gateway};
+  const auto parts = {Part::controller, Part::store, Part::agent, Part::gateway};
   for (auto x : parts) idle[x] = {wire(f.sum(x)), f.sum(x).nanos};
   f.forget();
   auto& m = f.of(Part::controller, 0);
--- a/tools/scale/data.cpp
+++ b/tools/scale/data.cpp
@@ -1,4 +1,4 @@
-// The data plane's slopes: conversations through fronts and recorders, and what recorders keep.
+// The data plane's slopes: conversations through fronts and stores, and what stores keep.
 #include <algorithm>
 
 #include "scale/experiments.hpp"
@@ -106,7 +106,7 @@
   auto begun = f.now();
   t.run(static_cast<size_t>(turns));
   auto asked = static_cast<double>(static_cast<size_t>(turns) - before) * programs;
-  for (auto p : {Part::gateway, Part::recorder}) {
+  for (auto p : {Part::gateway, Part::store}) {
     auto s = f.sum(p);
     std::string who = name(p);
     Tally all;
@@ -149,19 +149,19 @@
   f.run(limits::repair_age * 2);
   f.forget();
   f.run(limits::repair_age);
-  auto s = f.sum(Part::recorder);
-  auto n = static_cast<double>(f.all(Part::recorder).size()), seconds = limits::repair_age / 1000.0;
-  r.times["recorder.core_percent"] = static_cast<double>(s.nanos) / 1e7 / n / seconds;
+  auto s = f.sum(Part::store);
+  auto n = static_cast<double>(f.all(Part::store).size()), seconds = limits::repair_age / 1000.0;
+  r.times["store.core_percent"] = static_cast<double>(s.nanos) / 1e7 / n / seconds;
   Tally wire;
   for (auto& [k, x] : s.out) wire += x;
-  r.counts["recorder.out.byte"] = static_cast<double>(wire.bytes) / n / seconds;
-  auto& one = f.stations()[f.all(Part::recorder).front()];
-  auto bytes = static_cast<RecorderMachine&>(*one.machine).checkpoint().size();
+  r.counts["store.out.byte"] = static_cast<double>(wire.bytes) / n / seconds;
+  auto& one = f.stations()[f.all(Part::store).front()];
+  auto bytes = static_cast<StoreMachine&>(*one.machine).checkpoint().size();
   auto begun = clock();
-  for (int i = 0; i < 3; ++i) static_cast<RecorderMachine&>(*one.machine).checkpoint();
+  for (int i = 0; i < 3; ++i) static_cast<StoreMachine&>(*one.machine).checkpoint();
   r.times["checkpoint.ms"] = static_cast<double>(clock() - begun) * 1e3 / CLOCKS_PER_SEC / 3;
   r.counts["checkpoint.byte"] = static_cast<double>(bytes);
-  r.counts["lines"] = static_cast<double>(static_cast<RecorderMachine&>(*one.machine).kept_lines());
+  r.counts["lines"] = static_cast<double>(static_cast<StoreMachine&>(*one.machine).kept_lines());
   return r;
 }
 
--- a/tools/scale/field.cpp
+++ b/tools/scale/field.cpp
@@ -35,14 +35,14 @@
   auto v = seats(p, seed);
   auto m = rest(p, v);
   ControllerCheckpoint mc{m, {}, next(m.epoch), {}, std::nullopt};
-  RecorderCheckpoint rc{m, lines, 2 * limits::repair_age};
+  StoreCheckpoint rc{m, lines, 2 * limits::repair_age};
   auto mb = codec::pack(mc), rb = codec::pack(rc);
   stations_.resize(v.size());
   for (size_t i = 0; i < v.size(); ++i) {
     auto& s = stations_[i];
     s.seat = v[i];
     if (s.seat.part == Part::controller) s.checkpoint = mb;
-    if (s.seat.part == Part::recorder) s.checkpoint = rb;
+    if (s.seat.part == Part::store) s.checkpoint = rb;
     by_addr_[s.seat.id.self.addr] = i;
   }
   truth_[m.epoch] = digest(codec::pack(m));
@@ -74,8 +74,8 @@
     case Part::controller:
       s.machine = std::make_unique<ControllerMachine>(s.seat.id, r, now_);
       break;
-    case Part::recorder:
-      s.machine = std::make_unique<RecorderMachine>(s.seat.id, r, now_);
+    case Part::store:
+      s.machine = std::make_unique<StoreMachine>(s.seat.id, r, now_);
       break;
     case Part::agent:
       s.machine = std::make_unique<AgentMachine>(s.seat.id, now_);
@@ -138,7 +138,7 @@
     s.seen = v->epoch;
     if (s.seat.part == Part::gateway) {
       if (took) took(s, s.seen);
-    } else if (s.seat.part == Part::controller || (s.seat.part == Part::recorder && s.seat.zone == 0)) {
+    } else if (s.seat.part == Part::controller || (s.seat.part == Part::store && s.seat.zone == 0)) {
       auto d = digest(codec::pack(*v));
       if (auto [k, fresh] = truth_.emplace(v->epoch, d); !fresh && k->second != d)
         failures.push_back(s.seat.id.self.addr + " holds another value at epoch " + std::to_string(v->epoch.v));
--- a/tools/scale/field.hpp
+++ b/tools/scale/field.hpp
@@ -3,7 +3,7 @@
 #include <unordered_map>
 
 #include "errand/gateway_machine.hpp"
-#include "line/recorder_machine.hpp"
+#include "line/store_machine.hpp"
 #include "scale/plan.hpp"
 
 namespace mosskeel::scale {
@@ -43,7 +43,7 @@
 
 class Field {
  public:
-  /// The fleet of the plan, founded, joined and at rest; each recorder keeps these lines already.
+  /// The fleet of the plan, founded, joined and at rest; each store keeps these lines already.
   Field(const Plan& p, uint64_t seed, const SlotStores& lines = {});
   void run(Millis ms) {
     until(ms, [] { return false; });
--- a/tools/scale/fleet.cpp
+++ b/tools/scale/fleet.cpp
@@ -14,7 +14,7 @@
 
 rack::Plan plan(const FleetAsk& a) {
   rack::Plan p;
-  p.controllers = a.plan.controllers, p.fronts = real_fronts, p.stores = real_recorders, p.models = p.apps = 0;
+  p.controllers = a.plan.controllers, p.fronts = real_fronts, p.stores = real_stores, p.models = p.apps = 0;
   p.zones = a.plan.zones, p.dir = a.out + "/data", p.bin = a.bin, p.base = a.base;
   return p;
 }
@@ -40,7 +40,7 @@
   if (auto f = rack_.start_all(); !f.empty()) return fail(render(f)), 2;
   if (auto f = voice_.open(); !f.empty()) return fail(render(f)), 2;
   auto hollow = a_;
-  hollow.plan.daemons -= real_recorders + real_fronts;
+  hollow.plan.daemons -= real_stores + real_fronts;
   for (int i = 0; i < hollow.plan.daemons; i += a_.many) crews_.push_back(std::make_unique<Crew>(hollow, i));
   founding();
   configuration();
@@ -93,7 +93,7 @@
 }
 
 void Run::founding() {
-  size_t n = static_cast<size_t>(a_.plan.controllers + real_recorders + real_fronts);
+  size_t n = static_cast<size_t>(a_.plan.controllers + real_stores + real_fronts);
   auto begun = machine_now();
   put("founding", "real.ms", static_cast<double>(until_calm("founding", n)));
   for (auto& c : crews_) {
@@ -139,7 +139,7 @@
   wait(rest_window);
   auto seconds = static_cast<double>(machine_now() - begun) / 1000;
   put(step, "hollow.messages_out_each_a_second",
-      (sent() - n) / seconds / static_cast<double>(a_.plan.daemons - real_recorders - real_fronts));
+      (sent() - n) / seconds / static_cast<double>(a_.plan.daemons - real_stores - real_fronts));
   for (auto& p : rack_.list()) {
     auto u = use_of(p.pid);
     put(step, p.name + ".core_percent", (u.cpu_s - before[p.name].cpu_s) / seconds * 100);
@@ -217,7 +217,7 @@
 int fleet(const FleetAsk& a) {
   start_log("scale");
   auto b = a;
-  b.plan.daemons = std::max(b.plan.daemons, real_recorders + real_fronts + 1);
+  b.plan.daemons = std::max(b.plan.daemons, real_stores + real_fronts + 1);
   return Run(b).play();
 }
 
--- a/tools/scale/fleet.hpp
+++ b/tools/scale/fleet.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Real controllers, recorders and fronts beside hollow daemons, many to a process, over the daemons' own transport.
+// Real controllers, stores and fronts beside hollow daemons, many to a process, over the daemons' own transport.
 #include "scale/plan.hpp"
 
 namespace mosskeel::scale {
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -24,7 +24,7 @@
   s.part = part;
   s.zone = n % static_cast<size_t>(p.zones);
   s.region = s.zone % 2;
-  auto role = part == Part::controller ? Role::controller : part == Part::recorder ? Role::recorder : Role::front;
+  auto role = part == Part::controller ? Role::controller : part == Part::store ? Role::store : Role::front;
   auto port = 7000 + 10 * static_cast<int>(part);
   auto addr = address(s.zone, n, port);
   if (part == Part::agent) s.beside = address(s.zone, n, 7000 + 10 * static_cast<int>(Part::gateway));
@@ -44,7 +44,7 @@
 }  // namespace
 
 const char* name(Part p) {
-  static const char* const n[] = {"controller", "recorder", "agent", "gateway"};
+  static const char* const n[] = {"controller", "store", "agent", "gateway"};
   return n[static_cast<int>(p)];
 }
 
@@ -55,7 +55,7 @@
   Addresses seeds;
   for (auto& s : v)
     if (seeds.size() < 3) seeds.push_back(s.id.self.addr);
-  for (int i = 0; i < p.recorders(); ++i) v.push_back(seat(p, Part::recorder, static_cast<size_t>(i), inc()));
+  for (int i = 0; i < p.stores(); ++i) v.push_back(seat(p, Part::store, static_cast<size_t>(i), inc()));
   for (int i = 0; i < p.fronts(); ++i)
     for (auto part : {Part::agent, Part::gateway}) v.push_back(seat(p, part, static_cast<size_t>(i), inc()));
   for (auto& s : v) s.id.seeds = seeds;
@@ -115,7 +115,7 @@
   step(f);
   if (p.slots) m.slots.resize(static_cast<size_t>(p.slots));
   for (auto& s : all)
-    if (s.part == Part::recorder || s.part == Part::gateway) step(Register{s.id.self});
+    if (s.part == Part::store || s.part == Part::gateway) step(Register{s.id.self});
   for (auto& [id, d] : Directory(m.directory))
     if (d.self.role != Role::controller) {
       step(PrepareJoin{id});
--- a/tools/scale/plan.hpp
+++ b/tools/scale/plan.hpp
@@ -4,16 +4,16 @@
 
 namespace mosskeel::scale {
 
-enum class Part { controller, recorder, agent, gateway };
+enum class Part { controller, store, agent, gateway };
 const char* name(Part p);
 
-/// The target of two years is the default. `daemons` are fronts and recorders together, one recorder in ten.
+/// The target of two years is the default. `daemons` are fronts and stores together, one store in ten.
 struct Plan {
   int controllers = 3, daemons = 340, replicas = 600, paths = 200, cells = 18000, services = 11, zones = 8, slots = 0;
   /// Commit ids remembered, and daemons that have left, in a fleet that is not new.
   int remembered = 0, left = 0;
-  int recorders() const { return std::max(3, daemons / 10); }
-  int fronts() const { return daemons - recorders(); }
+  int stores() const { return std::max(3, daemons / 10); }
+  int fronts() const { return daemons - stores(); }
 };
 
 struct Seat {
@@ -23,7 +23,7 @@
   Address beside;
 };
 
-/// Every process of the plan's fleet, controllers first, then recorders, then each agent with its gateway.
+/// Every process of the plan's fleet, controllers first, then stores, then each agent with its gateway.
 std::vector<Seat> seats(const Plan& p, uint64_t seed);
 /// One more front, as `seats` makes them.
 std::pair<Seat, Seat> front(const Plan& p, size_t n, uint64_t seed);
--- a/tools/scale/run.hpp
+++ b/tools/scale/run.hpp
@@ -8,7 +8,7 @@
 
 namespace mosskeel::scale {
 
-constexpr int real_recorders = 3, real_fronts = 2;
+constexpr int real_stores = 3, real_fronts = 2;
 constexpr Millis calm_patience = 900000, look = 50, rest_window = 20000, cut_window = 20000;
 
 class Run {
--- a/tools/scale/slopes.cpp
+++ b/tools/scale/slopes.cpp
@@ -109,7 +109,7 @@
             {curve("change.cells", "agent.more.byte", "front, in and out")});
   write_svg(out + "/turns.svg", "A turn late in its conversation", "turns before it", "bytes",
             {curve("turns.turns", "replica.ask.byte", "asked of the replica"),
-             curve("turns.turns", "recorder.journal.byte", "journals"),
+             curve("turns.turns", "store.journal.byte", "journals"),
              curve("turns.turns", "gateway.out.byte", "fronts out")});
   write_svg(out + "/zone.svg", "A zone lost and back", "daemons in the fleet", "ms",
             {curve("zone.daemons", "down.ms", "all marked down"), curve("zone.daemons", "back.ms", "all back")});
--- a/tools/scale/troubles.cpp
+++ b/tools/scale/troubles.cpp
@@ -82,7 +82,7 @@
   auto& c = *crews_.back();
   std::string cut = "cut";
   for (auto& p : rack_.list()) cut += " " + p.listen;
-  for (int i = 0; i < a_.plan.daemons - real_recorders - real_fronts - c.size(); ++i)
+  for (int i = 0; i < a_.plan.daemons - real_stores - real_fronts - c.size(); ++i)
     cut += " " + local_port(a_, hollow_ports + i);
   rack_.act("freeze", "controller2");
   auto rest = std::exchange(voice_.controllers, {voice_.controllers[0], voice_.controllers[2]});
