--- a/src/attendant/main.cpp
+++ b/src/mosskeelctl/main.cpp
@@ -16,7 +16,7 @@
 }
 
 int usage(const char* why) {
-  fprintf(stderr, "attendant: %s; see attendant --help\n", why);
+  fprintf(stderr, "mosskeelctl: %s; see mosskeelctl --help\n", why);
   return 2;
 }
 
@@ -47,11 +47,11 @@
                         {"id", 'i', POPT_ARG_STRING, &id, 0, "the id of a change whose outcome was unknown", "ID"},
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
-  poptContext c = poptGetContext("attendant", argc, argv, table, 0);
+  poptContext c = poptGetContext("mosskeelctl", argc, argv, table, 0);
   poptSetOtherOptionHelp(c,
                          "[OPTIONS] SENTENCE...\nAsks or commands the fleet. Exit: 0 yes, 1 no, 2 usage, 3 unknown.");
   if (int rc = poptGetNextOpt(c); rc < -1) return usage(poptStrerror(rc));
-  if (version) return printf("attendant (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
+  if (version) return printf("mosskeelctl (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
   std::string s;
   for (const char* w; (w = poptGetArg(c));) s += (s.empty() ? "" : " ") + std::string(w);
   if (s.empty()) return usage("a sentence is missing");
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -18,7 +18,7 @@
 CONTROL=$(sed 's/.*control //' "$DIR/out")
 CONTROLLERS=$(sed 's/.*controllers \([^;]*\);.*/\1/' "$DIR/out")
 harm() { curl -sf -X POST "http://$CONTROL/$1/$2" >/dev/null; }
-say() { "$BIN/attendant" -m "$CONTROLLERS" "$@"; }
+say() { "$BIN/mosskeelctl" -m "$CONTROLLERS" "$@"; }
 http_of() { curl -sf "http://$CONTROL/fleet" | tr '{' '\n' | grep "\"name\":\"$1\"" | sed 's/.*"http":"\([^"]*\)".*/\1/'; }
 # expect STATUS PATTERN CURL-ARGS...: the status, and a pattern that the body must hold
 expect() {
--- a/tests/process/harm.sh
+++ b/tests/process/harm.sh
@@ -6,5 +6,5 @@
 harm kill store1
 harm wipe store1
 harm start store1
-await 60 bash -c "$BIN/attendant -m $CONTROLLERS show fleet | grep -q 'store up.*keeps 64' && [ \$($BIN/attendant -m $CONTROLLERS show fleet | grep -c 'store up.*keeps 64') = 3 ]"
+await 60 bash -c "$BIN/mosskeelctl -m $CONTROLLERS show fleet | grep -q 'store up.*keeps 64' && [ \$($BIN/mosskeelctl -m $CONTROLLERS show fleet | grep -c 'store up.*keeps 64') = 3 ]"
 "$BIN/dialer" -m "$CONTROLLERS" -r 6 -t 4 --runs "$DIR/fleet"
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -6,7 +6,7 @@
 say create cell lab budget 100 turn 10 retention 60000 | grep -q '^yes epoch'
 rc=0; say create cell lab budget 100 turn 10 retention 60000 || rc=$?; [ $rc = 1 ]
 rc=0; say drain zoo a || rc=$?; [ $rc = 1 ]
-rc=0; "$BIN/attendant" || rc=$?; [ $rc = 2 ]
+rc=0; "$BIN/mosskeelctl" || rc=$?; [ $rc = 2 ]
 rc=0; "$BIN/controller" --listen nowhere --core-size 4 2>"$DIR/bad" || rc=$?; [ $rc = 2 ]
 [ "$(grep -c event=103 "$DIR/bad")" -ge 5 ]
 rc=0; say apply "$0" at 1 || rc=$?; [ $rc = 1 ]
