--- a/tests/har_test.cpp
+++ b/tests/har_test.cpp
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
-#include "../tools/dialer/har.hpp"
+#include "../tools/loadgen/har.hpp"
 
 using namespace mosskeel;
-using namespace mosskeel::dialer;
+using namespace mosskeel::loadgen;
 
 TEST_CASE("an archive's requests are read with what matters for a replay") {
   auto r = read_har(R"({"log":{"entries":[
--- a/tests/process/common.sh
+++ b/tests/process/common.sh
@@ -2,14 +2,14 @@
 set -eu
 BIN=$1
 DIR=$(mktemp -d)
-"$BIN/rack" --fleet small --dir "$DIR/fleet" --base 0 "${@:2}" >"$DIR/out" 2>"$DIR/err" &
-RACK=$!
-trap 'kill $RACK 2>/dev/null; wait $RACK 2>/dev/null; rm -rf "$DIR"' EXIT
+"$BIN/local-cluster" --fleet small --dir "$DIR/fleet" --base 0 "${@:2}" >"$DIR/out" 2>"$DIR/err" &
+CLUSTER=$!
+trap 'kill $CLUSTER 2>/dev/null; wait $CLUSTER 2>/dev/null; rm -rf "$DIR"' EXIT
 await() { # await SECONDS COMMAND...
   local n=$(($1 * 5)); shift
   until "$@" >/dev/null 2>&1; do
     n=$((n - 1)); [ $n -gt 0 ] || { echo "waited in vain for: $*"; tail -n 5 "$DIR"/err "$DIR"/fleet/*.log; exit 1; }
-    kill -0 $RACK 2>/dev/null || { echo "the rack ended"; cat "$DIR/out" "$DIR/err"; exit 1; }
+    kill -0 $CLUSTER 2>/dev/null || { echo "the local cluster ended"; cat "$DIR/out" "$DIR/err"; exit 1; }
     read -r -t 0.2 <> <(:) || true
   done
 }
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # A small fleet of real processes serves, refuses, restarts from disk and keeps its word.
 . "$(dirname "$0")/common.sh"
-"$BIN/dialer" -m "$CONTROLLERS" -r 5 -t 4 --runs "$DIR/fleet"
+"$BIN/loadgen" -m "$CONTROLLERS" -r 5 -t 4 --runs "$DIR/fleet"
 say show fleet | grep -q '^yes'
 say create cell lab budget 100 turn 10 retention 60000 | grep -q '^yes epoch'
 rc=0; say create cell lab budget 100 turn 10 retention 60000 || rc=$?; [ $rc = 1 ]
@@ -62,9 +62,9 @@
 await 60 say show cell lab
 await 60 say set cell lab budget 200
 say show cell lab | grep -q '"budget": 200'
-"$BIN/dialer" -m "$CONTROLLERS" -r 5 -t 3 --runs "$DIR/fleet"
+"$BIN/loadgen" -m "$CONTROLLERS" -r 5 -t 3 --runs "$DIR/fleet"
 # a front is stopped in order: nothing is lost
-"$BIN/dialer" -m "$CONTROLLERS" -r 8 -t 8 --runs "$DIR/fleet" >"$DIR/dial" &
+"$BIN/loadgen" -m "$CONTROLLERS" -r 8 -t 8 --runs "$DIR/fleet" >"$DIR/dial" &
 LOAD=$!
 await 10 test -s "$DIR/fleet/runs-model1"
 harm stop gateway1
--- a/tools/dialer/checks.cpp
+++ b/tools/loadgen/checks.cpp
@@ -10,7 +10,7 @@
 #include "kernel/web.hpp"
 #include "load.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 using Json = nlohmann::json;
 
 uint64_t random() {
@@ -158,4 +158,4 @@
   book_.count("runs checked", n.size());
 }
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/dialer/har.cpp
+++ b/tools/loadgen/har.cpp
@@ -8,7 +8,7 @@
 #include "kernel/web.hpp"
 #include "load.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 using Json = nlohmann::json;
 
 namespace {
@@ -80,11 +80,11 @@
   std::ifstream s(file);
   std::stringstream t;
   t << s.rdbuf();
-  if (!s) return fprintf(stderr, "dialer: %s: cannot be read\n", file.c_str()), 2;
+  if (!s) return fprintf(stderr, "loadgen: %s: cannot be read\n", file.c_str()), 2;
   auto r = read_har(t.str());
   if (!ok(r)) {
     for (auto& f : findings(r))
-      fprintf(stderr, "dialer: %s: %s: %s\n", file.c_str(), f.place.c_str(), f.reason.c_str());
+      fprintf(stderr, "loadgen: %s: %s: %s\n", file.c_str(), f.place.c_str(), f.reason.c_str());
     return 2;
   }
   Book book;
@@ -113,4 +113,4 @@
   return other ? 1 : 0;
 }
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/dialer/har.hpp
+++ b/tools/loadgen/har.hpp
@@ -2,7 +2,7 @@
 // Replays an HTTP archive against a front worker: repeatable requests only, unless told otherwise.
 #include "mosskeel.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 
 struct HarErrand {
   std::string method, path, body;
@@ -15,4 +15,4 @@
 /// Replays them in order; the exit code.
 int replay_har(const std::string& file, const Address& to, bool all);
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/dialer/harm.cpp
+++ b/tools/loadgen/harm.cpp
@@ -4,7 +4,7 @@
 #include "kernel/web.hpp"
 #include "load.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 
 Harm::Harm(const Plan& p, Book& b) : plan_(p), book_(b), thread_([this] { work(); }) {}
 Harm::~Harm() {
@@ -63,4 +63,4 @@
   }
 }
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/dialer/load.cpp
+++ b/tools/loadgen/load.cpp
@@ -4,7 +4,7 @@
 
 #include "kernel/web.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 using Json = nlohmann::json;
 
 namespace {
@@ -243,4 +243,4 @@
   return book_.violations() ? 1 : 0;
 }
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/dialer/load.hpp
+++ b/tools/loadgen/load.hpp
@@ -6,7 +6,7 @@
 
 #include "mosskeel.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 
 struct Plan {
   std::vector<Address> controllers;
@@ -62,7 +62,7 @@
   std::thread thread_;
 };
 
-/// Kills, freezes and restarts processes of a rack while the load runs; heals all at its end.
+/// Kills, freezes and restarts processes of a local cluster while the load runs; heals all at its end.
 class Harm {
  public:
   Harm(const Plan& p, Book& b);
@@ -106,4 +106,4 @@
 double clock_ms();
 void nap(Millis ms);
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/dialer/load_tools.cpp
+++ b/tools/loadgen/load_tools.cpp
@@ -1,7 +1,7 @@
 // The calls of tools between two turns of a program.
 #include "load.hpp"
 
-namespace mosskeel::dialer {
+namespace mosskeel::loadgen {
 
 void Load::tools(uint64_t n) {
   bool election = plan_.mix == "election";
@@ -11,4 +11,4 @@
   if (n % 20 == 0) fetch("/archive/" + std::to_string(n), "archive", "bulk");
 }
 
-}  // namespace mosskeel::dialer
+}  // namespace mosskeel::loadgen
--- a/tools/rack/fleet.cpp
+++ b/tools/local-cluster/fleet.cpp
@@ -18,7 +18,7 @@
 
 extern char** environ;
 
-namespace mosskeel::rack {
+namespace mosskeel::local_cluster {
 namespace fs = std::filesystem;
 using Json = nlohmann::json;
 
@@ -70,7 +70,7 @@
   }
   for (int k = 0; k < 2; ++k)
     for (int i = 0; i < (k ? plan_.apps : plan_.models); ++i) {
-      auto& x = add((k ? "app" : "model") + n(i), "answerer", i);
+      auto& x = add((k ? "app" : "model") + n(i), "replica-sim", i);
       x.http = port();
       x.args = {"--http", x.http,
                 "--kind", k ? "app" : "model",
@@ -175,7 +175,7 @@
         a.method = "PUT";
         a.url = "http://" + m + path;
         a.body = j.dump();
-        a.headers["Idempotency-Key"] = "rack-" + hex(digest(path + j.dump()));
+        a.headers["Idempotency-Key"] = "local-cluster-" + hex(digest(path + j.dump()));
         auto r = web(a);
         if (r.status == 200 || (r.status == 409 && r.body.find("is so already") != std::string::npos)) return {};
         if (r.status == 409 && r.body.find("built on") != std::string::npos) return {};
@@ -185,7 +185,7 @@
     return {{path, "was not accepted: " + why}};
   };
   for (auto& p : list()) {
-    if (p.program != "answerer") continue;
+    if (p.program != "replica-sim") continue;
     auto kind = p.name.starts_with("app") ? "app" : "model";
     if (auto f = put("/v1/replicas/" + p.name,
                      {{"kind", kind}, {"zone", p.zone}, {"url", "http://" + p.http}, {"fitness", "ready"}});
@@ -197,4 +197,4 @@
   return put("/v1/manifest?revision=0", {{"cells", Json::array({cell})}});
 }
 
-}  // namespace mosskeel::rack
+}  // namespace mosskeel::local_cluster
--- a/tools/rack/fleet.hpp
+++ b/tools/local-cluster/fleet.hpp
@@ -6,7 +6,7 @@
 
 #include "mosskeel.hpp"
 
-namespace mosskeel::rack {
+namespace mosskeel::local_cluster {
 
 struct Plan {
   int controllers = 3, fronts = 6, stores = 3, models = 9, apps = 3, zones = 3;
@@ -49,4 +49,4 @@
   std::vector<Proc> procs_;
 };
 
-}  // namespace mosskeel::rack
+}  // namespace mosskeel::local_cluster
--- a/tools/rack/main.cpp
+++ b/tools/local-cluster/main.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-int ready(rack::Fleet& f) {
+int ready(local_cluster::Fleet& f) {
   int n = 0;
   for (auto& p : f.list())
     if (p.program == "gateway" && p.pid) {
@@ -31,7 +31,7 @@
   return n;
 }
 
-HttpAnswer answer(rack::Fleet& f, const HttpAsk& a) {
+HttpAnswer answer(local_cluster::Fleet& f, const HttpAsk& a) {
   HttpAnswer r;
   if (a.path == "/fleet") {
     Json j = Json::array();
@@ -58,7 +58,7 @@
 }  // namespace
 
 int main(int argc, const char** argv) {
-  rack::Plan p;
+  local_cluster::Plan p;
   char *fleet = nullptr, *dir = nullptr, *pace = nullptr;
   int version = 0, quiet = 0;
   poptOption table[] = {{"fleet", 'f', POPT_ARG_STRING, &fleet, 0,
@@ -81,33 +81,33 @@
       else if (n == "small")
         p.fronts = 2, p.models = 2, p.apps = 1;
       else if (n != "catania")
-        return fprintf(stderr, "rack: fleet: '%s' is unknown\n", n.c_str()), 2;
+        return fprintf(stderr, "local-cluster: fleet: '%s' is unknown\n", n.c_str()), 2;
     }
-  poptContext c = poptGetContext("rack", argc, argv, table, 0);
+  poptContext c = poptGetContext("local-cluster", argc, argv, table, 0);
   if (int rc = poptGetNextOpt(c); rc < -1)
-    return fprintf(stderr, "rack: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
-  if (version) return printf("rack (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
-  if (!dir) return fprintf(stderr, "rack: dir: is missing\n"), 2;
+    return fprintf(stderr, "local-cluster: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+  if (version) return printf("local-cluster (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
+  if (!dir) return fprintf(stderr, "local-cluster: dir: is missing\n"), 2;
   p.dir = dir;
   if (pace) p.pace = pace;
-  if (p.base == 0) p.base = rack::free_base(2 * p.controllers + 2 * p.stores + 3 * p.fronts + p.models + p.apps);
+  if (p.base == 0) p.base = local_cluster::free_base(2 * p.controllers + 2 * p.stores + 3 * p.fronts + p.models + p.apps);
   p.bin = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   if (!quiet) std::filesystem::remove_all(p.dir);
-  start_log("rack");
+  start_log("local-cluster");
   hold_signals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
   auto begun = process_now();
-  rack::Fleet f(p);
-  if (auto x = f.start_all(); !x.empty()) return fprintf(stderr, "rack: %s\n", render(x).c_str()), 2;
-  if (auto x = f.introduce(); !x.empty()) return fprintf(stderr, "rack: %s\n", render(x).c_str()), 1;
+  local_cluster::Fleet f(p);
+  if (auto x = f.start_all(); !x.empty()) return fprintf(stderr, "local-cluster: %s\n", render(x).c_str()), 2;
+  if (auto x = f.introduce(); !x.empty()) return fprintf(stderr, "local-cluster: %s\n", render(x).c_str()), 1;
   while (ready(f) < p.fronts && process_now() - begun < 60000)
     if (signalled(100)) return 1;
   auto web =
       HttpServer::open("127.0.0.1:" + std::to_string(p.base - 1), [&](const HttpAsk& a) { return answer(f, a); });
-  if (!ok(web)) return fprintf(stderr, "rack: %s\n", render(findings(web)).c_str()), 2;
+  if (!ok(web)) return fprintf(stderr, "local-cluster: %s\n", render(findings(web)).c_str()), 2;
   std::string m;
   for (auto& a : f.controllers()) m += (m.empty() ? "" : ",") + a;
-  printf("rack: %d of %d fronts ready after %lld ms; controllers %s; control 127.0.0.1:%d\n", ready(f), p.fronts,
+  printf("local-cluster: %d of %d fronts ready after %lld ms; controllers %s; control 127.0.0.1:%d\n", ready(f), p.fronts,
          static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
   fflush(stdout);
   while (!signalled(1000)) {}
--- a/tools/answerer/main.cpp
+++ b/tools/replica-sim/main.cpp
@@ -157,12 +157,12 @@
                         {"pace", 't', POPT_ARG_INT, &pace, 0, "milliseconds between pieces", "MS"},
                         {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version, then exit", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
-  poptContext c = poptGetContext("answerer", argc, argv, table, 0);
+  poptContext c = poptGetContext("replica-sim", argc, argv, table, 0);
   if (int rc = poptGetNextOpt(c); rc < -1)
-    return fprintf(stderr, "answerer: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
-  if (version) return printf("answerer (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
-  if (!at || !kind) return fprintf(stderr, "answerer: http, kind: are missing\n"), 2;
-  start_log("answerer");
+    return fprintf(stderr, "replica-sim: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+  if (version) return printf("replica-sim (mosskeel) %s\n", MOSSKEEL_VERSION), 0;
+  if (!at || !kind) return fprintf(stderr, "replica-sim: http, kind: are missing\n"), 2;
+  start_log("replica-sim");
   hold_signals();
   Stand s;
   s.name = name ? name : at;
@@ -174,7 +174,7 @@
     if (a.path.starts_with("/control/")) return control(s, a);
     return s.kind == "model" ? model(s, a) : app(s, a);
   });
-  if (!ok(web)) return fprintf(stderr, "answerer: %s\n", render(findings(web)).c_str()), 2;
+  if (!ok(web)) return fprintf(stderr, "replica-sim: %s\n", render(findings(web)).c_str()), 2;
   while (!signalled(1000)) {}
   return 0;
 }
--- a/tools/scale/fleet.cpp
+++ b/tools/scale/fleet.cpp
@@ -12,8 +12,8 @@
 namespace mosskeel::scale {
 namespace {
 
-rack::Plan plan(const FleetAsk& a) {
-  rack::Plan p;
+local_cluster::Plan plan(const FleetAsk& a) {
+  local_cluster::Plan p;
   p.controllers = a.plan.controllers, p.fronts = real_fronts, p.stores = real_stores, p.models = p.apps = 0;
   p.zones = a.plan.zones, p.dir = a.out + "/data", p.bin = a.bin, p.base = a.base;
   return p;
@@ -32,12 +32,12 @@
 }
 
 Run::Run(const FleetAsk& a)
-    : a_(a), rack_(plan(a)), voice_(a), csv_(a.out + "/fleet.csv"), text_(a.out + "/fleet.txt") {
+    : a_(a), cluster_(plan(a)), voice_(a), csv_(a.out + "/fleet.csv"), text_(a.out + "/fleet.txt") {
   csv_ << "step,figure,value\n";
 }
 
 int Run::play() {
-  if (auto f = rack_.start_all(); !f.empty()) return fail(render(f)), 2;
+  if (auto f = cluster_.start_all(); !f.empty()) return fail(render(f)), 2;
   if (auto f = voice_.open(); !f.empty()) return fail(render(f)), 2;
   auto hollow = a_;
   hollow.plan.daemons -= real_stores + real_fronts;
@@ -133,14 +133,14 @@
     return n;
   };
   std::map<std::string, Use> before;
-  for (auto& p : rack_.list()) before[p.name] = use_of(p.pid);
+  for (auto& p : cluster_.list()) before[p.name] = use_of(p.pid);
   auto n = sent();
   auto begun = machine_now();
   wait(rest_window);
   auto seconds = static_cast<double>(machine_now() - begun) / 1000;
   put(step, "hollow.messages_out_each_a_second",
       (sent() - n) / seconds / static_cast<double>(a_.plan.daemons - real_stores - real_fronts));
-  for (auto& p : rack_.list()) {
+  for (auto& p : cluster_.list()) {
     auto u = use_of(p.pid);
     put(step, p.name + ".core_percent", (u.cpu_s - before[p.name].cpu_s) / seconds * 100);
     put(step, p.name + ".rss_mb", u.rss_mb);
--- a/tools/scale/run.hpp
+++ b/tools/scale/run.hpp
@@ -2,7 +2,7 @@
 // A run of real controllers under a hollow fleet.
 #include <fstream>
 
-#include "rack/fleet.hpp"
+#include "local-cluster/fleet.hpp"
 #include "scale/crew.hpp"
 #include "scale/report.hpp"
 
@@ -38,7 +38,7 @@
   void distribution(const std::string& step, std::vector<double> v);
 
   FleetAsk a_;
-  rack::Fleet rack_;
+  local_cluster::Fleet cluster_;
   Voice voice_;
   std::vector<std::unique_ptr<Crew>> crews_;
   std::ofstream csv_, text_;
--- a/tools/scale/troubles.cpp
+++ b/tools/scale/troubles.cpp
@@ -81,10 +81,10 @@
 void Run::region() {
   auto& c = *crews_.back();
   std::string cut = "cut";
-  for (auto& p : rack_.list()) cut += " " + p.listen;
+  for (auto& p : cluster_.list()) cut += " " + p.listen;
   for (int i = 0; i < a_.plan.daemons - real_stores - real_fronts - c.size(); ++i)
     cut += " " + local_port(a_, hollow_ports + i);
-  rack_.act("freeze", "controller2");
+  cluster_.act("freeze", "controller2");
   auto rest = std::exchange(voice_.controllers, {voice_.controllers[0], voice_.controllers[2]});
   c.ask(cut);
   wait(cut_window / 2);
@@ -92,7 +92,7 @@
   for (int i = 0; i < 2; ++i) yes += one_change().yes;
   put("region", "changes_acknowledged_while_cut", yes);
   wait(cut_window / 2);
-  rack_.act("wake", "controller2");
+  cluster_.act("wake", "controller2");
   auto healed = machine_now();
   c.ask("cut");
   put("region", "cut_off", c.size());
@@ -122,7 +122,7 @@
   put("values", "equal", static_cast<double>(same));
   if (same != n) fail("not all hold the same value at epoch " + std::to_string(v->epoch.v));
   if (v->revision < promised_) fail("an acknowledged revision is lost");
-  for (auto& p : rack_.list())
+  for (auto& p : cluster_.list())
     if (!p.pid) fail(p.name + " has died");
 }
 
--- a/tools/testdesk/main.cpp
+++ b/tools/simulate/main.cpp
@@ -21,9 +21,9 @@
                         {"notes", 0, POPT_ARG_NONE, &notes, 0, "print every message and event (one seed)", nullptr},
                         {"reasons", 0, POPT_ARG_NONE, &reasons, 0, "print why outcomes were unknown", nullptr},
                         POPT_AUTOHELP POPT_TABLEEND};
-  poptContext c = poptGetContext("testdesk", argc, argv, table, 0);
+  poptContext c = poptGetContext("simulate", argc, argv, table, 0);
   if (int rc = poptGetNextOpt(c); rc < -1)
-    return fprintf(stderr, "testdesk: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
+    return fprintf(stderr, "simulate: %s: %s\n", poptBadOption(c, 0), poptStrerror(rc)), 2;
   auto all = sim::scenarios();
   if (only) all = {only};
   std::atomic<long> next{0}, failed{0}, played{0};
@@ -46,7 +46,7 @@
       t.messages += v.messages, t.syncs += v.syncs;
       if (v.failures.empty()) continue;
       ++failed;
-      printf("FAILED %s seed %ld; replay: testdesk -s %s -f %ld -n 1 --notes\n", s.c_str(), seed, s.c_str(), seed);
+      printf("FAILED %s seed %ld; replay: simulate -s %s -f %ld -n 1 --notes\n", s.c_str(), seed, s.c_str(), seed);
       for (auto& f : v.failures) printf("  %s\n", f.c_str());
       fflush(stdout);
     }
