--- a/src/controller/desk.cpp
+++ b/src/controller/admin_api.cpp
@@ -1,4 +1,4 @@
-#include "controller/desk.hpp"
+#include "controller/admin_api.hpp"
 
 #include "kernel/daemon.hpp"
 #include "manifest/json.hpp"
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-HttpAnswer Desk::change(const Transformation& t, const HttpAsk& a) {
+HttpAnswer AdminApi::change(const Transformation& t, const HttpAsk& a) {
   auto r = commit(t, id_of(a), await_);
   Json j{{"outcome", r.outcome == Outcome::yes ? "yes" : r.outcome == Outcome::no ? "no" : "unknown"}, {"id", r.id}};
   if (r.outcome == Outcome::yes)
@@ -50,7 +50,7 @@
   return x;
 }
 
-std::vector<Entry> Desk::recent() {
+std::vector<Entry> AdminApi::recent() {
   std::vector<Entry> v;
   host_.ask([&](Machine& m, Millis) {
     auto& q = static_cast<ControllerMachine&>(m).recent();
@@ -59,7 +59,7 @@
   return v;
 }
 
-HttpAnswer Desk::say(const HttpAsk& a) {
+HttpAnswer AdminApi::say(const HttpAsk& a) {
   auto c = operators::parse(a.body);
   std::string s;
   auto v = host_.view();
@@ -79,7 +79,7 @@
   return plain(s);
 }
 
-HttpAnswer Desk::put_manifest(const HttpAsk& a) {
+HttpAnswer AdminApi::put_manifest(const HttpAsk& a) {
   auto q = a.query.find("revision");
   if (q == a.query.end() || q->second.empty() || q->second.size() > 18 ||
       q->second.find_first_not_of("0123456789") != std::string::npos)
@@ -91,7 +91,7 @@
   return change(ApplyManifest{Revision{std::stoull(q->second)}, value(m)}, a);
 }
 
-HttpAnswer Desk::put_replica(const HttpAsk& a, const std::string& name) {
+HttpAnswer AdminApi::put_replica(const HttpAsk& a, const std::string& name) {
   auto j = Json::parse(a.body, nullptr, false);
   if (!j.is_object()) return HttpAnswer::error(400, "invalid", Findings{{"body", "is no JSON object"}});
   Findings f;
@@ -119,7 +119,7 @@
   return change(SetReplica{r}, a);
 }
 
-HttpAnswer Desk::replicas() {
+HttpAnswer AdminApi::replicas() {
   Json j = Json::array();
   auto v = host_.view();
   for (auto& [n, r] : v->replicas)
@@ -133,7 +133,7 @@
   return body({{"epoch", v->epoch.v}, {"replicas", j}});
 }
 
-HttpAnswer Desk::fronts() {
+HttpAnswer AdminApi::fronts() {
   Json j = Json::array();
   auto v = host_.view();
   host_.ask([&](Machine& m, Millis now) {
@@ -154,7 +154,7 @@
   return body({{"epoch", v->epoch.v}, {"fronts", j}});
 }
 
-HttpAnswer Desk::metrics() {
+HttpAnswer AdminApi::metrics() {
   double duty = 0;
   host_.ask([&](Machine& m, Millis now) { duty = static_cast<ControllerMachine&>(m).on_duty(now); });
   auto v = host_.view();
@@ -164,7 +164,7 @@
   return plain(metrics_of(host_, "controller", more));
 }
 
-HttpAnswer Desk::answer(const HttpAsk& a) {
+HttpAnswer AdminApi::answer(const HttpAsk& a) {
   if (auto x = dialect_ ? dialect_->answer(a, *this) : std::nullopt) {
     note(Event::platform_asked, a.method + " " + a.path + ": " + std::to_string(x->status));
     return *x;
--- a/src/controller/desk.hpp
+++ b/src/controller/admin_api.hpp
@@ -7,10 +7,10 @@
 
 namespace mosskeel {
 
-class Desk : public Control {
+class AdminApi : public Control {
  public:
   /// `dialect` is a platform's way of ordering, null for the product's own interface alone.
-  Desk(Host& h, Sessions& s, Millis await, Millis rpc, const ControlDialect* dialect = nullptr)
+  AdminApi(Host& h, Sessions& s, Millis await, Millis rpc, const ControlDialect* dialect = nullptr)
       : host_(h), sessions_(s), await_(await), rpc_(rpc), dialect_(dialect) {}
   HttpAnswer answer(const HttpAsk& a);
   CommitReply commit(const Transformation& t, const std::string& id, Millis patience);
--- a/src/controller/commits.cpp
+++ b/src/controller/commits.cpp
@@ -1,13 +1,13 @@
-// How the desk commits, reads the newest metadata and learns what is in force.
+// How the admin_api commits, reads the newest metadata and learns what is in force.
 #include <thread>
 
 #include "kernel/daemon.hpp"
-#include "controller/desk.hpp"
+#include "controller/admin_api.hpp"
 
 namespace mosskeel {
 
 /// A store is not retired while another one lacks copies: the one that goes might be the last to hold a line.
-std::string Desk::unsafe(const Transformation& t) {
+std::string AdminApi::unsafe(const Transformation& t) {
   auto* p = std::get_if<PrepareDrain>(&t);
   auto v = host_.view();
   auto* d = p ? v->find(p->node) : nullptr;
@@ -27,7 +27,7 @@
   return s.empty() ? "" : "copies are lacking:" + s + " wait for the repair (metric slots_lacking must be 0)";
 }
 
-CommitReply Desk::commit(const Transformation& t, const std::string& id, Millis patience) {
+CommitReply AdminApi::commit(const Transformation& t, const std::string& id, Millis patience) {
   if (auto why = unsafe(t); !why.empty()) return {id, Outcome::no, why, host_.view()->epoch, std::nullopt, {}};
   auto [addr, words] = sessions_.open();
   auto until = process_now() + patience;
@@ -53,7 +53,7 @@
   return last;
 }
 
-CommitReply Desk::rebuild(const std::vector<DaemonId>& lost) {
+CommitReply AdminApi::rebuild(const std::vector<DaemonId>& lost) {
   auto [addr, words] = sessions_.open();
   CommitReply r{};
   r.id = "the same sentence";
@@ -69,7 +69,7 @@
   return r;
 }
 
-View Desk::latest() {
+View AdminApi::latest() {
   View v = host_.view();
   host_.ask([&](Machine& m, Millis) { v = m.view(); });
   return v;
@@ -77,12 +77,12 @@
 
 /// A rejection is confirmed by a majority at the highest epoch, and nothing is logged: so asking for what is never
 /// granted, to forget a replica without a name, reads the newest metadata.
-View Desk::newest(Millis until) {
+View AdminApi::newest(Millis until) {
   auto r = commit(DropReplica{""}, "read-" + hex(dice()), std::max<Millis>(0, until - process_now()));
   return r.outcome == Outcome::no ? latest() : nullptr;
 }
 
-Verdict Desk::settled(Epoch at, Millis until) {
+Verdict AdminApi::settled(Epoch at, Millis until) {
   std::string why = "the machine has stopped";
   while (!host_.stopped()) {
     host_.ask([&](Machine& m, Millis now) { why = static_cast<ControllerMachine&>(m).lacking(at, now); });
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -1,7 +1,7 @@
 #include <curl/curl.h>
 
 #include "kernel/daemon.hpp"
-#include "controller/lister.hpp"
+#include "controller/replica_poller.hpp"
 
 using namespace mosskeel;
 
@@ -32,13 +32,13 @@
       !f.empty())
     return cannot_start("controller", f);
   auto* dialect = control_dialect(p.dialect);
-  Desk desk(host, sessions, p.tcm_await_ms, p.tcm_rpc_ms, dialect);
-  auto web = HttpServer::open(p.http, [&](const HttpAsk& a) { return desk.answer(a); });
+  AdminApi admin_api(host, sessions, p.tcm_await_ms, p.tcm_rpc_ms, dialect);
+  auto web = HttpServer::open(p.http, [&](const HttpAsk& a) { return admin_api.answer(a); });
   if (!ok(web)) return cannot_start("controller", findings(web));
-  std::unique_ptr<Lister> lister;
-  if (dialect && !p.list.empty()) lister = std::make_unique<Lister>(host, desk, *dialect, p.list);
+  std::unique_ptr<ReplicaPoller> poller;
+  if (dialect && !p.list.empty()) poller = std::make_unique<ReplicaPoller>(host, admin_api, *dialect, p.list);
   auto rc = run_until_stopped(host, "controller", [] { return true; });
-  lister.reset();
+  poller.reset();
   std::get<0>(web).reset();
   return rc;
 }
--- a/src/controller/orders.cpp
+++ b/src/controller/orders.cpp
@@ -2,7 +2,7 @@
 #include <algorithm>
 
 #include "kernel/daemon.hpp"
-#include "controller/desk.hpp"
+#include "controller/admin_api.hpp"
 
 namespace mosskeel {
 namespace {
@@ -48,16 +48,16 @@
 
 }  // namespace
 
-View Desk::newest() {
+View AdminApi::newest() {
   return newest(deadline());
 }
 
-Verdict Desk::settled() {
+Verdict AdminApi::settled() {
   return settled(latest()->epoch, deadline());
 }
 
 /// A member that hears no majority can do nothing; a controller that is no member yet names one.
-std::optional<Control::Absent> Desk::absent() {
+std::optional<Control::Absent> AdminApi::absent() {
   std::optional<Absent> x;
   host_.ask([&](Machine& machine, Millis now) {
     auto& k = static_cast<ControllerMachine&>(machine);
@@ -79,7 +79,7 @@
   return x;
 }
 
-Verdict Desk::apply(const std::string& id, Revision base, Revision own, const Manifest& m) {
+Verdict AdminApi::apply(const std::string& id, Revision base, Revision own, const Manifest& m) {
   auto until = deadline();
   auto r = commit(ApplyManifest{base, m, own}, id, left(until));
   if (r.outcome == Outcome::yes) return {Kind::done, ""};
@@ -87,7 +87,7 @@
   return {latest()->revision == base ? Kind::invalid : Kind::other_base, r.reason};
 }
 
-Verdict Desk::evacuate(const std::string& zone) {
+Verdict AdminApi::evacuate(const std::string& zone) {
   auto until = deadline();
   auto r = commit(EvacuateZone{zone}, once("evacuate"), left(until));
   if (r.outcome == Outcome::yes) return {Kind::done, ""};
@@ -97,7 +97,7 @@
   return {known_zone(*v, zone) ? Kind::refused : Kind::unknown, r.reason};
 }
 
-Verdict Desk::restore(const std::string& zone) {
+Verdict AdminApi::restore(const std::string& zone) {
   auto until = deadline();
   auto r = commit(RestoreZone{zone}, once("restore"), left(until));
   if (r.outcome == Outcome::yes) return {Kind::done, ""};
@@ -106,7 +106,7 @@
   return settled(v->epoch, until);
 }
 
-Verdict Desk::retire(const std::string& machine) {
+Verdict AdminApi::retire(const std::string& machine) {
   auto until = deadline();
   auto v = newest(until);
   if (!v) return {Kind::unclear, "no majority of the core answered in time"};
@@ -125,7 +125,7 @@
   return {Kind::unclear, r.reason};
 }
 
-Retirement Desk::retirement(const std::string& machine) {
+Retirement AdminApi::retirement(const std::string& machine) {
   auto until = deadline();
   auto v = latest();
   auto* d = store_on(*v, machine);
--- a/src/controller/lister.cpp
+++ b/src/controller/replica_poller.cpp
@@ -1,4 +1,4 @@
-#include "controller/lister.hpp"
+#include "controller/replica_poller.hpp"
 
 #include <curl/curl.h>
 
@@ -16,20 +16,20 @@
 
 }  // namespace
 
-Lister::Lister(Host& h, Desk& desk, const ControlDialect& dialect, Address address)
+ReplicaPoller::ReplicaPoller(Host& h, AdminApi& admin_api, const ControlDialect& dialect, Address address)
     : host_(h),
-      desk_(desk),
+      desk_(admin_api),
       dialect_(dialect),
       address_(std::move(address)),
       web_(curl_easy_init(), [](void* c) { curl_easy_cleanup(c); }),
       thread_([this] { run(); }) {}
 
-Lister::~Lister() {
+ReplicaPoller::~ReplicaPoller() {
   halt_.close();
   thread_.join();
 }
 
-void Lister::run() {
+void ReplicaPoller::run() {
   auto next = process_now();
   while (!halt_.closed()) {
     halt_.pop(std::max<Millis>(1, next - process_now()));
@@ -39,7 +39,7 @@
   }
 }
 
-void Lister::beat() {
+void ReplicaPoller::beat() {
   bool mine = false;
   host_.ask([&](Machine& m, Millis now) { mine = static_cast<ControllerMachine&>(m).on_duty(now); });
   if (!mine) return listing_.forget();
@@ -52,7 +52,7 @@
   if (r.outcome != Outcome::yes) note(Event::platform_asked, describe(*change) + ": " + r.reason);
 }
 
-std::optional<std::vector<Replica>> Lister::read() {
+std::optional<std::vector<Replica>> ReplicaPoller::read() {
   std::vector<Replica> all;
   std::string next;
   for (size_t i = 0; i < limits::list_pages && !halt_.closed(); ++i) {
@@ -68,7 +68,7 @@
   return std::nullopt;
 }
 
-std::optional<std::string> Lister::page(const std::string& path) {
+std::optional<std::string> ReplicaPoller::page(const std::string& path) {
   std::string body, url = "http://" + address_ + path;
   auto* e = static_cast<CURL*>(web_.get());
   curl_easy_setopt(e, CURLOPT_URL, url.c_str());
--- a/src/controller/lister.hpp
+++ b/src/controller/replica_poller.hpp
@@ -2,16 +2,16 @@
 // Reads the list of replicas while this controller holds the supervisor's duty, and brings the log up to it.
 #include <thread>
 
-#include "controller/desk.hpp"
+#include "controller/admin_api.hpp"
 #include "metadata/listing.hpp"
 
 namespace mosskeel {
 
-class Lister {
+class ReplicaPoller {
  public:
   /// Reads at `address` in the way that `dialect` tells, with one thread.
-  Lister(Host& h, Desk& desk, const ControlDialect& dialect, Address address);
-  ~Lister();
+  ReplicaPoller(Host& h, AdminApi& admin_api, const ControlDialect& dialect, Address address);
+  ~ReplicaPoller();
 
  private:
   void run();
@@ -20,7 +20,7 @@
   std::optional<std::vector<Replica>> read();
   std::optional<std::string> page(const std::string& path);
   Host& host_;
-  Desk& desk_;
+  AdminApi& desk_;
   const ControlDialect& dialect_;
   Address address_;
   Listing listing_;
--- a/tests/http/inlet_test.cpp
+++ b/tests/http/inlet_test.cpp
@@ -1,9 +1,9 @@
-#include "inlet_desk.hpp"
+#include "test_server.hpp"
 
 using namespace mosskeel;
 
 TEST_CASE("a request comes whole, without what belongs to the connection") {
-  InletDesk d;
+  TestServer d;
   auto got = d.talk(
       "\r\nPOST /a?b=%20 HTTP/1.1\r\nHost: News.Example:80\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-Stay:  two \r\n"
       "X-Empty:\r\nTE: trailers\r\nUpgrade: h2c\r\nKeep-Alive: timeout=5\r\nProxy-Connection: "
@@ -20,7 +20,7 @@
 }
 
 TEST_CASE("a request may come byte by byte") {
-  InletDesk d;
+  TestServer d;
   Peer p(d.in->at());
   for (char c : std::string("PUT /x HTTP/1.1\r\nHost: [::1]:8\r\nContent-Length: 4\r\n\r\nbody")) {
     p.say({&c, 1});
@@ -32,7 +32,7 @@
 }
 
 TEST_CASE("pipelined requests are asked one after the other") {
-  InletDesk d;
+  TestServer d;
   d.answer = nullptr;
   Peer p(d.in->at());
   p.say(get + get + get_close + get);
@@ -49,7 +49,7 @@
 }
 
 TEST_CASE("many pipelined requests answered at once neither recurse nor get lost") {
-  InletDesk d;
+  TestServer d;
   Peer p(d.in->at());
   std::string all;
   for (int i = 0; i < 2000; ++i) all += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -58,7 +58,7 @@
 }
 
 TEST_CASE("answers in pieces: chunks, lengths, bodiless ones, and HTTP/1.0") {
-  InletDesk d;
+  TestServer d;
   auto pieces = [&](std::optional<uint64_t> length, uint32_t status = 200) {
     d.answer = [&d, length, status](uint64_t id) {
       d.in->head(id, status, {{"Connection", "X"}, {"X", "1"}, {"Bad", "a\r\nB: c"}, {"Y", "2"}}, length);
@@ -88,7 +88,7 @@
 }
 
 TEST_CASE("an interim 100 is sent to those who wait for it, and not when the body is too big") {
-  InletDesk d;
+  TestServer d;
   Peer p(d.in->at());
   p.say("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
   REQUIRE(until(d.loop, [&] { return p.has("HTTP/1.1 100 Continue\r\n\r\n"); }));
@@ -102,7 +102,7 @@
 }
 
 TEST_CASE("a caller that closes or resets is told of once, and its exchange is dead") {
-  InletDesk d;
+  TestServer d;
   d.answer = nullptr;
   int way = GENERATE(0, 1, 2);
   Peer p(d.in->at());
@@ -122,7 +122,7 @@
 }
 
 TEST_CASE("a cut answer ends in a reset") {
-  InletDesk d;
+  TestServer d;
   d.answer = nullptr;
   Peer p(d.in->at());
   p.say(get);
@@ -138,7 +138,7 @@
 }
 
 TEST_CASE("unsent bytes are counted and their draining told") {
-  InletDesk d;
+  TestServer d;
   d.answer = nullptr;
   Peer p(d.in->at());
   p.say(get);
@@ -159,7 +159,7 @@
 }
 
 TEST_CASE("closing: idle sessions end at once, others with their answer; listening goes on") {
-  InletDesk d;
+  TestServer d;
   Peer idle(d.in->at()), busy(d.in->at()), half(d.in->at());
   idle.say(get), half.say("GET / HTTP/1.1\r\n");
   REQUIRE(until(d.loop, [&] { return idle.has("hello"); }));
@@ -181,7 +181,7 @@
 }
 
 TEST_CASE("slow heads get 408, idle sessions are closed, too many are not taken") {
-  InletDesk d;
+  TestServer d;
   InletLimits l;
   l.head_ms = 20, l.idle_ms = 60, l.sessions = 2;
   d.in->limits(l);
--- a/tests/http/outlet_test.cpp
+++ b/tests/http/outlet_test.cpp
@@ -23,7 +23,7 @@
   }
 };
 
-struct Desk {
+struct AdminApi {
   struct Told {
     std::vector<Outlet::Answer> heads;
     std::string body, reason;
@@ -73,7 +73,7 @@
 }  // namespace
 
 TEST_CASE("an answer is read and its connection used again") {
-  Desk d;
+  AdminApi d;
   auto id = d.exchange(
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 201 Made\r\n"
       "A: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n");
@@ -94,7 +94,7 @@
 }
 
 TEST_CASE("answers without a body by their kind end with their head") {
-  Desk d;
+  AdminApi d;
   CHECK(d.over(d.exchange("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "HEAD")).ended == 1);
   CHECK(d.over(d.exchange("HTTP/1.1 204 No\r\n\r\n", "GET")).ended == 1);
   CHECK(d.over(d.exchange("HTTP/1.1 304 Same\r\nContent-Length: 7\r\n\r\n", "GET")).ended == 1);
@@ -104,7 +104,7 @@
 }
 
 TEST_CASE("connections that can't be trusted are not used again") {
-  Desk d;
+  AdminApi d;
   auto answer =
       GENERATE(as<std::string>{}, good + "HTTP", good + good, "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
                "HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 2\r\n\r\nok",
@@ -121,7 +121,7 @@
 }
 
 TEST_CASE("a byte or a close on an idle connection discards it, also right before its use") {
-  Desk d;
+  AdminApi d;
   bool seen = GENERATE(true, false), byte = GENERATE(true, false);
   d.over(d.exchange(good));
   REQUIRE(d.out.idle() == 1);
@@ -137,7 +137,7 @@
 }
 
 TEST_CASE("idle connections expire, are forgotten, and the last one kept is used first") {
-  Desk d;
+  AdminApi d;
   d.over(d.exchange("HTTP/1.1 200 OK\r\nKeep-Alive: max=5, timeout=2\r\nContent-Length: 2\r\n\r\nok"));
   CHECK(d.out.idle() == 1);
   CHECK(until(d.loop, [&] { return d.out.idle() == 0; }));
@@ -157,7 +157,7 @@
 }
 
 TEST_CASE("what is lost before a byte was handed over is unsent") {
-  Desk d;
+  AdminApi d;
   auto at = d.replica.at();
   d.replica.fd = Fd();
   auto way = GENERATE(0, 1, 2);
@@ -172,7 +172,7 @@
 }
 
 TEST_CASE("a connect without an answer in time is unsent") {
-  Desk d;
+  AdminApi d;
   REQUIRE(::listen(d.replica.fd.get(), 0) == 0);
   Peer fills(d.replica.at());
   auto id = d.out.ask({d.replica.at(), "GET", "/", {}, "", false, 30});
@@ -181,7 +181,7 @@
 }
 
 TEST_CASE("what is lost after that is sent, ends once, and is never asked twice") {
-  Desk d;
+  AdminApi d;
   bool warm = GENERATE(true, false);
   if (warm) d.over(d.exchange(good));
   auto before = d.replica.requests();
@@ -210,7 +210,7 @@
 }
 
 TEST_CASE("a paused answer is not read on, a dropped one says nothing more") {
-  Desk d;
+  AdminApi d;
   auto id = d.exchange("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc");
   REQUIRE(until(d.loop, [&] { return d.told[id].body == "abc"; }));
   d.out.pause(id, true);
@@ -228,7 +228,7 @@
 }
 
 TEST_CASE("an answer that comes before the whole request was taken is read, its connection not kept") {
-  Desk d;
+  AdminApi d;
   auto id = d.out.ask({d.replica.at(), "POST", "/", {{"Host", "r"}}, std::string(64 << 20, 'x')});
   REQUIRE(until(d.loop, [&] {
     for (Fd c; (c = Fd(::accept(d.replica.fd.get(), nullptr, nullptr)));) d.replica.peers.emplace_back(std::move(c));
--- a/tests/http/refusal_test.cpp
+++ b/tests/http/refusal_test.cpp
@@ -1,4 +1,4 @@
-#include "inlet_desk.hpp"
+#include "test_server.hpp"
 
 using namespace mosskeel;
 
@@ -89,7 +89,7 @@
       {"GET /" + std::string(3000, 'x'), 431},
   }));
   CAPTURE(row.bytes);
-  InletDesk d;
+  TestServer d;
   InletLimits l;
   l.head_bytes = 2048, l.body_bytes = 1000;
   d.in->limits(l);
--- a/tests/http/inlet_desk.hpp
+++ b/tests/http/test_server.hpp
@@ -5,13 +5,13 @@
 
 namespace mosskeel {
 
-struct InletDesk {
+struct TestServer {
   Loop loop;
   std::vector<std::pair<uint64_t, HttpRequest>> asked;
   std::vector<uint64_t> left, drained;
   std::function<void(uint64_t)> answer = [this](uint64_t id) { in->whole(id, 200, {{"X-A", "b"}}, "hello"); };
   std::unique_ptr<Inlet> in;
-  InletDesk() {
+  TestServer() {
     auto r = Inlet::open(loop, "127.0.0.1:0",
                          {[this](uint64_t id, HttpRequest&& q) {
                             asked.emplace_back(id, std::move(q));
