--- a/src/consensus/controller_machine.cpp
+++ b/src/consensus/controller_machine.cpp
@@ -7,9 +7,9 @@
 ControllerMachine::ControllerMachine(const Identity& id, const Recovered& r, Millis now)
     : out_(id),
       acc_(out_, led_),
-      hear_(now),
-      duty_(out_, led_, hear_, now),
-      sup_(out_, led_, hear_, duty_),
+      detector_(now),
+      lease_(out_, led_, detector_, now),
+      sup_(out_, led_, detector_, lease_),
       prop_(out_, led_, acc_, [this](const Entry& e) { enact(e); }),
       born_(now) {
   if (r.checkpoint)
@@ -188,12 +188,12 @@
                         learn(c.entries, c.checkpoint);
                       },
                       [&](const Heartbeat& h) {
-                        hear_.hear(h, now);
+                        detector_.hear(h, now);
                         prop_.heard(now);
                         if (e.from_inc != self.inc) out_.send_synced(e.from, reply_to(h));
                       },
                       [&](const HeartbeatReply& h) { learn(h.entries, h.checkpoint); },
-                      [&](const DutyAsk& a) { duty_.on(e, a, now); }, [&](const DutyGrant& g) { duty_.on(e, g, now); },
+                      [&](const LeaseRequest& a) { lease_.on(e, a, now); }, [&](const LeaseGrant& g) { lease_.on(e, g, now); },
                       [&](const auto&) {}},
              e.body);
 }
@@ -203,7 +203,7 @@
   beaten_ = led_.epoch();
   auto& self = out_.id().self;
   Heartbeat h{self, led_.epoch(), 0, {}, 0, now, false, 0};
-  hear_.hear(h, now);
+  detector_.hear(h, now);
   for (auto id : led_.view()->members)
     if (auto* d = led_.view()->find(id); d->self.inc != self.inc) out_.send_synced(d->self.addr, h);
   auto* me = led_.view()->find(self.inc);
@@ -220,7 +220,7 @@
   if (!out_.cluster && now >= next_discover_) discover(now);
   if (out_.cluster && now >= next_beat_) beat(now);
   if (out_.cluster && now >= next_survey_) survey(now);
-  duty_.tick(now);
+  lease_.tick(now);
   sup_.tick(now);
   if (!acc_.open() || open_at_ != led_.epoch()) open_since_ = now, open_at_ = led_.epoch();
   if (out_.cluster && now - open_since_ > limits::heartbeat * 2 && prop_.idle()) {
--- a/src/consensus/controller_machine.hpp
+++ b/src/consensus/controller_machine.hpp
@@ -13,9 +13,9 @@
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
   const std::deque<Entry>& recent() const { return led_.recent(); }
-  const Hearing& hearing() const { return hear_; }
+  const FailureDetector& failure_detector() const { return detector_; }
   const Candidate& self() const { return out_.id().self; }
-  bool on_duty(Millis now) const { return duty_.held(now); }
+  bool is_supervisor(Millis now) const { return lease_.held(now); }
   /// The core was founded anew without this controller: it has no say any more, its folder must be emptied.
   bool outdated() const { return outdated_; }
   /// What still hinders that an epoch is in force; empty if nothing.
@@ -41,8 +41,8 @@
   Outbox out_;
   Ledger led_;
   Acceptor acc_;
-  Hearing hear_;
-  Duty duty_;
+  FailureDetector detector_;
+  SupervisorLease lease_;
   Supervisor sup_;
   Proposer prop_;
   CatchupPace pace_;
--- a/src/consensus/hearing.hpp
+++ b/src/consensus/failure_detector.hpp
@@ -4,7 +4,7 @@
 
 namespace mosskeel {
 
-struct Heard {
+struct PeerStatus {
   Millis last = 0;
   Epoch known{};
   uint32_t pressure = 0;
@@ -14,14 +14,14 @@
   uint32_t lacking = 0;
 };
 
-class Hearing {
+class FailureDetector {
  public:
-  explicit Hearing(Millis start) : start_(start) {}
+  explicit FailureDetector(Millis start) : start_(start) {}
   void hear(const Heartbeat& h, Millis now) {
     auto& x = heard_[h.self.inc];
     x = {now, std::max(x.known, h.known), h.pressure, h.streamed, h.running, h.self, h.lacking};
   }
-  const Heard* of(Incarnation inc) const {
+  const PeerStatus* of(Incarnation inc) const {
     auto i = heard_.find(inc);
     return i == heard_.end() ? nullptr : &i->second;
   }
@@ -38,7 +38,7 @@
 
  private:
   Millis start_;
-  std::map<Incarnation, Heard> heard_;
+  std::map<Incarnation, PeerStatus> heard_;
 };
 
 }  // namespace mosskeel
--- a/src/consensus/in_force.cpp
+++ b/src/consensus/in_force.cpp
@@ -11,7 +11,7 @@
   auto& m = *led_.view();
   auto knows = [&](const Daemon& d) {
     if (d.self.inc == out_.id().self.inc) return led_.epoch() >= at;
-    auto* h = hear_.of(d.self.inc);
+    auto* h = detector_.of(d.self.inc);
     return h && h->known >= at;
   };
   auto core = std::count_if(m.members.begin(), m.members.end(), [&](auto id) { return knows(*m.find(id)); });
@@ -22,7 +22,7 @@
     return "no majority of the core has it; missing:" + who;
   if (!m.quorate(knows)) return "no majority of the fleet has it; missing:" + who;
   for (auto& [id, d] : m.directory)
-    if (d.self.role != Role::front && d.state == DaemonState::up && hear_.silence(d, now) < limits::silence &&
+    if (d.self.role != Role::front && d.state == DaemonState::up && detector_.silence(d, now) < limits::silence &&
         !knows(d))
       return "a disk in touch lacks it; missing:" + who;
   return "";
--- a/src/consensus/refounding.cpp
+++ b/src/consensus/refounding.cpp
@@ -8,7 +8,7 @@
 bool ControllerMachine::core_lives(Millis now) const {
   auto& m = *led_.view();
   auto n = std::count_if(m.members.begin(), m.members.end(),
-                         [&](auto id) { return hear_.silence(*m.find(id), now) < limits::core_loss; });
+                         [&](auto id) { return detector_.silence(*m.find(id), now) < limits::core_loss; });
   return static_cast<size_t>(n) >= majority_of(m.members.size());
 }
 
@@ -27,7 +27,7 @@
   Incarnation heir = self.inc;
   for (auto id : m.members) {
     auto* d = m.find(id);
-    if (hear_.silence(*d, now) < limits::core_loss) {
+    if (detector_.silence(*d, now) < limits::core_loss) {
       if (!first) first = d;
       continue;
     }
@@ -83,12 +83,12 @@
   for (auto id : r.lost) {
     if (std::find(m.members.begin(), m.members.end(), id) == m.members.end())
       return say(Outcome::no, "daemon " + std::to_string(id.v) + " is no core member");
-    if (hear_.silence(*m.find(id), now) < limits::core_loss)
+    if (detector_.silence(*m.find(id), now) < limits::core_loss)
       return say(Outcome::no, "daemon " + std::to_string(id.v) + " lives");
   }
   for (auto id : m.members)
     if (std::find(r.lost.begin(), r.lost.end(), id) == r.lost.end() &&
-        hear_.silence(*m.find(id), now) >= limits::core_loss)
+        detector_.silence(*m.find(id), now) >= limits::core_loss)
       return say(Outcome::no, "daemon " + std::to_string(id.v) + " is silent too, but was not named as lost");
   refound(r.lost, now);
   say(Outcome::yes, "");
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -5,7 +5,7 @@
 namespace mosskeel {
 
 void Supervisor::tick(Millis now) {
-  if (!duty_.held(now)) {
+  if (!lease_.held(now)) {
     busy_.clear();
     barrier_.clear();
     cold_.clear();
@@ -14,16 +14,16 @@
   if (now < next_ || (!busy_.empty() && now < busy_until_)) return;
   auto t = decide(now);
   if (!t) return;
-  busy_ = "duty-" + hex(out_.roll());
+  busy_ = "supervisor-" + hex(out_.roll());
   busy_until_ = now + limits::tcm_rpc;
   out_.send(out_.id().self.addr, Commit{busy_, *t, led_.epoch()});
 }
 
 bool Supervisor::silent(const Daemon& d, Millis now, Millis limit) const {
   size_t n = 0;
-  for (auto& [inc, s] : duty_.observers()) {
+  for (auto& [inc, s] : lease_.observers()) {
     auto i = s.second.find(d.id);
-    if (now - s.first < limits::duty_lease && led_.view()->member(inc) && i != s.second.end() && i->second >= limit)
+    if (now - s.first < limits::supervisor_lease && led_.view()->member(inc) && i != s.second.end() && i->second >= limit)
       ++n;
   }
   return n >= majority_of(led_.view()->members.size());
@@ -31,9 +31,9 @@
 
 bool Supervisor::heard(const Daemon& d, Millis now) const {
   size_t n = 0;
-  for (auto& [inc, s] : duty_.observers()) {
+  for (auto& [inc, s] : lease_.observers()) {
     auto i = s.second.find(d.id);
-    if (now - s.first < limits::duty_lease && led_.view()->member(inc) && i != s.second.end() &&
+    if (now - s.first < limits::supervisor_lease && led_.view()->member(inc) && i != s.second.end() &&
         i->second < limits::heartbeat * 3)
       ++n;
   }
@@ -48,7 +48,7 @@
   if (!spare) return std::nullopt;
   if (m.members.size() < m.core_size) return AdmitCore{spare->id};
   for (auto id : m.members)
-    if (auto* d = m.find(id); d->state == DaemonState::down && hear_.silence(*d, now) > limits::replace_after)
+    if (auto* d = m.find(id); d->state == DaemonState::down && detector_.silence(*d, now) > limits::replace_after)
       return ReplaceCore{id, spare->id};
   return std::nullopt;
 }
@@ -70,14 +70,14 @@
     auto* d = m.find(id);
     if (!d || d->state == DaemonState::down || d->state == DaemonState::left) continue;
     ++all;
-    auto* h = hear_.of(d->self.inc);
+    auto* h = detector_.of(d->self.inc);
     know += h && h->known >= q.last && now - h->last < limits::silence;
   }
   if (know < majority_of(all)) return false;
   if (q.due == Step::mid)
     for (auto id : fresh) {
       auto* d = m.find(id);
-      auto* h = d ? hear_.of(d->self.inc) : nullptr;
+      auto* h = d ? detector_.of(d->self.inc) : nullptr;
       if (!h || h->streamed < q.last) return false;
     }
   return true;
@@ -142,7 +142,7 @@
   auto& m = *led_.view();
   if (m.incoming.empty()) return everybody(m) == m.quorum ? std::nullopt : std::optional<Transformation>(Recount{});
   auto knows = [&](const Daemon& d) {
-    auto* h = hear_.of(d.self.inc);
+    auto* h = detector_.of(d.self.inc);
     return h && h->known >= m.recounted;
   };
   return m.quorate(knows) ? std::optional<Transformation>(Recounted{m.recounted}) : std::nullopt;
@@ -150,7 +150,7 @@
 
 std::optional<Transformation> Supervisor::decide(Millis now) {
   auto& m = *led_.view();
-  bool alone = !m.quorate([&](const Daemon& d) { return hear_.silence(d, now) < limits::silence; });
+  bool alone = !m.quorate([&](const Daemon& d) { return detector_.silence(d, now) < limits::silence; });
   auto limit = alone ? limits::silence_many : limits::silence;
   for (auto& [id, d] : m.directory) {
     if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::controller)) continue;
--- a/src/consensus/supervisor.hpp
+++ b/src/consensus/supervisor.hpp
@@ -1,13 +1,13 @@
 #pragma once
-// What the holder of the duty decides: failures, joins, steps, replacements. All by commits.
-#include "consensus/duty.hpp"
+// What the holder of the supervisor lease decides: failures, joins, steps, replacements. All by commits.
+#include "consensus/supervisor_lease.hpp"
 
 namespace mosskeel {
 
 class Supervisor {
  public:
-  Supervisor(Outbox& out, Ledger& led, const Hearing& hear, const Duty& duty)
-      : out_(out), led_(led), hear_(hear), duty_(duty) {}
+  Supervisor(Outbox& out, Ledger& led, const FailureDetector& detector, const SupervisorLease& lease)
+      : out_(out), led_(led), detector_(detector), lease_(lease) {}
   void tick(Millis now);
   void on(const CommitReply& r) {
     if (r.id == busy_) busy_.clear();
@@ -26,8 +26,8 @@
   bool passed(const Sequence& q, Millis now) const;
   Outbox& out_;
   Ledger& led_;
-  const Hearing& hear_;
-  const Duty& duty_;
+  const FailureDetector& detector_;
+  const SupervisorLease& lease_;
   std::string busy_;
   Millis busy_until_ = 0, next_ = 0;
   std::map<DaemonId, std::pair<Epoch, Millis>> barrier_;
--- a/src/consensus/duty.cpp
+++ b/src/consensus/supervisor_lease.cpp
@@ -1,41 +1,41 @@
-#include "consensus/duty.hpp"
+#include "consensus/supervisor_lease.hpp"
 
 #include <algorithm>
 
 namespace mosskeel {
 
-void Duty::on(const Envelope& e, const DutyAsk& a, Millis now) {
+void SupervisorLease::on(const Envelope& e, const LeaseRequest& a, Millis now) {
   auto& m = *led_.view();
   if (!m.member(e.from_inc) || !m.member(out_.id().self.inc)) return;
   bool yes = now >= granted_until_ || granted_to_ == e.from_inc;
   if (yes) {
     granted_to_ = e.from_inc;
-    granted_until_ = now + limits::duty_lease;
+    granted_until_ = now + limits::supervisor_lease;
   }
-  out_.send(e.from, DutyGrant{a.number, yes, hear_.silences(m, now)}, e.from_inc);
+  out_.send(e.from, LeaseGrant{a.number, yes, detector_.silences(m, now)}, e.from_inc);
 }
 
-void Duty::on(const Envelope& e, const DutyGrant& g, Millis now) {
+void SupervisorLease::on(const Envelope& e, const LeaseGrant& g, Millis now) {
   auto& m = *led_.view();
   if (g.number != number_ || !m.member(e.from_inc)) return;
   seen_[e.from_inc] = {now, g.silences};
   denied_ = denied_ || !g.granted;
   if (!g.granted) return;
   grants_.insert(e.from_inc);
-  if (grants_.size() >= majority_of(m.members.size())) until_ = asked_ + limits::duty_lease - limits::duty_margin;
+  if (grants_.size() >= majority_of(m.members.size())) until_ = asked_ + limits::supervisor_lease - limits::supervisor_lease_margin;
 }
 
-void Duty::tick(Millis now) {
+void SupervisorLease::tick(Millis now) {
   auto& m = *led_.view();
   auto me = out_.id().self.inc;
   if (held(now) != was_) {
     was_ = !was_;
-    out_.note(was_ ? Event::duty_taken : Event::duty_lost, "number " + std::to_string(number_));
+    out_.note(was_ ? Event::lease_taken : Event::lease_lost, "number " + std::to_string(number_));
   }
   if (!m.member(me) || now < next_ask_) return;
   if (now < granted_until_ && granted_to_ != me) {
     auto rank = std::find_if(m.members.begin(), m.members.end(), [&](auto id) { return m.find(id)->self.inc == me; });
-    next_ask_ = granted_until_ + 1 + (rank - m.members.begin()) * limits::duty_margin / 2;
+    next_ask_ = granted_until_ + 1 + (rank - m.members.begin()) * limits::supervisor_lease_margin / 2;
     return;
   }
   if (denied_ && !held(now)) {
@@ -43,15 +43,15 @@
     denied_ = false;
     if (granted_to_ == me) granted_to_ = {}, granted_until_ = now;
     number_ = 0;
-    next_ask_ = now + 1 + out_.jitter(limits::duty_renew);
+    next_ask_ = now + 1 + out_.jitter(limits::supervisor_lease_renew);
     return;
   }
-  next_ask_ = now + limits::duty_renew;
+  next_ask_ = now + limits::supervisor_lease_renew;
   asked_ = now;
   number_ = out_.roll();
   grants_.clear();
   denied_ = false;
-  for (auto id : m.members) out_.send(m.find(id)->self.addr, DutyAsk{number_}, m.find(id)->self.inc);
+  for (auto id : m.members) out_.send(m.find(id)->self.addr, LeaseRequest{number_}, m.find(id)->self.inc);
 }
 
 }  // namespace mosskeel
--- a/src/consensus/duty.hpp
+++ b/src/consensus/supervisor_lease.hpp
@@ -1,15 +1,15 @@
 #pragma once
 // The supervisor's lease: a majority of the core grants it, its holder stops before it ends.
-#include "consensus/hearing.hpp"
+#include "consensus/failure_detector.hpp"
 
 namespace mosskeel {
 
-class Duty {
+class SupervisorLease {
  public:
-  Duty(Outbox& out, Ledger& led, const Hearing& hear, Millis start)
-      : out_(out), led_(led), hear_(hear), granted_until_(start + limits::duty_lease) {}
-  void on(const Envelope& e, const DutyAsk& a, Millis now);
-  void on(const Envelope& e, const DutyGrant& g, Millis now);
+  SupervisorLease(Outbox& out, Ledger& led, const FailureDetector& detector, Millis start)
+      : out_(out), led_(led), detector_(detector), granted_until_(start + limits::supervisor_lease) {}
+  void on(const Envelope& e, const LeaseRequest& a, Millis now);
+  void on(const Envelope& e, const LeaseGrant& g, Millis now);
   void tick(Millis now);
   bool held(Millis now) const { return now < until_; }
   Incarnation holder() const { return granted_to_; }
@@ -19,7 +19,7 @@
  private:
   Outbox& out_;
   Ledger& led_;
-  const Hearing& hear_;
+  const FailureDetector& detector_;
   Millis granted_until_;
   Incarnation granted_to_{};
   uint64_t number_ = 0;
--- a/src/controller/admin_api.cpp
+++ b/src/controller/admin_api.cpp
@@ -137,7 +137,7 @@
   Json j = Json::array();
   auto v = host_.view();
   host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<ControllerMachine&>(m).hearing();
+    auto& h = static_cast<ControllerMachine&>(m).failure_detector();
     for (auto& [id, d] : v->directory) {
       if (d.self.role != Role::front || d.state == DaemonState::left) continue;
       auto* x = h.of(d.self.inc);
@@ -155,10 +155,10 @@
 }
 
 HttpAnswer AdminApi::metrics() {
-  double duty = 0;
-  host_.ask([&](Machine& m, Millis now) { duty = static_cast<ControllerMachine&>(m).on_duty(now); });
+  double lease = 0;
+  host_.ask([&](Machine& m, Millis now) { lease = static_cast<ControllerMachine&>(m).is_supervisor(now); });
   auto v = host_.view();
-  std::map<std::string, double> more{{"duty_held", duty},
+  std::map<std::string, double> more{{"supervisor_lease_held", lease},
                                      {"sequences", static_cast<double>(v->sequences.size())},
                                      {"daemons", static_cast<double>(v->directory.size())}};
   return plain(metrics_of(host_, "controller", more));
--- a/src/controller/commits.cpp
+++ b/src/controller/commits.cpp
@@ -14,7 +14,7 @@
   if (!d || d->self.role != Role::store) return "";
   std::string s;
   host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<ControllerMachine&>(m).hearing();
+    auto& h = static_cast<ControllerMachine&>(m).failure_detector();
     for (auto& [id, x] : v->directory) {
       if (x.self.role != Role::store || x.state != DaemonState::up) continue;
       auto* o = h.of(x.self.inc);
--- a/src/controller/orders.cpp
+++ b/src/controller/orders.cpp
@@ -62,7 +62,7 @@
   host_.ask([&](Machine& machine, Millis now) {
     auto& k = static_cast<ControllerMachine&>(machine);
     auto& m = *k.view();
-    auto near = [&](const Daemon& d) { return k.hearing().silence(d, now) < limits::heartbeat * 4; };
+    auto near = [&](const Daemon& d) { return k.failure_detector().silence(d, now) < limits::heartbeat * 4; };
     if (k.outdated()) return void(x = {"", "the core was founded anew without this controller"});
     if (!m.cluster) return void(x = {"", "the cluster is not founded yet"});
     if (!m.member(k.self().inc)) {
--- a/src/controller/replica_poller.cpp
+++ b/src/controller/replica_poller.cpp
@@ -41,7 +41,7 @@
 
 void ReplicaPoller::beat() {
   bool mine = false;
-  host_.ask([&](Machine& m, Millis now) { mine = static_cast<ControllerMachine&>(m).on_duty(now); });
+  host_.ask([&](Machine& m, Millis now) { mine = static_cast<ControllerMachine&>(m).is_supervisor(now); });
   if (!mine) return listing_.forget();
   failed_.clear();
   auto v = read();
--- a/src/controller/replica_poller.hpp
+++ b/src/controller/replica_poller.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Reads the list of replicas while this controller holds the supervisor's duty, and brings the log up to it.
+// Reads the list of replicas while this controller holds the supervisor lease, and brings the log up to it.
 #include <thread>
 
 #include "controller/admin_api.hpp"
--- a/src/errand/gateway_machine.hpp
+++ b/src/errand/gateway_machine.hpp
@@ -20,7 +20,7 @@
   /// Begins an orderly leave: hands slots over, lets running turns end, then stops.
   void leave() { stopping_ = true; }
   bool ready(Millis now) const;
-  /// Heard a majority lately, and knows every epoch that it has heard of.
+  /// PeerStatus a majority lately, and knows every epoch that it has heard of.
   bool in_touch(Millis now) const;
   const std::map<std::string, uint64_t>& tallies() const { return tallies_; }
   size_t errands() const { return works_.size(); }
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -26,8 +26,8 @@
   X(caught_up, 205, "missing epochs were fetched")                                            \
   X(registered, 206, "this daemon is in the directory")                                       \
   X(lost_identity, 208, "the log says that this daemon has left or been replaced")            \
-  X(duty_taken, 210, "the supervisor duty was taken")                                         \
-  X(duty_lost, 211, "the supervisor duty ended")                                              \
+  X(lease_taken, 210, "the supervisor lease was taken")                                         \
+  X(lease_lost, 211, "the supervisor lease ended")                                              \
   X(node_silent, 212, "a daemon is silent for a majority of observers")                       \
   X(sequence_step, 213, "a sequence's next step is proposed")                                 \
   X(sequence_blocked, 214, "a sequence is blocked past its horizon and is cancelled")         \
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -71,11 +71,11 @@
 };
 /// How long each daemon has been silent, as one controller hears it.
 using Silences = std::map<DaemonId, int64_t>;
-struct DutyAsk {
-  BOOST_HANA_DEFINE_STRUCT(DutyAsk, (uint64_t, number));
+struct LeaseRequest {
+  BOOST_HANA_DEFINE_STRUCT(LeaseRequest, (uint64_t, number));
 };
-struct DutyGrant {
-  BOOST_HANA_DEFINE_STRUCT(DutyGrant, (uint64_t, number), (bool, granted), (Silences, silences));
+struct LeaseGrant {
+  BOOST_HANA_DEFINE_STRUCT(LeaseGrant, (uint64_t, number), (bool, granted), (Silences, silences));
 };
 
 /// An `intent` is there before dispatch with its token reservation, a `settled` before success; `ended` closes a line.
@@ -211,8 +211,8 @@
 
 using Message =
     std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
-                 CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, DutyAsk,
-                 DutyGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream, SlotStreamReply, Errand,
+                 CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, LeaseRequest,
+                 LeaseGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream, SlotStreamReply, Errand,
                  ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled, ReplicaAsk, ReplicaPiece, ReplicaEnd,
                  ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged, LineBury, SlotCheck, SlotCheckReply, SlotList,
                  SlotListReply, LinesFetch, LinesFetched, TurnAsk, TurnGrant, TurnSettle, TurnSettled, ChainFind,
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -187,7 +187,7 @@
   r.counts["serving"] = static_cast<double>(serving), r.counts["not_serving"] = static_cast<double>(cut_off);
   size_t majority = 0;
   for (auto i : f.all(Part::controller))
-    if (static_cast<ControllerMachine&>(*f.stations()[i].machine).on_duty(f.now())) majority = i;
+    if (static_cast<ControllerMachine&>(*f.stations()[i].machine).is_supervisor(f.now())) majority = i;
   int yes = 0;
   for (int i = 0; i < changes; ++i) {
     auto v = f.stations()[majority].machine->view();
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -110,7 +110,7 @@
     auto n = static_cast<double>(f.all(x).size());
     std::string who = name(x);
     for (auto& [k, t] : s.out)
-      if (k != "heartbeat" && k != "heartbeat-reply" && !k.starts_with("slot-") && !k.starts_with("duty"))
+      if (k != "heartbeat" && k != "heartbeat-reply" && !k.starts_with("slot-") && !k.starts_with("lease"))
         r.counts[who + ".out." + k + ".msg"] = static_cast<double>(t.count) / n,
                                      r.counts[who + ".out." + k + ".byte"] = static_cast<double>(t.bytes) / n;
     auto w = wire(s);
