--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -17,7 +17,7 @@
   return j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
-const char* code(const ErrandEnd& e) {
+const char* code(const RequestEnd& e) {
   if (e.status == 410) return "ended";
   if (e.ran == Outcome::unknown) return "outcome_unknown";
   switch (e.status) {
@@ -38,7 +38,7 @@
   }
 }
 
-Json verdict(const ErrandEnd& e) {
+Json verdict(const RequestEnd& e) {
   Json j{{"error", code(e)},
          {"reason", e.reason},
          {"ran", e.ran == Outcome::yes  ? "yes"
@@ -48,7 +48,7 @@
   return j;
 }
 
-HttpAnswer refused(const ErrandEnd& e) {
+HttpAnswer refused(const RequestEnd& e) {
   HttpAnswer a;
   a.status = e.status;
   a.body = dump(verdict(e));
@@ -56,12 +56,12 @@
   return a;
 }
 
-Json done(const ErrandEnd& e) {
+Json done(const RequestEnd& e) {
   return {{"done", true}, {"turn", e.turn}, {"tokens", e.tokens}, {"pieces", e.pieces}};
 }
 
 /// Common headers: horizon, class, key.
-Findings dress(const HttpAsk& a, Errand& e) {
+Findings dress(const HttpAsk& a, Request& e) {
   Findings f;
   e.key = header(a, "idempotency-key");
   if (e.key.size() > 256) f.push_back({"Idempotency-Key", "is longer than 256 bytes"});
@@ -85,7 +85,7 @@
 
 }  // namespace
 
-HttpAnswer Callers::run(Errand e, bool stream) {
+HttpAnswer Callers::run(Request e, bool stream) {
   auto [addr, words] = sessions_.open();
   auto a = addr;
   auto w = words;
@@ -96,28 +96,28 @@
   env.cluster = v->cluster;
   env.epoch = v->epoch;
   auto attempt = e.attempt;
-  auto patience = (e.horizon_ms > 0 ? std::min<Millis>(e.horizon_ms, limits::errand_horizon) : limits::errand_horizon) +
+  auto patience = (e.horizon_ms > 0 ? std::min<Millis>(e.horizon_ms, limits::request_horizon) : limits::request_horizon) +
                   limits::handover_patience;
   env.body = std::move(e);
   host_.post(std::move(env));
   std::string text;
   uint32_t n = 0;
   auto until = process_now() + patience;
-  ErrandEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the errand", "", 0, 0, limits::retry_ms,
+  RequestEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the request", "", 0, 0, limits::retry_ms,
                  false,   0};
   while (true) {
     auto m = w->pop(std::max<Millis>(1, until - process_now()));
     if (!m) return refused(lost);
-    if (auto* p = std::get_if<ErrandPiece>(&*m)) {
+    if (auto* p = std::get_if<RequestPiece>(&*m)) {
       text += p->text;
       ++n;
       if (!stream) continue;
       HttpAnswer r;
       r.headers["Content-Type"] = "application/x-ndjson";
-      auto first = std::make_shared<std::optional<ErrandPiece>>(*p);
+      auto first = std::make_shared<std::optional<RequestPiece>>(*p);
       auto over = std::make_shared<int>(0);
       r.next = [=](std::string& o) mutable -> HttpAnswer::Flow {
-        auto piece = [](const ErrandPiece& x) { return dump({{"n", x.n}, {"text", x.text}}); };
+        auto piece = [](const RequestPiece& x) { return dump({{"n", x.n}, {"text", x.text}}); };
         if (*over) return *over == 1 ? HttpAnswer::Flow::end : HttpAnswer::Flow::broken;
         if (*first) {
           o = piece(**first);
@@ -125,9 +125,9 @@
           return HttpAnswer::Flow::more;
         }
         auto m = w->pop(std::max<Millis>(1, until - process_now()));
-        if (m && std::holds_alternative<ErrandPiece>(*m))
-          return o = piece(std::get<ErrandPiece>(*m)), HttpAnswer::Flow::more;
-        auto* end = m ? std::get_if<ErrandEnd>(&*m) : nullptr;
+        if (m && std::holds_alternative<RequestPiece>(*m))
+          return o = piece(std::get<RequestPiece>(*m)), HttpAnswer::Flow::more;
+        auto* end = m ? std::get_if<RequestEnd>(&*m) : nullptr;
         if (m && !end) return HttpAnswer::Flow::more;
         bool good = end && end->status == 200;
         o = dump(good ? done(*end) : verdict(end ? *end : lost));
@@ -137,7 +137,7 @@
       };
       return r;
     }
-    if (auto* end = std::get_if<ErrandEnd>(&*m)) {
+    if (auto* end = std::get_if<RequestEnd>(&*m)) {
       if (end->status != 200) return refused(*end);
       HttpAnswer r;
       if (stream) {
@@ -156,7 +156,7 @@
 }
 
 HttpAnswer Callers::turn(const HttpAsk& a, const std::string& cell, const std::string& program) {
-  Errand e{};
+  Request e{};
   auto f = dress(a, e);
   auto j = Json::parse(a.body, nullptr, false);
   bool stream = false;
@@ -193,7 +193,7 @@
 }
 
 HttpAnswer Callers::app(const HttpAsk& a, const std::string& cell, const std::string& path) {
-  Errand e{};
+  Request e{};
   if (auto f = dress(a, e); !f.empty()) return HttpAnswer::error(400, "invalid", f);
   e.kind = "app";
   e.cell = cell;
@@ -233,7 +233,7 @@
       if (!name.empty() && t != std::string::npos && p.substr(t) == "/turns" && a.method == "POST")
         return turn(a, cell, name);
       if (!name.empty() && t == std::string::npos && a.method == "GET") {
-        Errand e{};
+        Request e{};
         if (auto f = dress(a, e); !f.empty()) return HttpAnswer::error(400, "invalid", f);
         e.kind = "history";
         e.cell = cell;
--- a/src/gateway/callers.hpp
+++ b/src/gateway/callers.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // The callers' HTTP; the one place to change its shape.
-#include "errand/gateway_machine.hpp"
+#include "request/gateway_machine.hpp"
 #include "kernel/host.hpp"
 #include "kernel/http.hpp"
 
@@ -12,7 +12,7 @@
   HttpAnswer answer(const HttpAsk& a);
 
  private:
-  HttpAnswer run(Errand e, bool stream);
+  HttpAnswer run(Request e, bool stream);
   HttpAnswer turn(const HttpAsk& a, const std::string& cell, const std::string& program);
   HttpAnswer app(const HttpAsk& a, const std::string& cell, const std::string& path);
   HttpAnswer metrics();
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // The traffic thread of a gateway: sockets to callers and replicas around the traffic's machine.
-#include "errand/gateway_machine.hpp"
+#include "request/gateway_machine.hpp"
 #include "kernel/host.hpp"
 #include "kernel/inlet.hpp"
 #include "kernel/outlet.hpp"
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -9,7 +9,7 @@
 
 int main(int argc, const char** argv) {
   auto r = read_props(argc, argv,
-                      {"gateway", "A front worker: takes callers' errands, owns programs, asks replicas.", true,
+                      {"gateway", "A front worker: takes callers' requests, owns programs, asks replicas.", true,
                        true, true, true, false, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Props>(r);
--- a/src/gateway/metrics.cpp
+++ b/src/gateway/metrics.cpp
@@ -9,7 +9,7 @@
   host_.ask([&](Machine& m, Millis now) {
     auto& s = static_cast<GatewayMachine&>(m);
     for (auto& [n, v] : s.tallies()) more[n] = static_cast<double>(v);
-    more["errands_here"] = static_cast<double>(s.errands());
+    more["requests_here"] = static_cast<double>(s.requests());
     more["ready"] = s.ready(now);
   });
   HttpAnswer r;
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -33,7 +33,7 @@
   X(sequence_blocked, 214, "a sequence is blocked past its horizon and is cancelled")         \
   X(in_doubt, 302, "an intent without an outcome was found; it is never run again")           \
   X(replica_fault, 304, "a replica's answer was not whole and sealed")                        \
-  X(proxied_lost, 305, "a proxied errand was not answered; its outcome is unknown")           \
+  X(proxied_lost, 305, "a proxied request was not answered; its outcome is unknown")           \
   X(behind, 306, "something stamped with too old an epoch was refused")                       \
   X(isolated, 307, "out of touch with a majority; dispatching stops")                         \
   X(in_touch, 308, "in touch again; dispatching resumes")                                     \
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -152,23 +152,23 @@
   BOOST_HANA_DEFINE_STRUCT(LinesFetched, (SlotId, slot), (std::vector<StreamedLine>, lines));
 };
 
-/// A caller's errand, from HTTP or proxied by another gateway.
-struct Errand {
-  BOOST_HANA_DEFINE_STRUCT(Errand, (std::string, attempt), (std::string, cell), (std::string, route),
+/// A caller's request, from HTTP or proxied by another gateway.
+struct Request {
+  BOOST_HANA_DEFINE_STRUCT(Request, (std::string, attempt), (std::string, cell), (std::string, route),
                            (std::string, program), (std::string, thread), (std::string, key), (std::string, kind),
                            (std::string, method), (std::string, path), (std::string, prefix), (std::string, body),
                            (uint64_t, max_tokens), (std::optional<uint32_t>, after), (bool, urgent), (bool, bulk),
                            (bool, repeatable), (int64_t, horizon_ms));
 };
-struct ErrandSeen {
-  BOOST_HANA_DEFINE_STRUCT(ErrandSeen, (std::string, attempt));
+struct RequestSeen {
+  BOOST_HANA_DEFINE_STRUCT(RequestSeen, (std::string, attempt));
 };
-struct ErrandPiece {
-  BOOST_HANA_DEFINE_STRUCT(ErrandPiece, (std::string, attempt), (uint32_t, n), (std::string, text));
+struct RequestPiece {
+  BOOST_HANA_DEFINE_STRUCT(RequestPiece, (std::string, attempt), (uint32_t, n), (std::string, text));
 };
-/// The last word on an errand. `ran` is what is known of it: no, yes, or unknown.
-struct ErrandEnd {
-  BOOST_HANA_DEFINE_STRUCT(ErrandEnd, (std::string, attempt), (uint32_t, status), (Outcome, ran), (std::string, reason),
+/// The last word on an request. `ran` is what is known of it: no, yes, or unknown.
+struct RequestEnd {
+  BOOST_HANA_DEFINE_STRUCT(RequestEnd, (std::string, attempt), (uint32_t, status), (Outcome, ran), (std::string, reason),
                            (std::string, body), (uint32_t, turn), (uint64_t, tokens), (uint32_t, retry_ms),
                            (bool, elsewhere), (uint32_t, pieces));
 };
@@ -212,8 +212,8 @@
 using Message =
     std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
                  CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, LeaseRequest,
-                 LeaseGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream, SlotStreamReply, Errand,
-                 ErrandSeen, ErrandPiece, ErrandEnd, LateSettle, LateSettled, ReplicaAsk, ReplicaPiece, ReplicaEnd,
+                 LeaseGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream, SlotStreamReply, Request,
+                 RequestSeen, RequestPiece, RequestEnd, LateSettle, LateSettled, ReplicaAsk, ReplicaPiece, ReplicaEnd,
                  ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged, LineBury, SlotCheck, SlotCheckReply, SlotList,
                  SlotListReply, LinesFetch, LinesFetched, TurnAsk, TurnGrant, TurnSettle, TurnSettled, ChainFind,
                  ChainFound>;
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -71,11 +71,11 @@
   static std::set<std::string> optional_fields() { return {}; }
 };
 
-/// How often an errand of a path may run: as often as need be, or once; a stream runs once unless it may be resumed.
+/// How often an request of a path may run: as often as need be, or once; a stream runs once unless it may be resumed.
 enum class PathKind : uint8_t { safe, unsafe, streaming };
 const char* name(PathKind k);
 
-/// A service's part of a path's errands, by weight.
+/// A service's part of a path's requests, by weight.
 struct Share {
   BOOST_HANA_DEFINE_STRUCT(Share, (std::string, service), (uint32_t, weight));
   bool operator==(const Share&) const = default;
@@ -83,7 +83,7 @@
 };
 
 /// Routes plain HTTP by host and longest prefix. Times in ms; `rank` 0 is the most urgent; `attempts` counts the
-/// replicas that one errand may be sent to; `kept` keeps turns and their chains for `retention_ms`.
+/// replicas that one request may be sent to; `kept` keeps turns and their chains for `retention_ms`.
 struct Path {
   BOOST_HANA_DEFINE_STRUCT(Path, (std::string, name), (std::string, host), (std::string, prefix), (std::string, kind),
                            (int64_t, timeout_ms), (int64_t, target_ms), (uint32_t, rank), (uint32_t, attempts),
@@ -98,7 +98,7 @@
   }
 };
 
-/// What replicas of one service bear: sessions each, errands a second while cold for `cold_ms`; `slots`,
+/// What replicas of one service bear: sessions each, requests a second while cold for `cold_ms`; `slots`,
 /// `cache_tokens` and `event_tokens` tell of a model's batches, its memory and the tokens in one event.
 struct Service {
   BOOST_HANA_DEFINE_STRUCT(Service, (std::string, name), (std::string, fitness_path), (uint32_t, sessions),
--- a/src/errand/dispatch.cpp
+++ b/src/request/dispatch.cpp
@@ -3,8 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "errand/replica_json.hpp"
-#include "errand/gateway_machine.hpp"
+#include "request/replica_json.hpp"
+#include "request/gateway_machine.hpp"
 
 namespace mosskeel {
 
@@ -14,7 +14,7 @@
   queue_.push({w.e.urgent, w.seq, w.e.attempt});
 }
 
-/// How long an errand that came now would wait: those before it, at the pace at which the queue was seen to move.
+/// How long an request that came now would wait: those before it, at the pace at which the queue was seen to move.
 Millis GatewayMachine::expected_wait(const std::string& kind, bool urgent) const {
   auto i = paces_.find(kind);
   if (i == paces_.end()) return 0;
@@ -25,7 +25,7 @@
   return static_cast<Millis>(static_cast<double>(before) * i->second.interval);
 }
 
-/// An errand left the queue; the time since the one before it counts while others wait.
+/// An request left the queue; the time since the one before it counts while others wait.
 void GatewayMachine::paced(const std::string& kind, Millis now) {
   auto& p = paces_[kind];
   bool busy = p.last && count(Stage::queued) > 1;
@@ -85,7 +85,7 @@
   auto i = m.replicas.find(w.replica);
   bool fit = i != m.replicas.end() && me() && nom_.places(i->second, m, *me(), now) > 0;
   if (!fit || !in_touch(now) || now >= w.horizon)
-    return settle(w, 0, Outcome::no, "the replica left before the errand reached it", 0, now);
+    return settle(w, 0, Outcome::no, "the replica left before the request reached it", 0, now);
   w.stage = Stage::running;
   w.last = now;
   ReplicaAsk a{w.e.attempt, w.e.kind, i->second.url, w.e.method, w.e.body, w.horizon - now, w.e.repeatable};
@@ -125,7 +125,7 @@
   w.tokens += p.tokens;
   w.text += p.text;
   ++w.pieces;
-  out_.send(w.reply, ErrandPiece{p.attempt, p.n, p.text}, w.reply_inc);
+  out_.send(w.reply, RequestPiece{p.attempt, p.n, p.text}, w.reply_inc);
 }
 
 void GatewayMachine::on(const ReplicaEnd& r, Millis now) {
--- a/src/errand/ending.cpp
+++ b/src/request/ending.cpp
@@ -1,7 +1,7 @@
 // How the owner ends a line that has outlived its retention.
 #include <algorithm>
 
-#include "errand/gateway_machine.hpp"
+#include "request/gateway_machine.hpp"
 
 namespace mosskeel {
 
--- a/src/errand/gateway_machine.cpp
+++ b/src/request/gateway_machine.cpp
@@ -1,4 +1,4 @@
-#include "errand/gateway_machine.hpp"
+#include "request/gateway_machine.hpp"
 
 #include <algorithm>
 
@@ -25,14 +25,14 @@
   ahead_ = std::max(ahead_, e.epoch);
   if (fol_.handle(e, now) || fol_.park(e)) return;
   if (keep_.on(e, now) || trunk_.on(e, now) || reg_.on(e, now)) return;
-  std::visit(overload{[&](const Errand& x) { on(e, x, now); },
-                      [&](const ErrandSeen& x) {
+  std::visit(overload{[&](const Request& x) { on(e, x, now); },
+                      [&](const RequestSeen& x) {
                         auto i = works_.find(x.attempt);
                         if (i == works_.end() || i->second.stage != Stage::proxying) return;
                         auto* d = led_.view()->find(i->second.target);
                         if (d && d->self.inc == e.from_inc) i->second.seen = true;
                       },
-                      [&](const ErrandPiece& x) { on(e, x, now); }, [&](const ErrandEnd& x) { on(e, x, now); },
+                      [&](const RequestPiece& x) { on(e, x, now); }, [&](const RequestEnd& x) { on(e, x, now); },
                       [&](const LateSettle& x) { on(e, x, now); }, [&](const LineAged& x) { on(e, x, now); },
                       [&](const RunnerAsk& x) {
                         bool here = running_here(x.line, x.key) || trunk_.carries(x.key);
@@ -140,9 +140,9 @@
   return out_.take();
 }
 
-void GatewayMachine::on(const Envelope& e, const Errand& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const Request& x, Millis now) {
   bool local = e.from.starts_with("local:");
-  if (works_.count(x.attempt)) return out_.send(e.from, ErrandSeen{x.attempt}, e.from_inc);
+  if (works_.count(x.attempt)) return out_.send(e.from, RequestSeen{x.attempt}, e.from_inc);
   if (auto i = ended_.find(x.attempt); i != ended_.end()) {
     if (i->second.second) out_.send(e.from, *i->second.second, e.from_inc);
     return;
@@ -154,7 +154,7 @@
   w.born = now;
   w.seq = ++seq_;
   w.end.attempt = x.attempt;
-  ++tallies_[local ? "errands_asked" : "errands_proxied_here"];
+  ++tallies_[local ? "requests_asked" : "requests_proxied_here"];
   auto& r = works_.emplace(x.attempt, std::move(w)).first->second;
   if (!local && e.epoch < led_.epoch() && r.e.kind != "history") {
     auto s = slot_of(x.cell, x.program);
@@ -164,13 +164,13 @@
       return refuse(r, 503, "placed at an epoch too old for its slot", 0, now);
     }
   }
-  if (!local) out_.send(e.from, ErrandSeen{x.attempt}, e.from_inc);
+  if (!local) out_.send(e.from, RequestSeen{x.attempt}, e.from_inc);
   auto s = situation(now, r.e, !local);
   for (auto* p : policies()) {
     if (r.e.kind == "history" && p->order() > 10) break;
     if (auto f = p->judge(r.e, s)) return refuse(r, f->status, f->reason, f->retry_ms, now);
   }
-  r.horizon = now + (r.e.horizon_ms > 0 ? r.e.horizon_ms : limits::errand_horizon);
+  r.horizon = now + (r.e.horizon_ms > 0 ? r.e.horizon_ms : limits::request_horizon);
   r.direct = r.e.kind == "app" && (r.e.repeatable || r.e.key == r.e.attempt);
   if (r.e.kind == "app" && !r.direct) r.e.program = "app:" + r.e.key, r.e.thread = r.e.key;
   if (r.direct) return enqueue(r);
@@ -206,14 +206,14 @@
   w.end.reason = std::move(reason);
   w.end.retry_ms = retry + (retry ? static_cast<uint32_t>(out_.jitter(retry)) / 2 : 0);
   w.end.pieces = w.pieces;
-  ++tallies_[ran == Outcome::unknown ? "errands_unknown" : "errands_refused"];
+  ++tallies_[ran == Outcome::unknown ? "requests_unknown" : "requests_refused"];
   end(w, now);
 }
 
 void GatewayMachine::end(Ref w, Millis now) {
   free_replica(w);
   w.end.attempt = w.e.attempt;
-  if (w.end.status == 200) ++tallies_["errands_done"];
+  if (w.end.status == 200) ++tallies_["requests_done"];
   out_.send(w.reply, w.end, w.reply_inc);
   auto a = w.e.attempt;
   auto x = w.end;
--- a/src/errand/gateway_machine.hpp
+++ b/src/request/gateway_machine.hpp
@@ -2,7 +2,7 @@
 // A gateway: owner of its slots' programs, proxy to the owners of all others.
 #include <boost/heap/priority_queue.hpp>
 
-#include "errand/policy.hpp"
+#include "request/policy.hpp"
 #include "follow/follower.hpp"
 #include "line/keeper.hpp"
 #include "traffic/outlook.hpp"
@@ -23,16 +23,16 @@
   /// PeerStatus a majority lately, and knows every epoch that it has heard of.
   bool in_touch(Millis now) const;
   const std::map<std::string, uint64_t>& tallies() const { return tallies_; }
-  size_t errands() const { return works_.size(); }
+  size_t requests() const { return works_.size(); }
   /// What this process's traffic may rely on.
   Outlook outlook(Millis now) const;
-  /// How many callers' errands the traffic of this process carries: it does not stop under them.
+  /// How many callers' requests the traffic of this process carries: it does not stop under them.
   void carry(size_t n) { carried_ = n; }
 
  private:
   enum class Stage { opening, waiting, queued, intending, running, settling, handing, proxying };
   struct Work {
-    Errand e{};
+    Request e{};
     Address reply;
     Incarnation reply_inc;
     Stage stage = Stage::opening;
@@ -47,7 +47,7 @@
     /// It went to an owner whose verdict never came, so "not run" may no longer be said.
     bool doubt = false, sent = false;
     DaemonId target{};
-    ErrandEnd end{};
+    RequestEnd end{};
     Record settled{};
   };
   struct Late {
@@ -70,10 +70,10 @@
   using Ref = Work&;
 
   void handle(const Envelope& e, Millis now);
-  void on(const Envelope& e, const Errand& x, Millis now);
+  void on(const Envelope& e, const Request& x, Millis now);
   void on(const Envelope& e, const HeartbeatReply& h);
-  void on(const Envelope& e, const ErrandEnd& x, Millis now);
-  void on(const Envelope& e, const ErrandPiece& x, Millis now);
+  void on(const Envelope& e, const RequestEnd& x, Millis now);
+  void on(const Envelope& e, const RequestPiece& x, Millis now);
   void on(const Envelope& e, const LateSettle& x, Millis now);
   void on(const ReplicaPiece& p, Millis now);
   void on(const ReplicaEnd& r, Millis now);
@@ -104,7 +104,7 @@
     auto& m = *led_.view();
     return s.v < m.slots.size() ? m.find(m.slots[s.v].owner) : nullptr;
   }
-  Situation situation(Millis now, const Errand& e, bool proxied) const;
+  Situation situation(Millis now, const Request& e, bool proxied) const;
   Millis expected_wait(const std::string& kind, bool urgent) const;
   void paced(const std::string& kind, Millis now);
   void free_replica(Ref w);
@@ -118,7 +118,7 @@
   Trunk trunk_;
   Nominator nom_;
   std::map<std::string, Work> works_;
-  std::map<std::string, std::pair<Millis, std::optional<ErrandEnd>>> ended_;
+  std::map<std::string, std::pair<Millis, std::optional<RequestEnd>>> ended_;
   std::vector<Late> lates_;
   /// Which stores say that a line has outlived its retention, and at which length.
   std::map<LineName, std::map<DaemonId, uint64_t>> aged_;
@@ -129,7 +129,7 @@
   Epoch beaten_{}, ahead_{};
   uint64_t seq_ = 0;
   size_t carried_ = 0;
-  /// How fast errands of a kind leave the queue while somebody waits in it.
+  /// How fast requests of a kind leave the queue while somebody waits in it.
   struct Pace {
     double interval = 0;
     Millis last = 0;
--- a/src/errand/nominate.cpp
+++ b/src/request/nominate.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "errand/policy.hpp"
+#include "request/policy.hpp"
 
 namespace mosskeel {
 
@@ -25,7 +25,7 @@
   return static_cast<uint32_t>(std::clamp<Millis>(grown, 1, r.places));
 }
 
-const Replica* Nominator::nominate(const Errand& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
+const Replica* Nominator::nominate(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
   any = false;
   auto* c = m.manifest.cell(e.cell);
   if (!c) return nullptr;
@@ -60,11 +60,11 @@
   return best;
 }
 
-void Nominator::took(const std::string& n, const Errand& e) {
+void Nominator::took(const std::string& n, const Request& e) {
   ++pressure_[n];
   if (e.bulk) ++bulk_[n];
 }
-void Nominator::gave(const std::string& n, const Errand& e) {
+void Nominator::gave(const std::string& n, const Request& e) {
   if (auto& p = pressure_[n]; p) --p;
   if (auto& b = bulk_[n]; e.bulk && b) --b;
 }
--- a/src/errand/owner.cpp
+++ b/src/request/owner.cpp
@@ -3,8 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "errand/replica_json.hpp"
-#include "errand/gateway_machine.hpp"
+#include "request/replica_json.hpp"
+#include "request/gateway_machine.hpp"
 
 namespace mosskeel {
 
@@ -32,7 +32,7 @@
     case Stage::queued:
       if (!w.direct && !mine) return route(w, now);
       if (now >= w.horizon || now - w.asked > limits::queue_patience)
-        return ++tallies_["errands_admitted_refused"],
+        return ++tallies_["requests_admitted_refused"],
                refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
       return;
     case Stage::intending:
--- a/src/errand/policies.cpp
+++ b/src/request/policies.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "errand/policy.hpp"
+#include "request/policy.hpp"
 
 namespace mosskeel {
 namespace {
@@ -14,7 +14,7 @@
 class Touch : public Policy {
   int order() const override { return 10; }
   const char* name() const override { return "touch"; }
-  std::optional<Refusal> judge(Errand&, const Situation& s) const override {
+  std::optional<Refusal> judge(Request&, const Situation& s) const override {
     if (!s.confirmed || !s.me) return Refusal{503, "this worker is not ready yet", limits::retry_ms};
     if (s.stopping && !s.proxied) return Refusal{503, "this worker is stopping", limits::retry_ms};
     if (!s.in_touch) return Refusal{503, "this worker is out of touch with the fleet", limits::retry_ms * 2};
@@ -29,7 +29,7 @@
 class Authenticate : public Policy {
   int order() const override { return 20; }
   const char* name() const override { return "authenticate"; }
-  std::optional<Refusal> judge(Errand& e, const Situation& s) const override {
+  std::optional<Refusal> judge(Request& e, const Situation& s) const override {
     auto* c = s.m.manifest.cell(e.cell);
     if (!c) return Refusal{404, "cell '" + e.cell + "' is unknown", 0};
     for (auto& r : c->routes)
@@ -42,7 +42,7 @@
 class Classify : public Policy {
   int order() const override { return 30; }
   const char* name() const override { return "classify"; }
-  std::optional<Refusal> judge(Errand& e, const Situation& s) const override {
+  std::optional<Refusal> judge(Request& e, const Situation& s) const override {
     auto* c = s.m.manifest.cell(e.cell);
     if (e.kind == "model") {
       e.repeatable = false;
@@ -50,21 +50,21 @@
       e.max_tokens = e.max_tokens ? std::min(e.max_tokens, c->turn_limit) : c->turn_limit;
     }
     if (e.key.empty()) e.key = e.attempt;
-    if (e.horizon_ms <= 0 || e.horizon_ms > limits::errand_horizon) e.horizon_ms = limits::errand_horizon;
+    if (e.horizon_ms <= 0 || e.horizon_ms > limits::request_horizon) e.horizon_ms = limits::request_horizon;
     return std::nullopt;
   }
 };
 
 /// Decided on arrival, by the queue before it and the measured pace: what cannot begin in its share of time is refused
-/// at once. Urgent errands have places of their own, bulk yields first.
+/// at once. Urgent requests have places of their own, bulk yields first.
 class Admit : public Policy {
   int order() const override { return 40; }
   const char* name() const override { return "admit"; }
-  std::optional<Refusal> judge(Errand& e, const Situation& s) const override {
-    size_t room = e.urgent ? limits::queue_errands + limits::urgent_share
-                  : e.bulk ? limits::queue_errands / 4
-                           : limits::queue_errands;
-    if (s.running >= limits::running_errands) return Refusal{503, "too many errands are running", limits::retry_ms * 2};
+  std::optional<Refusal> judge(Request& e, const Situation& s) const override {
+    size_t room = e.urgent ? limits::queue_requests + limits::urgent_share
+                  : e.bulk ? limits::queue_requests / 4
+                           : limits::queue_requests;
+    if (s.running >= limits::running_requests) return Refusal{503, "too many requests are running", limits::retry_ms * 2};
     if (!s.here) return std::nullopt;
     auto wait = e.urgent ? s.urgent_wait : s.wait;
     auto back = static_cast<uint32_t>(std::clamp<Millis>(wait, limits::retry_ms, limits::queue_patience * 2));
--- a/src/errand/policy.hpp
+++ b/src/request/policy.hpp
@@ -1,10 +1,10 @@
 #pragma once
-// The way of an errand: policies as plug-ins that register themselves, behind one interface.
+// The way of an request: policies as plug-ins that register themselves, behind one interface.
 #include "kernel/machine.hpp"
 
 namespace mosskeel {
 
-/// What a policy may look at besides the errand.
+/// What a policy may look at besides the request.
 struct Situation {
   const Metadata& m;
   const Daemon* me;
@@ -17,7 +17,7 @@
   Millis wait, urgent_wait;
 };
 
-/// Why an errand is refused; it has not run.
+/// Why an request is refused; it has not run.
 struct Refusal {
   uint32_t status;
   std::string reason;
@@ -29,7 +29,7 @@
   virtual ~Policy() = default;
   virtual int order() const = 0;
   virtual const char* name() const = 0;
-  virtual std::optional<Refusal> judge(Errand& e, const Situation& s) const = 0;
+  virtual std::optional<Refusal> judge(Request& e, const Situation& s) const = 0;
 };
 
 /// All registered policies in their order.
@@ -40,13 +40,13 @@
   explicit Enrolled(std::unique_ptr<Policy> p);
 };
 
-/// Which replica an errand goes to.
+/// Which replica an request goes to.
 class Nominator {
  public:
   /// The replica with a free place that suits best, or nothing; `busy` tells whether any would do later.
-  const Replica* nominate(const Errand& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const;
-  void took(const std::string& replica, const Errand& e);
-  void gave(const std::string& replica, const Errand& e);
+  const Replica* nominate(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const;
+  void took(const std::string& replica, const Request& e);
+  void gave(const std::string& replica, const Request& e);
   void shun(const std::string& replica, Millis now);
   /// The share of a cold replica's places that may be used now.
   uint32_t places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const;
--- a/src/errand/relay.cpp
+++ b/src/request/relay.cpp
@@ -1,5 +1,5 @@
-// Proxying an errand to the owner of its program, and the way back.
-#include "errand/gateway_machine.hpp"
+// Proxying an request to the owner of its program, and the way back.
+#include "request/gateway_machine.hpp"
 
 namespace mosskeel {
 
@@ -8,11 +8,11 @@
   auto* o = led_.view()->find(w.target);
   if (!o) return;
   w.sent = true;
-  ++tallies_["errands_proxied_out"];
+  ++tallies_["requests_proxied_out"];
   out_.send(o->self.addr, w.e, o->self.inc);
 }
 
-void GatewayMachine::on(const Envelope& e, const ErrandPiece& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const RequestPiece& x, Millis now) {
   auto i = works_.find(x.attempt);
   if (i == works_.end() || i->second.stage != Stage::proxying) return;
   auto& w = i->second;
@@ -26,7 +26,7 @@
   out_.send(w.reply, x);
 }
 
-void GatewayMachine::on(const Envelope& e, const ErrandEnd& x, Millis now) {
+void GatewayMachine::on(const Envelope& e, const RequestEnd& x, Millis now) {
   auto i = works_.find(x.attempt);
   if (i == works_.end() || i->second.stage != Stage::proxying) return;
   auto& w = i->second;
@@ -56,7 +56,7 @@
     }
     if (b.size() > w.text.size()) {
       ++tallies_["streams_filled"];
-      out_.send(w.reply, ErrandPiece{w.e.attempt, w.pieces++, b.substr(w.text.size())}, w.reply_inc);
+      out_.send(w.reply, RequestPiece{w.e.attempt, w.pieces++, b.substr(w.text.size())}, w.reply_inc);
     }
   }
   w.end.pieces = w.pieces;
--- a/src/errand/replica_json.cpp
+++ b/src/request/replica_json.cpp
@@ -1,10 +1,10 @@
-#include "errand/replica_json.hpp"
+#include "request/replica_json.hpp"
 
 #include <nlohmann/json.hpp>
 
 namespace mosskeel {
 
-std::string model_body(const Errand& e, const std::vector<ChainLink>& chain, uint64_t reservation) {
+std::string model_body(const Request& e, const std::vector<ChainLink>& chain, uint64_t reservation) {
   nlohmann::json j{{"attempt", e.attempt}, {"cell", e.cell},     {"program", e.program}, {"thread", e.thread},
                    {"key", e.key},         {"prefix", e.prefix}, {"input", e.body},      {"max_tokens", reservation}};
   auto& c = j["chain"] = nlohmann::json::array();
--- a/src/errand/standing.cpp
+++ b/src/request/standing.cpp
@@ -1,5 +1,5 @@
-// Whether a front is in touch and ready, and what an errand meets there.
-#include "errand/gateway_machine.hpp"
+// Whether a front is in touch and ready, and what an request meets there.
+#include "request/gateway_machine.hpp"
 
 namespace mosskeel {
 
@@ -19,7 +19,7 @@
          !led_.view()->evacuated.count(d->self.zone);
 }
 
-Situation GatewayMachine::situation(Millis now, const Errand& e, bool proxied) const {
+Situation GatewayMachine::situation(Millis now, const Request& e, bool proxied) const {
   bool direct = e.kind == "app" && (e.repeatable || e.key.empty());
   auto* o = direct ? nullptr : owner(slot_of(e.cell, e.program));
   bool here = direct || proxied || (o && o->self.inc == out_.id().self.inc);
--- a/src/traffic/pick.hpp
+++ b/src/traffic/pick.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Which replica takes an errand: rendezvous hashing with bounded pressure, the own zone first.
+// Which replica takes an request: rendezvous hashing with bounded pressure, the own zone first.
 #include <unordered_map>
 
 #include "traffic/outlook.hpp"
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -156,7 +156,7 @@
   if (!ours || (good && !w.sealed) || promises(h.status)) {
     out_.push_back(DropReplica{h.ask});
     picker_.shun(b.offer->replica, now + limits::shun_lost);
-    return failed(*c, Outcome::unknown, "the replica's answer is not this errand's, or promises what it can't", now);
+    return failed(*c, Outcome::unknown, "the replica's answer is not this request's, or promises what it can't", now);
   }
   b.offer->headed = true;
   b.offer->status = h.status;
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// A front's way of callers' HTTP: one machine for all errands on the traffic thread, without socket or clock.
+// A front's way of callers' HTTP: one machine for all requests on the traffic thread, without socket or clock.
 #include "kernel/dialect.hpp"
 #include "kernel/messages.hpp"
 #include "traffic/event_reader.hpp"
@@ -76,7 +76,7 @@
     std::variant<AnswerWhole, AnswerHead, AnswerBytes, AnswerEnd, AnswerCut, AskReplica, DropReplica, TellOwner>;
 using Actions = std::vector<Action>;
 
-/// One ask of a replica for an errand.
+/// One ask of a replica for an request.
 struct Offer {
   uint64_t ask = 0;
   std::string replica;
@@ -86,7 +86,7 @@
   std::string body;
 };
 
-/// What all errands have in common.
+/// What all requests have in common.
 struct Call {
   uint64_t id = 0;
   HttpRequest request;
@@ -103,7 +103,7 @@
   bool doubt = false;
 };
 
-/// A plain errand: it waits for a replica, is offered, its answer is read whole or passed on.
+/// A plain request: it waits for a replica, is offered, its answer is read whole or passed on.
 struct Plain : Call {
   enum class Stage { waiting, offered, passing } stage = Stage::waiting;
 };
@@ -141,12 +141,12 @@
     return std::visit([](auto& x) -> Call& { return x; }, c);
   }
   bool in_touch(Millis now) const { return outlook_ && now < outlook_->until; }
-  /// Offers an errand to a replica or lets it wait for one; it may be refused and gone afterwards.
+  /// Offers an request to a replica or lets it wait for one; it may be refused and gone afterwards.
   void offer(AnyCall& c, Millis now);
   bool reroute(Call& c);
   void queue(Call& c, Millis now);
   void unqueue(const Call& c) { queue_.erase({c.path->rank, c.born, c.id}); }
-  /// The last word on an errand that was not passed on.
+  /// The last word on an request that was not passed on.
   void give_up(AnyCall& c, uint32_t status, const std::string& why, Millis retry);
   void head(Plain& c, ReplicaHead& h);
   void head(TurnCall& c, ReplicaHead& h);
@@ -171,7 +171,7 @@
   std::unordered_map<uint64_t, uint64_t> asks_;
   std::unordered_map<std::string, uint64_t> attempts_;
   std::map<std::string, uint64_t> tallies_;
-  /// Errands that wait for a replica: the most urgent, then the oldest first.
+  /// Requests that wait for a replica: the most urgent, then the oldest first.
   std::set<std::tuple<uint32_t, Millis, uint64_t>> queue_;
   uint64_t next_ask_ = 0;
 };
--- a/tests/errand_test.cpp
+++ b/tests/request_test.cpp
@@ -14,12 +14,12 @@
   Fleet() { REQUIRE(c.introduce()); }
   ~Fleet() { w.died = nullptr; }
 
-  ErrandEnd ask(Errand e, const std::string& front = "gateway1") {
-    std::optional<ErrandEnd> got;
+  RequestEnd ask(Request e, const std::string& front = "gateway1") {
+    std::optional<RequestEnd> got;
     auto old = w.local;
     w.local = [&](Node& n, const Envelope& x) {
       if (x.to != "local:test") return old(n, x);
-      if (auto* end = std::get_if<ErrandEnd>(&x.body)) got = *end;
+      if (auto* end = std::get_if<RequestEnd>(&x.body)) got = *end;
     };
     e.attempt = "t" + std::to_string(w.roll());
     e.cell = "news";
@@ -33,9 +33,9 @@
     REQUIRE(got);
     return *got;
   }
-  ErrandEnd turn(const std::string& program, const std::string& key, const std::string& body,
+  RequestEnd turn(const std::string& program, const std::string& key, const std::string& body,
                  std::optional<uint32_t> after = std::nullopt) {
-    Errand e{};
+    Request e{};
     e.program = program;
     e.thread = "main";
     e.key = key;
@@ -43,8 +43,8 @@
     e.after = after;
     return ask(e);
   }
-  ErrandEnd history(const std::string& program) {
-    Errand e{};
+  RequestEnd history(const std::string& program) {
+    Request e{};
     e.kind = "history";
     e.program = program;
     return ask(e, "gateway2");
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -121,7 +121,7 @@
   if (urgent) ++urgent_asked;
   t->pieces = 0;
   t->text.clear();
-  auto finish = [=, this](const ErrandEnd* e, bool own = false) {
+  auto finish = [=, this](const RequestEnd* e, bool own = false) {
     if (*settled) return;
     *settled = true;
     if (!e || e->ran == Outcome::unknown || e->ran == Outcome::yes) t->sure_not_run = false;
@@ -167,17 +167,17 @@
       front,
       [=, this](const Message& m) {
         if (*settled) return;
-        if (auto* p = std::get_if<ErrandPiece>(&m)) {
+        if (auto* p = std::get_if<RequestPiece>(&m)) {
           if (p->n != t->pieces)
             w_.fail("stream of " + t->key + " skips or repeats: piece " + std::to_string(p->n) + " for " +
                     std::to_string(t->pieces));
           ++t->pieces;
           t->text += p->text;
         }
-        if (auto* e = std::get_if<ErrandEnd>(&m)) finish(e);
+        if (auto* e = std::get_if<RequestEnd>(&m)) finish(e);
       },
       [=] { finish(nullptr); });
-  Errand e{};
+  Request e{};
   e.attempt = "a" + std::to_string(w_.roll());
   e.cell = "news";
   e.route = "chat";
@@ -198,7 +198,7 @@
   w_.at(w_.now() + patience(front), [=] { finish(nullptr, true); });
 }
 
-void Callers::send(const std::string& front, Errand e, std::function<void(const Message&)> hear) {
+void Callers::send(const std::string& front, Request e, std::function<void(const Message&)> hear) {
   Envelope env{};
   env.from = session(front, std::move(hear), [] {});
   env.body = std::move(e);
@@ -212,12 +212,12 @@
   auto a = session(
       front,
       [=, this](const Message& m) {
-        auto* e = std::get_if<ErrandEnd>(&m);
+        auto* e = std::get_if<RequestEnd>(&m);
         if (!e || e->status != 200) return;
         if (e->body != "GET " + path) w_.fail("a success that is not the replica's whole answer: " + path);
       },
       [] {});
-  Errand e{};
+  Request e{};
   e.attempt = "f" + std::to_string(w_.roll());
   e.cell = "news";
   e.route = e.kind = "app";
@@ -236,10 +236,10 @@
   auto a = session(
       front,
       [=](const Message& m) {
-        if (auto* e = std::get_if<ErrandEnd>(&m)) then(e->status, e->status == 200 ? e->body : e->reason);
+        if (auto* e = std::get_if<RequestEnd>(&m)) then(e->status, e->status == 200 ? e->body : e->reason);
       },
       [=] { then(0, ""); });
-  Errand e{};
+  Request e{};
   e.attempt = "h" + std::to_string(w_.roll());
   e.cell = "news";
   e.kind = "history";
--- a/tests/sim/callers.hpp
+++ b/tests/sim/callers.hpp
@@ -21,7 +21,7 @@
   std::set<std::string> stopped;
 };
 
-/// A plain errand that may not be repeated, keyed or not.
+/// A plain request that may not be repeated, keyed or not.
 struct Count {
   std::string path, key, fault;
   bool done = false, success = false, sure_not_run = true;
@@ -42,12 +42,12 @@
   /// One turn on a program; `then` once it is done.
   void turn(const std::string& program, const std::string& thread, std::function<void(const Turn&)> then,
             bool stubborn = true);
-  /// Any errand, by a session of its own.
-  void send(const std::string& front, Errand e, std::function<void(const Message&)> hear);
+  /// Any request, by a session of its own.
+  void send(const std::string& front, Request e, std::function<void(const Message&)> hear);
   int runs(const std::string& program, const std::string& key) { return runs_["news/" + program + "/" + key]; }
-  /// One repeatable errand of the plain application service.
+  /// One repeatable request of the plain application service.
   void fetch();
-  /// One plain errand that may not be repeated; with a key it is asked again elsewhere until its end is known.
+  /// One plain request that may not be repeated; with a key it is asked again elsewhere until its end is known.
   void count();
   void read_back(const std::string& program, std::function<void(uint32_t status, const std::string& body)> then);
   /// Checks all that can only be judged at the end.
--- a/tests/sim/counts.cpp
+++ b/tests/sim/counts.cpp
@@ -1,4 +1,4 @@
-// Simulated callers of plain errands that may not be repeated: counts and fixes.
+// Simulated callers of plain requests that may not be repeated: counts and fixes.
 #include "sim/callers.hpp"
 
 namespace mosskeel::sim {
@@ -19,7 +19,7 @@
   ++c->tries;
   ++c->asked;
   auto settled = std::make_shared<bool>(false);
-  auto finish = [=, this](const ErrandEnd* e, bool own = false) {
+  auto finish = [=, this](const RequestEnd* e, bool own = false) {
     if (*settled) return;
     *settled = true;
     --c->asked;
@@ -43,7 +43,7 @@
       if (!c->done) ask(c);
     });
   };
-  Errand e{};
+  Request e{};
   e.attempt = "n" + std::to_string(w_.roll());
   e.cell = "news";
   e.route = e.kind = "app";
@@ -54,7 +54,7 @@
   env.from = session(
       front,
       [=](const Message& m) {
-        if (auto* x = std::get_if<ErrandEnd>(&m)) finish(x);
+        if (auto* x = std::get_if<RequestEnd>(&m)) finish(x);
       },
       [=] { finish(nullptr); });
   env.body = e;
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -73,14 +73,14 @@
   if (!w.until(within, good)) w.fail("revision " + std::to_string(revision) + " was acknowledged and is not in force");
 }
 
-ErrandEnd ask(Day& d, Errand e, const std::string& front) {
-  auto got = std::make_shared<std::optional<ErrandEnd>>();
+RequestEnd ask(Day& d, Request e, const std::string& front) {
+  auto got = std::make_shared<std::optional<RequestEnd>>();
   e.attempt = "t" + std::to_string(d.w.roll());
   d.c.send(front, std::move(e), [got](const Message& m) {
-    if (auto* x = std::get_if<ErrandEnd>(&m)) *got = *x;
+    if (auto* x = std::get_if<RequestEnd>(&m)) *got = *x;
   });
   d.w.until(30000, [got] { return got->has_value(); });
-  return got->value_or(ErrandEnd{});
+  return got->value_or(RequestEnd{});
 }
 
 }  // namespace mosskeel::sim
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -46,7 +46,7 @@
 void successor(Day& d);
 void deployment(Day& d, bool election);
 
-/// One errand from its asking to its end; a session that is lost gives status 0.
-ErrandEnd ask(Day& d, Errand e, const std::string& front);
+/// One request from its asking to its end; a session that is lost gives status 0.
+RequestEnd ask(Day& d, Request e, const std::string& front);
 
 }  // namespace mosskeel::sim
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -17,7 +17,7 @@
   std::vector<Kept> kept;
   int n = 0;
 
-  ErrandEnd go(Errand e) {
+  RequestEnd go(Request e) {
     for (int i = 0; i < 20; ++i) {
       auto r = ask(d, e, d.any(Kind::gateway));
       if (r.status && r.status != 503) return r;
@@ -25,14 +25,14 @@
     }
     return {};
   }
-  ErrandEnd turn(const std::string& cell, const std::string& program, const std::string& key) {
-    Errand e{};
+  RequestEnd turn(const std::string& cell, const std::string& program, const std::string& key) {
+    Request e{};
     e.kind = "model", e.route = "chat", e.thread = "main";
     e.cell = cell, e.program = program, e.key = key, e.body = "say " + key;
     return go(std::move(e));
   }
-  ErrandEnd read(const Kept& k) {
-    Errand e{};
+  RequestEnd read(const Kept& k) {
+    Request e{};
     e.kind = "history";
     e.cell = k.cell, e.program = k.program;
     return go(std::move(e));
--- a/tests/sim/watch.cpp
+++ b/tests/sim/watch.cpp
@@ -19,7 +19,7 @@
                                return " " + r.line.program + " term" + num(r.term.v) +
                                       (r.granted ? r.gap ? " gap" : " length" : " denied") + num(r.length);
                              },
-                             [&](const Errand& r) { return " " + r.program + " " + r.key; },
+                             [&](const Request& r) { return " " + r.program + " " + r.key; },
                              [&](const LateSettle& r) { return " " + r.line.program + " " + r.record.key; },
                              [&](const LinesFetched& r) {
                                std::string s;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -3,7 +3,7 @@
 #include <queue>
 
 #include "consensus/controller_machine.hpp"
-#include "errand/gateway_machine.hpp"
+#include "request/gateway_machine.hpp"
 #include "follow/agent_machine.hpp"
 #include "line/store_machine.hpp"
 
--- a/tests/traffic/traffic_test.cpp
+++ b/tests/traffic/traffic_test.cpp
@@ -40,11 +40,11 @@
      [](Front& f, auto& q) {
        f.happen(ReplicaLost{q.ask, true, "reset"});
      }},
-    {"another errand's answer", false,
+    {"another request's answer", false,
      [](Front& f, auto& q) {
        f.happen(ReplicaHead{q.ask, 200, {{"Mosskeel-Attempt-Id", "x"}, {"Mosskeel-Server-Seal", "s"}}});
      }},
-    {"another errand's refusal", false,
+    {"another request's refusal", false,
      [](Front& f, auto& q) {
        f.happen(ReplicaHead{q.ask, 503, {{"Mosskeel-Attempt-Id", "x"}, {"Mosskeel-Not-Run", "1"}}});
      }},
@@ -100,7 +100,7 @@
   }
 }
 
-TEST_CASE("an answer that is not this errand's is dropped with its connection") {
+TEST_CASE("an answer that is not this request's is dropped with its connection") {
   Front f;
   auto q = f.offered("unsafe");
   f.happen(ReplicaHead{q.ask, 200, {{"Mosskeel-Attempt-Id", "x"}, {"Mosskeel-Server-Seal", "s"}}});
--- a/tools/loadgen/har.cpp
+++ b/tools/loadgen/har.cpp
@@ -19,8 +19,8 @@
          n == "transfer-encoding" || n == "accept-encoding";
 }
 
-void read_entry(const Json& e, const std::string& at, std::vector<HarErrand>& v, Findings& f) {
-  HarErrand x;
+void read_entry(const Json& e, const std::string& at, std::vector<HarRequest>& v, Findings& f) {
+  HarRequest x;
   auto before = f.size();
   auto r = e.is_object() && e.contains("request") ? e["request"] : Json();
   if (!r.is_object()) return f.push_back({at + ".request", "is missing or no object"});
@@ -58,7 +58,7 @@
 
 }  // namespace
 
-Result<std::vector<HarErrand>> read_har(const std::string& text) {
+Result<std::vector<HarRequest>> read_har(const std::string& text) {
   Json j;
   try {
     j = Json::parse(text);
@@ -68,7 +68,7 @@
   if (!j.is_object() || !j.contains("log") || !j["log"].is_object() || !j["log"].contains("entries") ||
       !j["log"]["entries"].is_array())
     return Findings{{"log.entries", "is missing or no list"}};
-  std::vector<HarErrand> v;
+  std::vector<HarRequest> v;
   Findings f;
   for (size_t i = 0; i < j["log"]["entries"].size(); ++i)
     read_entry(j["log"]["entries"][i], "log.entries[" + std::to_string(i) + "]", v, f);
--- a/tools/loadgen/har.hpp
+++ b/tools/loadgen/har.hpp
@@ -4,14 +4,14 @@
 
 namespace mosskeel::loadgen {
 
-struct HarErrand {
+struct HarRequest {
   std::string method, path, body;
   std::map<std::string, std::string> headers;
   int expected = 0;
 };
 
 /// The archive's requests, or every finding with its place.
-Result<std::vector<HarErrand>> read_har(const std::string& text);
+Result<std::vector<HarRequest>> read_har(const std::string& text);
 /// Replays them in order; the exit code.
 int replay_har(const std::string& file, const Address& to, bool all);
 
--- a/tools/loadgen/load.hpp
+++ b/tools/loadgen/load.hpp
@@ -23,7 +23,7 @@
   bool success = false, not_run = false, spent = false;
 };
 
-/// Latencies of one kind of errand, in milliseconds.
+/// Latencies of one kind of request, in milliseconds.
 struct Series {
   std::vector<double> ms;
   double at(double share) const;
--- a/tools/replica-sim/main.cpp
+++ b/tools/replica-sim/main.cpp
@@ -1,4 +1,4 @@
-// A stand-in replica: answers model turns or application errands, with scripted faults.
+// A stand-in replica: answers model turns or application requests, with scripted faults.
 #include <popt.h>
 
 #include <atomic>
@@ -17,7 +17,7 @@
 
 namespace {
 
-/// Faults: cut, lost, unsealed, overlong, error, stall, skip, repeat; each hits `left` errands, every `every`th.
+/// Faults: cut, lost, unsealed, overlong, error, stall, skip, repeat; each hits `left` requests, every `every`th.
 struct Script {
   std::mutex m;
   std::string fault;
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -181,7 +181,7 @@
   auto me =
       std::find_if(m.directory.begin(), m.directory.end(), [](auto& d) { return d.second.self.role == Role::front; });
   Nominator n;
-  Errand e{};
+  Request e{};
   e.cell = m.manifest.cells.at(0).name;
   e.route = "chat";
   e.kind = "model";
--- a/tools/scale/data.cpp
+++ b/tools/scale/data.cpp
@@ -22,7 +22,7 @@
  public:
   Talk(Field& f, int programs) : f_(f), fronts_(f.all(Part::gateway)), done_(static_cast<size_t>(programs)) {
     f.local = [this](Station&, const Envelope& e) {
-      auto* x = std::get_if<ErrandEnd>(&e.body);
+      auto* x = std::get_if<RequestEnd>(&e.body);
       if (!x) return;
       auto p = static_cast<size_t>(std::stoul(x->attempt));
       if (x->status == 200)
@@ -47,7 +47,7 @@
 
  private:
   void ask(size_t p) {
-    Errand x{};
+    Request x{};
     x.attempt = std::to_string(p) + "-" + std::to_string(done_[p]);
     x.cell = "tenant-10000";
     x.route = "chat";
