--- a/src/gateway/metrics.cpp
+++ b/src/gateway/metrics.cpp
@@ -8,7 +8,7 @@
   std::map<std::string, double> more;
   host_.ask([&](Machine& m, Millis now) {
     auto& s = static_cast<GatewayMachine&>(m);
-    for (auto& [n, v] : s.tallies()) more[n] = static_cast<double>(v);
+    for (auto& [n, v] : s.metrics()) more[n] = static_cast<double>(v);
     more["requests_here"] = static_cast<double>(s.requests());
     more["ready"] = s.ready(now);
   });
--- a/src/request/dispatch.cpp
+++ b/src/request/dispatch.cpp
@@ -45,7 +45,7 @@
     if (i == works_.end() || i->second.stage != Stage::queued) continue;
     auto& w = i->second;
     bool any = false;
-    auto* r = in_touch(now) ? nom_.nominate(w.e, *led_.view(), *d, now, any) : nullptr;
+    auto* r = in_touch(now) ? nom_.select_replica(w.e, *led_.view(), *d, now, any) : nullptr;
     if (!r) {
       if (any)
         back.push_back(k);
@@ -105,7 +105,7 @@
   } else {
     a.url += w.e.path;
   }
-  ++tallies_["dispatches"];
+  ++metrics_["dispatches"];
   out_.send("replica:" + w.replica, std::move(a));
 }
 
@@ -116,7 +116,7 @@
   w.last = now;
   auto fail = [&](const std::string& why) {
     out_.note(Event::replica_fault, w.replica + ": " + why);
-    ++tallies_["replica_faults"];
+    ++metrics_["replica_faults"];
     out_.send("replica:" + w.replica, ReplicaStop{p.attempt});
     settle(w, 502, Outcome::unknown, why, w.reservation, now);
   };
@@ -139,21 +139,21 @@
     retries_ = std::min(retries_ + limits::retry_share, 10.0);
     return settle(w, 200, Outcome::yes, "", w.tokens, now);
   }
-  ++tallies_["replica_faults"];
+  ++metrics_["replica_faults"];
   out_.note(Event::replica_fault,
             w.replica + ": " + (r.reason.empty() ? "status " + std::to_string(r.status) : r.reason));
   if (!r.sent || w.e.repeatable) {
-    nom_.shun(w.replica, now);
+    nom_.back_off(w.replica, now);
     if (retries_ >= 1 && w.pieces == 0 && now < w.horizon) {
       retries_ -= 1;
-      ++tallies_["retries"];
+      ++metrics_["retries"];
       if (w.direct) {
         free_replica(w);
         w.asked = now;
         return enqueue(w);
       }
       bool any = false;
-      auto* n = me() ? nom_.nominate(w.e, *led_.view(), *me(), now, any) : nullptr;
+      auto* n = me() ? nom_.select_replica(w.e, *led_.view(), *me(), now, any) : nullptr;
       if (n) {
         free_replica(w);
         w.replica = n->name;
--- a/src/request/ending.cpp
+++ b/src/request/ending.cpp
@@ -39,7 +39,7 @@
   r.kind = RecordKind::ended;
   keep_.append(x.line, r, now);
   aged_.erase(x.line);
-  ++tallies_["lines_ended"];
+  ++metrics_["lines_ended"];
 }
 
 }  // namespace mosskeel
--- a/src/request/gateway_machine.cpp
+++ b/src/request/gateway_machine.cpp
@@ -154,7 +154,7 @@
   w.born = now;
   w.seq = ++seq_;
   w.end.attempt = x.attempt;
-  ++tallies_[local ? "requests_asked" : "requests_proxied_here"];
+  ++metrics_[local ? "requests_asked" : "requests_proxied_here"];
   auto& r = works_.emplace(x.attempt, std::move(w)).first->second;
   if (!local && e.epoch < led_.epoch() && r.e.kind != "history") {
     auto s = slot_of(x.cell, x.program);
@@ -206,14 +206,14 @@
   w.end.reason = std::move(reason);
   w.end.retry_ms = retry + (retry ? static_cast<uint32_t>(out_.jitter(retry)) / 2 : 0);
   w.end.pieces = w.pieces;
-  ++tallies_[ran == Outcome::unknown ? "requests_unknown" : "requests_refused"];
+  ++metrics_[ran == Outcome::unknown ? "requests_unknown" : "requests_refused"];
   end(w, now);
 }
 
 void GatewayMachine::end(Ref w, Millis now) {
   free_replica(w);
   w.end.attempt = w.e.attempt;
-  if (w.end.status == 200) ++tallies_["requests_done"];
+  if (w.end.status == 200) ++metrics_["requests_done"];
   out_.send(w.reply, w.end, w.reply_inc);
   auto a = w.e.attempt;
   auto x = w.end;
--- a/src/request/gateway_machine.hpp
+++ b/src/request/gateway_machine.hpp
@@ -22,7 +22,7 @@
   bool ready(Millis now) const;
   /// PeerStatus a majority lately, and knows every epoch that it has heard of.
   bool in_touch(Millis now) const;
-  const std::map<std::string, uint64_t>& tallies() const { return tallies_; }
+  const std::map<std::string, uint64_t>& metrics() const { return metrics_; }
   size_t requests() const { return works_.size(); }
   /// What this process's traffic may rely on.
   Outlook outlook(Millis now) const;
@@ -116,7 +116,7 @@
   Keeper keep_;
   Registrar reg_;
   Trunk trunk_;
-  Nominator nom_;
+  ReplicaSelector nom_;
   std::map<std::string, Work> works_;
   std::map<std::string, std::pair<Millis, std::optional<RequestEnd>>> ended_;
   std::vector<Late> lates_;
@@ -124,7 +124,7 @@
   std::map<LineName, std::map<DaemonId, uint64_t>> aged_;
   std::map<std::tuple<LineName, std::string, DaemonId>, Asked> runners_;
   boost::heap::priority_queue<Key> queue_;
-  std::map<std::string, uint64_t> tallies_;
+  std::map<std::string, uint64_t> metrics_;
   Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
   Epoch beaten_{}, ahead_{};
   uint64_t seq_ = 0;
--- a/src/request/owner.cpp
+++ b/src/request/owner.cpp
@@ -32,7 +32,7 @@
     case Stage::queued:
       if (!w.direct && !mine) return route(w, now);
       if (now >= w.horizon || now - w.asked > limits::queue_patience)
-        return ++tallies_["requests_admitted_refused"],
+        return ++metrics_["requests_admitted_refused"],
                refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
       return;
     case Stage::intending:
@@ -49,7 +49,7 @@
       if (now >= w.horizon || now - w.last > limits::replica_stall) {
         auto why = now >= w.horizon ? "the horizon passed while the turn was running" : "the replica fell silent";
         out_.send("replica:" + w.replica, ReplicaStop{w.e.attempt});
-        nom_.shun(w.replica, now);
+        nom_.back_off(w.replica, now);
         settle(w, 504, Outcome::unknown, why, w.reservation, now);
       }
       return;
--- a/src/request/policy.hpp
+++ b/src/request/policy.hpp
@@ -41,20 +41,20 @@
 };
 
 /// Which replica an request goes to.
-class Nominator {
+class ReplicaSelector {
  public:
   /// The replica with a free place that suits best, or nothing; `busy` tells whether any would do later.
-  const Replica* nominate(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const;
+  const Replica* select_replica(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const;
   void took(const std::string& replica, const Request& e);
   void gave(const std::string& replica, const Request& e);
-  void shun(const std::string& replica, Millis now);
+  void back_off(const std::string& replica, Millis now);
   /// The share of a cold replica's places that may be used now.
   uint32_t places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const;
   const std::map<std::string, uint32_t>& pressure() const { return pressure_; }
 
  private:
   std::map<std::string, uint32_t> pressure_, bulk_;
-  std::map<std::string, Millis> shunned_;
+  std::map<std::string, Millis> backed_off_;
   mutable std::map<std::string, std::pair<Epoch, Millis>> cold_since_;
 };
 
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -8,7 +8,7 @@
   auto* o = led_.view()->find(w.target);
   if (!o) return;
   w.sent = true;
-  ++tallies_["requests_proxied_out"];
+  ++metrics_["requests_proxied_out"];
   out_.send(o->self.addr, w.e, o->self.inc);
 }
 
@@ -55,7 +55,7 @@
                     Outcome::unknown);
     }
     if (b.size() > w.text.size()) {
-      ++tallies_["streams_filled"];
+      ++metrics_["streams_filled"];
       out_.send(w.reply, RequestPiece{w.e.attempt, w.pieces++, b.substr(w.text.size())}, w.reply_inc);
     }
   }
--- a/src/request/nominate.cpp
+++ b/src/request/select_replica.cpp
@@ -6,7 +6,7 @@
 
 /// A replica's places are shared out over the fronts in the log; at least one each. While it is cold, one front alone
 /// ramps it up for the whole fleet.
-uint32_t Nominator::places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const {
+uint32_t ReplicaSelector::places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const {
   if (r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) return 0;
   std::vector<std::pair<uint64_t, DaemonId>> v;
   for (auto& [id, d] : m.directory)
@@ -25,7 +25,7 @@
   return static_cast<uint32_t>(std::clamp<Millis>(grown, 1, r.places));
 }
 
-const Replica* Nominator::nominate(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
+const Replica* ReplicaSelector::select_replica(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
   any = false;
   auto* c = m.manifest.cell(e.cell);
   if (!c) return nullptr;
@@ -48,28 +48,28 @@
     auto b = bulk_.find(n);
     if (e.bulk && (b == bulk_.end() ? 0 : b->second) >= std::min(room, limits::bulk_pressure)) continue;
     if (p >= room) continue;
-    auto s = shunned_.find(n);
-    int shun = s != shunned_.end() && now < s->second;
+    auto s = backed_off_.find(n);
+    int back_off = s != backed_off_.end() && now < s->second;
     int high = p * 2 >= room;
     int far = r.zone != me.self.zone;
     auto affinity = digest(n, digest(e.prefix.empty() ? e.program : e.prefix));
     auto key =
-        e.kind == "model" ? std::make_tuple(shun, high, 0, affinity) : std::make_tuple(shun, high, far, affinity);
+        e.kind == "model" ? std::make_tuple(back_off, high, 0, affinity) : std::make_tuple(back_off, high, far, affinity);
     if (!best || key < top) best = &r, top = key;
   }
   return best;
 }
 
-void Nominator::took(const std::string& n, const Request& e) {
+void ReplicaSelector::took(const std::string& n, const Request& e) {
   ++pressure_[n];
   if (e.bulk) ++bulk_[n];
 }
-void Nominator::gave(const std::string& n, const Request& e) {
+void ReplicaSelector::gave(const std::string& n, const Request& e) {
   if (auto& p = pressure_[n]; p) --p;
   if (auto& b = bulk_[n]; e.bulk && b) --b;
 }
-void Nominator::shun(const std::string& n, Millis now) {
-  shunned_[n] = now + limits::replica_shun;
+void ReplicaSelector::back_off(const std::string& n, Millis now) {
+  backed_off_[n] = now + limits::replica_backoff;
 }
 
 }  // namespace mosskeel
--- a/src/traffic/pick.cpp
+++ b/src/traffic/pick.cpp
@@ -45,7 +45,7 @@
 }
 
 bool Picker::free(Seen& s, Millis now) {
-  if (!s.mine || now < s.shunned || s.running >= s.cap) return false;
+  if (!s.mine || now < s.backed_off || s.running >= s.cap) return false;
   if (s.rate <= 0) return s.r->fitness != Fitness::cold;
   s.tokens = std::min(s.tokens + s.rate * static_cast<double>(now - s.cold_at) / 1000, std::max(1.0, s.rate / 10));
   s.cold_at = now;
@@ -80,8 +80,8 @@
 void Picker::gave(const std::string& name) {
   if (auto i = seen_.find(name); i != seen_.end() && i->second.running) --i->second.running;
 }
-void Picker::shun(const std::string& name, Millis until) {
-  if (auto i = seen_.find(name); i != seen_.end()) i->second.shunned = std::max(i->second.shunned, until);
+void Picker::back_off(const std::string& name, Millis until) {
+  if (auto i = seen_.find(name); i != seen_.end()) i->second.backed_off = std::max(i->second.backed_off, until);
 }
 void Picker::told(const std::string&, const std::array<uint32_t, 3>&, Millis) {}
 uint32_t Picker::pressure(const std::string& name) const {
--- a/src/traffic/pick.hpp
+++ b/src/traffic/pick.hpp
@@ -21,7 +21,7 @@
   const Replica* pick(const Wanted& w, Millis now, bool& any);
   void took(const std::string& name, Millis now);
   void gave(const std::string& name);
-  void shun(const std::string& name, Millis until);
+  void back_off(const std::string& name, Millis until);
   /// What a replica told of itself: running, waiting, places.
   void told(const std::string& name, const std::array<uint32_t, 3>& load, Millis now);
   uint32_t pressure(const std::string& name) const;
@@ -30,7 +30,7 @@
   struct Seen {
     const Replica* r = nullptr;
     uint32_t running = 0, cap = 1;
-    Millis shunned = 0, cold_at = 0;
+    Millis backed_off = 0, cold_at = 0;
     bool mine = true, present = false, local = false;
     double tokens = 0, rate = 0;
     Epoch since{};
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -114,13 +114,13 @@
 void Traffic::done(Plain& c, Millis now) {
   if (c.offer->streaming) {
     out_.push_back(AnswerEnd{c.id});
-    ++tallies_["plain_done"];
+    ++metrics_["plain_done"];
     return finish(c.id);
   }
   if (c.offer->status >= 500 && repeatable(*c.path) && c.offers < c.path->attempts && now < c.until)
     return failed(calls_.at(c.id), Outcome::unknown, "the replica answered " + std::to_string(c.offer->status), now);
   out_.push_back(AnswerWhole{c.id, c.offer->status, std::move(c.offer->fields), std::move(c.offer->body)});
-  ++tallies_["plain_done"];
+  ++metrics_["plain_done"];
   finish(c.id);
 }
 
@@ -137,7 +137,7 @@
     return;
   }
   out_.push_back(AnswerEnd{c.id});
-  ++tallies_["turns_done"];
+  ++metrics_["turns_done"];
   finish(c.id);
 }
 
@@ -145,7 +145,7 @@
   auto& c = base(any);
   bool passed = c.offer && c.offer->streaming;
   free_offer(c);
-  ++tallies_[ran == Outcome::no ? "offers_not_run" : "offers_lost"];
+  ++metrics_[ran == Outcome::no ? "offers_not_run" : "offers_lost"];
   if (passed) {
     out_.push_back(AnswerCut{c.id});
     if (auto* t = std::get_if<TurnCall>(&any)) settle(*t, 502);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -46,14 +46,14 @@
 }
 
 void Traffic::refuse(uint64_t id, uint32_t status, const std::string& why, Millis retry) {
-  ++tallies_["refused_" + std::to_string(status)];
+  ++metrics_["refused_" + std::to_string(status)];
   auto f = dialect_.refusal(retry);
   f.push_back({"Content-Type", "text/plain"});
   out_.push_back(AnswerWhole{id, status, std::move(f), why + "\n"});
 }
 
 void Traffic::on(Asked& a, Millis now) {
-  ++tallies_["asked"];
+  ++metrics_["asked"];
   auto words = dialect_.caller(a.request);
   if (!ok(words)) return refuse(a.id, 400, render(findings(words)), 0);
   auto& w = value(words);
@@ -122,14 +122,14 @@
     out_.push_back(AnswerEnd{t->id});
   else
     out_.push_back(AnswerCut{t->id});
-  ++tallies_[s.kept ? "turns_done" : "turns_not_kept"];
+  ++metrics_[s.kept ? "turns_done" : "turns_not_kept"];
   finish(t->id);
 }
 
 void Traffic::on(const CallerLeft& l, Millis) {
   auto i = calls_.find(l.id);
   if (i == calls_.end()) return;
-  ++tallies_["callers_left"];
+  ++metrics_["callers_left"];
   auto& c = base(i->second);
   bool sent = c.doubt || c.offer;
   if (c.offer) {
@@ -149,13 +149,13 @@
   if (w.load) picker_.told(b.offer->replica, *w.load, now);
   bool ours = w.attempt == b.words.attempt || (w.not_run && w.attempt.empty());
   if (ours && w.not_run) {
-    picker_.shun(b.offer->replica, now + (h.status == 421 ? limits::shun_refused : limits::shun_full));
+    picker_.back_off(b.offer->replica, now + (h.status == 421 ? limits::backoff_refused : limits::backoff_full));
     return failed(*c, Outcome::no, "the replica did not run it: " + std::to_string(h.status), now);
   }
   bool good = h.status >= 200 && h.status < 300;
   if (!ours || (good && !w.sealed) || promises(h.status)) {
     out_.push_back(DropReplica{h.ask});
-    picker_.shun(b.offer->replica, now + limits::shun_lost);
+    picker_.back_off(b.offer->replica, now + limits::backoff_lost);
     return failed(*c, Outcome::unknown, "the replica's answer is not this request's, or promises what it can't", now);
   }
   b.offer->headed = true;
@@ -187,7 +187,7 @@
   auto* c = by_ask(l.ask);
   if (!c) return;
   auto& b = base(*c);
-  picker_.shun(b.offer->replica, now + (l.sent ? limits::shun_lost : limits::shun_refused));
+  picker_.back_off(b.offer->replica, now + (l.sent ? limits::backoff_lost : limits::backoff_refused));
   if (!l.sent) --b.offers;
   failed(*c, l.sent ? Outcome::unknown : Outcome::no, l.reason, now);
 }
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -124,7 +124,7 @@
   Actions step(Event e, Millis now);
   Actions tick(Millis now);
   size_t calls() const { return calls_.size(); }
-  const std::map<std::string, uint64_t>& tallies() const { return tallies_; }
+  const std::map<std::string, uint64_t>& metrics() const { return metrics_; }
 
  private:
   Actions take() { return std::exchange(out_, {}); }
@@ -170,7 +170,7 @@
   std::map<uint64_t, AnyCall> calls_;
   std::unordered_map<uint64_t, uint64_t> asks_;
   std::unordered_map<std::string, uint64_t> attempts_;
-  std::map<std::string, uint64_t> tallies_;
+  std::map<std::string, uint64_t> metrics_;
   /// Requests that wait for a replica: the most urgent, then the oldest first.
   std::set<std::tuple<uint32_t, Millis, uint64_t>> queue_;
   uint64_t next_ask_ = 0;
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -36,7 +36,7 @@
         Row{Fitness::cold, 32, limits::cold_ramp / 2, 16}, Row{Fitness::cold, 32, limits::cold_ramp * 2, 32}}) {
     uint32_t sum = 0;
     for (auto& [id, d] : m.directory) {
-      Nominator n;
+      ReplicaSelector n;
       Replica x{"model1", "model", "a", "http://x", r.fitness, Epoch{9}, r.places};
       n.places(x, m, d, 1000);
       sum += n.places(x, m, d, 1000 + r.after);
--- a/tests/traffic/parts_test.cpp
+++ b/tests/traffic/parts_test.cpp
@@ -108,10 +108,10 @@
   CHECK(c.take(99) == first);
 }
 
-TEST_CASE("shunned, leaving and evacuated replicas take nothing") {
+TEST_CASE("backed_off, leaving and evacuated replicas take nothing") {
   Choice c;
   c.update();
-  for (auto n : {"app1", "app2", "app3"}) c.p.shun(n, c.now + 50);
+  for (auto n : {"app1", "app2", "app3"}) c.p.back_off(n, c.now + 50);
   CHECK(c.take() == "later");
   c.now += 50;
   CHECK(c.take().starts_with("app"));
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -175,21 +175,21 @@
   return r;
 }
 
-Row nomination(const Plan& p, uint64_t seed, double size) {
-  Row r{"nomination", size, seed, {}, {}};
+Row selection(const Plan& p, uint64_t seed, double size) {
+  Row r{"selection", size, seed, {}, {}};
   auto m = rest(p, seats(p, seed));
   auto me =
       std::find_if(m.directory.begin(), m.directory.end(), [](auto& d) { return d.second.self.role == Role::front; });
-  Nominator n;
+  ReplicaSelector n;
   Request e{};
   e.cell = m.manifest.cells.at(0).name;
   e.route = "chat";
   e.kind = "model";
   bool any = false;
   const int times = 10;
-  r.times["nominate.ms"] = millis_of([&] {
+  r.times["select_replica.ms"] = millis_of([&] {
                              for (int i = 0; i < times; ++i)
-                               e.program = "p" + std::to_string(i), n.nominate(e, m, me->second, 1, any);
+                               e.program = "p" + std::to_string(i), n.select_replica(e, m, me->second, 1, any);
                            }) /
                            times;
   r.counts["found"] = any;
--- a/tools/scale/experiments.hpp
+++ b/tools/scale/experiments.hpp
@@ -18,7 +18,7 @@
 /// The value itself: bytes by table, processor time to apply an entry, to encode and to decode it, memory.
 Row whole_value(const Plan& p, uint64_t seed, double size);
 /// Choosing a replica for one request.
-Row nomination(const Plan& p, uint64_t seed, double size);
+Row selection(const Plan& p, uint64_t seed, double size);
 /// `programs` conversations at once, each of `turns` turns; the figures are of the last five turns of each.
 Row conversation(int programs, int turns, uint64_t seed, double size);
 /// Stores at rest that keep so many lines of so many turns.
--- a/tools/scale/slopes.cpp
+++ b/tools/scale/slopes.cpp
@@ -59,19 +59,19 @@
          p.remembered = 4096;
          return whole_value(p, s, x);
        }},
-      {"nomination.fronts",
+      {"selection.fronts",
        {10, 100, 340},
        [=](double x, uint64_t s) {
          auto p = daemons(x);
          p.replicas = 600;
-         return nomination(p, s, x);
+         return selection(p, s, x);
        }},
-      {"nomination.replicas",
+      {"selection.replicas",
        {20, 200, 600},
        [=](double x, uint64_t s) {
          auto p = replicas(x);
          p.daemons = 340;
-         return nomination(p, s, x);
+         return selection(p, s, x);
        }},
       {"turns.turns",
        {1, 10, 50, 250},
