--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -15,7 +15,7 @@
   x->callers_ = std::move(std::get<0>(callers));
   if (!ready.empty()) {
     auto answer = [p](uint64_t id, HttpRequest&& r) {
-      auto o = std::atomic_load(&p->outlook_);
+      auto o = std::atomic_load(&p->snapshot_);
       bool asked = p->dialect_.asks_ready(r), yes = o->ready && process_now() < o->until;
       p->ready_->whole(id, asked ? (yes ? 200 : 503) : 404, {}, "");
     };
@@ -76,14 +76,14 @@
 void Exchange::publish(Machine& m, Millis now) {
   auto& s = static_cast<GatewayMachine&>(m);
   s.carry(calls_);
-  std::atomic_store(&outlook_, std::shared_ptr<const Outlook>(std::make_shared<Outlook>(s.outlook(now))));
+  std::atomic_store(&snapshot_, std::shared_ptr<const RoutingSnapshot>(std::make_shared<RoutingSnapshot>(s.routing_snapshot(now))));
 }
 
 void Exchange::tick() {
   loop_.after(limits::tick, [this] { tick(); });
   auto now = process_now();
-  auto o = std::atomic_load(&outlook_);
-  traffic_.outlook(o, now);
+  auto o = std::atomic_load(&snapshot_);
+  traffic_.routing_snapshot(o, now);
   if (o->view->revision != limits_of_) {
     limits_of_ = o->view->revision;
     auto& c = o->view->manifest.callers;
@@ -99,7 +99,7 @@
 
 void Exchange::happen(traffic::Event e) {
   auto now = process_now();
-  traffic_.outlook(std::atomic_load(&outlook_), now);
+  traffic_.routing_snapshot(std::atomic_load(&snapshot_), now);
   act(traffic_.step(std::move(e), now));
 }
 
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -29,8 +29,8 @@
   std::unique_ptr<Inlet> callers_, ready_;
   std::unique_ptr<Outlet> replicas_;
   traffic::Traffic traffic_;
-  std::shared_ptr<const Outlook> outlook_ =
-      std::make_shared<Outlook>(Outlook{std::make_shared<Metadata>(), {}, 0, false, false});
+  std::shared_ptr<const RoutingSnapshot> snapshot_ =
+      std::make_shared<RoutingSnapshot>(RoutingSnapshot{std::make_shared<Metadata>(), {}, 0, false, false});
   /// From the traffic's own numbers to the outlet's and back.
   std::unordered_map<uint64_t, uint64_t> asks_, names_;
   Revision limits_of_{};
--- a/src/request/gateway_machine.cpp
+++ b/src/request/gateway_machine.cpp
@@ -5,7 +5,7 @@
 namespace mosskeel {
 
 GatewayMachine::GatewayMachine(const Identity& id, Millis now)
-    : out_(id), fol_(out_, led_, now), keep_(out_, led_), reg_(out_, led_, keep_), trunk_(out_, led_) {}
+    : out_(id), fol_(out_, led_, now), keep_(out_, led_), reg_(out_, led_, keep_), turn_client_(out_, led_) {}
 
 size_t GatewayMachine::count(Stage s) const {
   return static_cast<size_t>(std::count_if(works_.begin(), works_.end(), [&](auto& w) { return w.second.stage == s; }));
@@ -24,7 +24,7 @@
   if (auto* h = std::get_if<HeartbeatReply>(&e.body)) return on(e, *h);
   ahead_ = std::max(ahead_, e.epoch);
   if (fol_.handle(e, now) || fol_.park(e)) return;
-  if (keep_.on(e, now) || trunk_.on(e, now) || reg_.on(e, now)) return;
+  if (keep_.on(e, now) || turn_client_.on(e, now) || reg_.on(e, now)) return;
   std::visit(overload{[&](const Request& x) { on(e, x, now); },
                       [&](const RequestSeen& x) {
                         auto i = works_.find(x.attempt);
@@ -35,7 +35,7 @@
                       [&](const RequestPiece& x) { on(e, x, now); }, [&](const RequestEnd& x) { on(e, x, now); },
                       [&](const LateSettle& x) { on(e, x, now); }, [&](const LineAged& x) { on(e, x, now); },
                       [&](const RunnerAsk& x) {
-                        bool here = running_here(x.line, x.key) || trunk_.carries(x.key);
+                        bool here = running_here(x.line, x.key) || turn_client_.carries(x.key);
                         out_.send(e.from, RunnerWord{x.line, x.key, here}, e.from_inc);
                       },
                       [&](const RunnerWord& x) {
@@ -74,7 +74,7 @@
   if (led_.epoch() != before) {
     for (auto& p : fol_.unpark()) handle(p, now);
     keep_.tick(now);
-    trunk_.tick(now);
+    turn_client_.tick(now);
     beat(now);
     sweep(now);
   }
@@ -126,7 +126,7 @@
   if (now >= next_beat_) beat(now);
   keep_.tick(now);
   if (now >= next_sweep_) sweep(now);
-  trunk_.tick(now);
+  turn_client_.tick(now);
   reg_.tick(now);
   bool in = in_touch(now);
   if (in != was_in_touch_) out_.note(in ? Event::in_touch : Event::isolated, "epoch " + std::to_string(led_.epoch().v));
@@ -135,7 +135,7 @@
   auto* d = me();
   bool handed = !d || d->state == DaemonState::left || d->state == DaemonState::down ||
                 (d->state == DaemonState::draining && !led_.view()->sequences.count(d->id));
-  if (!works_.empty() || !lates_.empty() || trunk_.waiting() || carried_) last_work_ = now;
+  if (!works_.empty() || !lates_.empty() || turn_client_.waiting() || carried_) last_work_ = now;
   if (stopping_ && handed && now - last_work_ > limits::farewell) out_.act.stop = true;
   return out_.take();
 }
--- a/src/request/gateway_machine.hpp
+++ b/src/request/gateway_machine.hpp
@@ -5,8 +5,8 @@
 #include "request/policy.hpp"
 #include "follow/follower.hpp"
 #include "line/keeper.hpp"
-#include "traffic/outlook.hpp"
-#include "traffic/trunk.hpp"
+#include "traffic/routing_snapshot.hpp"
+#include "traffic/turn_client.hpp"
 
 namespace mosskeel {
 
@@ -25,7 +25,7 @@
   const std::map<std::string, uint64_t>& metrics() const { return metrics_; }
   size_t requests() const { return works_.size(); }
   /// What this process's traffic may rely on.
-  Outlook outlook(Millis now) const;
+  RoutingSnapshot routing_snapshot(Millis now) const;
   /// How many callers' requests the traffic of this process carries: it does not stop under them.
   void carry(size_t n) { carried_ = n; }
 
@@ -114,8 +114,8 @@
   Ledger led_;
   Follower fol_;
   Keeper keep_;
-  Registrar reg_;
-  Trunk trunk_;
+  TurnCoordinator reg_;
+  TurnClient turn_client_;
   ReplicaSelector nom_;
   std::map<std::string, Work> works_;
   std::map<std::string, std::pair<Millis, std::optional<RequestEnd>>> ended_;
--- a/src/request/standing.cpp
+++ b/src/request/standing.cpp
@@ -3,7 +3,7 @@
 
 namespace mosskeel {
 
-Outlook GatewayMachine::outlook(Millis now) const {
+RoutingSnapshot GatewayMachine::routing_snapshot(Millis now) const {
   auto* d = me();
   bool whole = confirmed_ && d && led_.epoch() >= ahead_;
   return {led_.view(), d ? d->id : DaemonId{}, whole ? touched_ + limits::isolation : 0, ready(now), stopping_};
--- a/src/traffic/pick.cpp
+++ b/src/traffic/load_balancer.cpp
@@ -1,4 +1,4 @@
-#include "traffic/pick.hpp"
+#include "traffic/load_balancer.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -7,7 +7,7 @@
 
 namespace mosskeel {
 
-void Picker::update(const Outlook& o, Millis now) {
+void LoadBalancer::update(const RoutingSnapshot& o, Millis now) {
   if (view_ == o.view && me_ == o.me) return;
   view_ = o.view;
   me_ = o.me;
@@ -44,7 +44,7 @@
   std::erase_if(seen_, [](auto& x) { return !x.second.present && x.second.running == 0; });
 }
 
-bool Picker::free(Seen& s, Millis now) {
+bool LoadBalancer::free(Seen& s, Millis now) {
   if (!s.mine || now < s.backed_off || s.running >= s.cap) return false;
   if (s.rate <= 0) return s.r->fitness != Fitness::cold;
   s.tokens = std::min(s.tokens + s.rate * static_cast<double>(now - s.cold_at) / 1000, std::max(1.0, s.rate / 10));
@@ -52,7 +52,7 @@
   return s.tokens >= 1;
 }
 
-const Replica* Picker::pick(const Wanted& w, Millis now, bool& any) {
+const Replica* LoadBalancer::pick(const Wanted& w, Millis now, bool& any) {
   any = false;
   auto i = by_service_.find(w.service);
   if (i == by_service_.end()) return nullptr;
@@ -71,20 +71,20 @@
   return best ? best->r : nullptr;
 }
 
-void Picker::took(const std::string& name, Millis) {
+void LoadBalancer::took(const std::string& name, Millis) {
   auto& s = seen_[name];
   ++s.running;
   s.last = ++turn_;
   if (s.rate > 0) s.tokens -= 1;
 }
-void Picker::gave(const std::string& name) {
+void LoadBalancer::gave(const std::string& name) {
   if (auto i = seen_.find(name); i != seen_.end() && i->second.running) --i->second.running;
 }
-void Picker::back_off(const std::string& name, Millis until) {
+void LoadBalancer::back_off(const std::string& name, Millis until) {
   if (auto i = seen_.find(name); i != seen_.end()) i->second.backed_off = std::max(i->second.backed_off, until);
 }
-void Picker::told(const std::string&, const std::array<uint32_t, 3>&, Millis) {}
-uint32_t Picker::pressure(const std::string& name) const {
+void LoadBalancer::told(const std::string&, const std::array<uint32_t, 3>&, Millis) {}
+uint32_t LoadBalancer::pressure(const std::string& name) const {
   auto i = seen_.find(name);
   return i == seen_.end() ? 0 : i->second.running;
 }
--- a/src/traffic/pick.hpp
+++ b/src/traffic/load_balancer.hpp
@@ -2,7 +2,7 @@
 // Which replica takes an request: rendezvous hashing with bounded pressure, the own zone first.
 #include <unordered_map>
 
-#include "traffic/outlook.hpp"
+#include "traffic/routing_snapshot.hpp"
 
 namespace mosskeel {
 
@@ -13,10 +13,10 @@
   const std::vector<std::string>* tried = nullptr;
 };
 
-class Picker {
+class LoadBalancer {
  public:
   /// Takes over a new view: replicas that are gone are forgotten.
-  void update(const Outlook& o, Millis now);
+  void update(const RoutingSnapshot& o, Millis now);
   /// The replica that suits best and has a free place here, or nothing; `any` tells whether one would do later.
   const Replica* pick(const Wanted& w, Millis now, bool& any);
   void took(const std::string& name, Millis now);
--- a/src/traffic/outlook.hpp
+++ b/src/traffic/routing_snapshot.hpp
@@ -5,7 +5,7 @@
 namespace mosskeel {
 
 /// `until` is when, in the process's own ms, the view may no longer be dispatched on: it was in touch before.
-struct Outlook {
+struct RoutingSnapshot {
   View view;
   DaemonId me{};
   Millis until = 0;
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -27,7 +27,7 @@
 
 void Traffic::free_offer(Call& c) {
   if (!c.offer) return;
-  picker_.gave(c.offer->replica);
+  balancer_.gave(c.offer->replica);
   asks_.erase(c.offer->ask);
   c.offer.reset();
 }
@@ -67,7 +67,7 @@
     return give_up(any, c.doubt ? 502 : there ? 503 : 404, "its path leads there no more", limits::retry_ms / 4);
   }
   bool later = false;
-  auto* r = in_touch(now) ? picker_.pick({c.service, c.key, &c.tried}, now, later) : nullptr;
+  auto* r = in_touch(now) ? balancer_.pick({c.service, c.key, &c.tried}, now, later) : nullptr;
   if (!r) {
     if (!later && in_touch(now) && !c.tried.empty())
       return give_up(any, c.doubt ? 502 : 503, "no other replica serves this", limits::retry_ms / 4);
@@ -79,7 +79,7 @@
   o.replica = r->name;
   ++c.offers;
   c.tried.push_back(r->name);
-  picker_.took(r->name, now);
+  balancer_.took(r->name, now);
   asks_[o.ask] = c.id;
   AskReplica q{o.ask, r->url.substr(scheme.size()), c.request.method, c.request.target, c.request.fields, {}};
   dialect_.address(q.fields, r->name, c.until - now, std::nullopt);
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -14,13 +14,13 @@
 
 }  // namespace
 
-void Traffic::outlook(std::shared_ptr<const Outlook> o, Millis now) {
-  if (o == outlook_) return;
-  bool moved = !outlook_ || outlook_->view != o->view;
-  bool paths = !outlook_ || outlook_->view->revision != o->view->revision;
-  outlook_ = std::move(o);
-  if (moved) picker_.update(*outlook_, now);
-  if (paths) table_ = std::make_shared<PathTable>(outlook_->view);
+void Traffic::routing_snapshot(std::shared_ptr<const RoutingSnapshot> o, Millis now) {
+  if (o == snapshot_) return;
+  bool moved = !snapshot_ || snapshot_->view != o->view;
+  bool paths = !snapshot_ || snapshot_->view->revision != o->view->revision;
+  snapshot_ = std::move(o);
+  if (moved) balancer_.update(*snapshot_, now);
+  if (paths) table_ = std::make_shared<PathTable>(snapshot_->view);
 }
 
 AnyCall* Traffic::by_ask(uint64_t ask) {
@@ -146,16 +146,16 @@
   if (!c) return;
   auto& b = base(*c);
   auto w = dialect_.replica(h.status, h.fields);
-  if (w.load) picker_.told(b.offer->replica, *w.load, now);
+  if (w.load) balancer_.told(b.offer->replica, *w.load, now);
   bool ours = w.attempt == b.words.attempt || (w.not_run && w.attempt.empty());
   if (ours && w.not_run) {
-    picker_.back_off(b.offer->replica, now + (h.status == 421 ? limits::backoff_refused : limits::backoff_full));
+    balancer_.back_off(b.offer->replica, now + (h.status == 421 ? limits::backoff_refused : limits::backoff_full));
     return failed(*c, Outcome::no, "the replica did not run it: " + std::to_string(h.status), now);
   }
   bool good = h.status >= 200 && h.status < 300;
   if (!ours || (good && !w.sealed) || promises(h.status)) {
     out_.push_back(DropReplica{h.ask});
-    picker_.back_off(b.offer->replica, now + limits::backoff_lost);
+    balancer_.back_off(b.offer->replica, now + limits::backoff_lost);
     return failed(*c, Outcome::unknown, "the replica's answer is not this request's, or promises what it can't", now);
   }
   b.offer->headed = true;
@@ -187,7 +187,7 @@
   auto* c = by_ask(l.ask);
   if (!c) return;
   auto& b = base(*c);
-  picker_.back_off(b.offer->replica, now + (l.sent ? limits::backoff_lost : limits::backoff_refused));
+  balancer_.back_off(b.offer->replica, now + (l.sent ? limits::backoff_lost : limits::backoff_refused));
   if (!l.sent) --b.offers;
   failed(*c, l.sent ? Outcome::unknown : Outcome::no, l.reason, now);
 }
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -4,7 +4,7 @@
 #include "kernel/messages.hpp"
 #include "traffic/event_reader.hpp"
 #include "traffic/paths.hpp"
-#include "traffic/pick.hpp"
+#include "traffic/load_balancer.hpp"
 
 namespace mosskeel::traffic {
 
@@ -120,7 +120,7 @@
  public:
   explicit Traffic(const Dialect& d) : dialect_(d) {}
   /// What the control state says now; to be given before each step that may dispatch.
-  void outlook(std::shared_ptr<const Outlook> o, Millis now);
+  void routing_snapshot(std::shared_ptr<const RoutingSnapshot> o, Millis now);
   Actions step(Event e, Millis now);
   Actions tick(Millis now);
   size_t calls() const { return calls_.size(); }
@@ -140,7 +140,7 @@
   Call& base(AnyCall& c) {
     return std::visit([](auto& x) -> Call& { return x; }, c);
   }
-  bool in_touch(Millis now) const { return outlook_ && now < outlook_->until; }
+  bool in_touch(Millis now) const { return snapshot_ && now < snapshot_->until; }
   /// Offers an request to a replica or lets it wait for one; it may be refused and gone afterwards.
   void offer(AnyCall& c, Millis now);
   bool reroute(Call& c);
@@ -163,9 +163,9 @@
   void serve_queue(Millis now);
 
   const Dialect& dialect_;
-  std::shared_ptr<const Outlook> outlook_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
   std::shared_ptr<const PathTable> table_;
-  Picker picker_;
+  LoadBalancer balancer_;
   Actions out_;
   std::map<uint64_t, AnyCall> calls_;
   std::unordered_map<uint64_t, uint64_t> asks_;
--- a/src/traffic/trunk.cpp
+++ b/src/traffic/turn_client.cpp
@@ -1,8 +1,8 @@
-#include "traffic/trunk.hpp"
+#include "traffic/turn_client.hpp"
 
 namespace mosskeel {
 
-const Daemon* Trunk::owner(const std::string& program) const {
+const Daemon* TurnClient::owner(const std::string& program) const {
   auto& m = *led_.view();
   auto n = turn_line(program);
   auto s = slot_of(n.cell, n.program);
@@ -10,7 +10,7 @@
 }
 
 template <class T>
-bool Trunk::send(Open<T>& x, Millis now) {
+bool TurnClient::send(Open<T>& x, Millis now) {
   auto* d = owner(x.body.program);
   if (!d || d->state == DaemonState::down || d->state == DaemonState::left) return false;
   x.last = now;
@@ -19,7 +19,7 @@
   return true;
 }
 
-bool Trunk::on(const Envelope& e, Millis now) {
+bool TurnClient::on(const Envelope& e, Millis now) {
   bool own = e.from == traffic_address;
   if (auto* a = std::get_if<TurnAsk>(&e.body); a && own) {
     send(asks_[a->attempt] = {*a, now, 0, {}}, now);
@@ -62,7 +62,7 @@
   return false;
 }
 
-void Trunk::tick(Millis now) {
+void TurnClient::tick(Millis now) {
   std::erase_if(overtaken_, [&](auto& x) { return now - x.second.second > limits::handover_patience; });
   auto moved = [&](auto& x) {
     auto* d = owner(x.body.program);
--- a/src/traffic/trunk.hpp
+++ b/src/traffic/turn_client.hpp
@@ -1,15 +1,15 @@
 #pragma once
 // A front's link to the owners of its callers' turns: asks until there is an answer, follows a program that moves.
-#include "traffic/registrar.hpp"
+#include "traffic/turn_coordinator.hpp"
 
 namespace mosskeel {
 
 /// Where the traffic of this process listens to its control state.
 inline const Address traffic_address = "local:traffic";
 
-class Trunk {
+class TurnClient {
  public:
-  Trunk(Outbox& out, Ledger& led) : out_(out), led_(led) {}
+  TurnClient(Outbox& out, Ledger& led) : out_(out), led_(led) {}
   /// Asks and outcomes from this process's own traffic, answers from owners; false leaves the message to the caller.
   bool on(const Envelope& e, Millis now);
   /// Asks again what has no answer, at once where the owner has changed.
--- a/src/traffic/registrar.cpp
+++ b/src/traffic/turn_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "traffic/registrar.hpp"
+#include "traffic/turn_coordinator.hpp"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
   return {"=", program};
 }
 
-bool Registrar::mine(const LineName& n) const {
+bool TurnCoordinator::mine(const LineName& n) const {
   auto& m = *led_.view();
   auto s = slot_of(n.cell, n.program);
   if (s.v >= m.slots.size()) return false;
@@ -16,12 +16,12 @@
   return d && d->self.inc == out_.id().self.inc;
 }
 
-bool Registrar::busy(const LineName& n) const {
+bool TurnCoordinator::busy(const LineName& n) const {
   auto on = [&](auto& x) { return x.second.line == n; };
   return std::any_of(asks_.begin(), asks_.end(), on) || std::any_of(ends_.begin(), ends_.end(), on);
 }
 
-Registrar::Tab& Registrar::tab(const LineName& n) {
+TurnCoordinator::Tab& TurnCoordinator::tab(const LineName& n) {
   auto& t = tabs_[n];
   auto& v = keep_.records(n);
   if (t.term != keep_.term(n) || v.size() < t.seen) t = {keep_.term(n), 0, 0, 0, {}};
@@ -42,7 +42,7 @@
   return t;
 }
 
-std::string Registrar::chain(const LineName& n, const Tab& t, const std::string& turn) const {
+std::string TurnCoordinator::chain(const LineName& n, const Tab& t, const std::string& turn) const {
   auto& v = keep_.records(n);
   std::vector<const Turn*> w;
   size_t bytes = 0;
@@ -64,12 +64,12 @@
   return s;
 }
 
-Registrar::Verdict Registrar::refuse(const Pending& p, uint32_t status, std::string reason, uint32_t retry_ms) {
+TurnCoordinator::Verdict TurnCoordinator::refuse(const Pending& p, uint32_t status, std::string reason, uint32_t retry_ms) {
   out_.send(p.from, TurnGrant{p.ask.attempt, status, retry_ms, std::move(reason), {}}, p.inc);
   return Verdict::over;
 }
 
-Registrar::Verdict Registrar::serve(Pending& p, Millis now) {
+TurnCoordinator::Verdict TurnCoordinator::serve(Pending& p, Millis now) {
   auto& a = p.ask;
   if (!mine(p.line)) return refuse(p, 0, "another front owns the program", 0);
   switch (keep_.open(p.line, now)) {
@@ -117,7 +117,7 @@
 
 /// A turn of another program, taken over into this one's line as one record, for its owner may change at any point: any
 /// store that has it settled has the chain. Missing is said only if all answer so.
-Registrar::Verdict Registrar::search(Pending& p, Millis now) {
+TurnCoordinator::Verdict TurnCoordinator::search(Pending& p, Millis now) {
   p.searching = true;
   size_t lacking = 0;
   for (auto& [id, d] : led_.view()->directory) {
@@ -132,7 +132,7 @@
   return Verdict::wait;
 }
 
-void Registrar::found(const Envelope& e, const ChainFound& f, Millis now) {
+void TurnCoordinator::found(const Envelope& e, const ChainFound& f, Millis now) {
   auto* d = led_.view()->find(e.from_inc);
   if (!d) return;
   for (auto i = asks_.begin(); i != asks_.end();) {
@@ -155,7 +155,7 @@
   }
 }
 
-Registrar::Verdict Registrar::settle(Ending& x, Millis now) {
+TurnCoordinator::Verdict TurnCoordinator::settle(Ending& x, Millis now) {
   auto& s = x.settle;
   auto say = [&](bool kept) {
     out_.send(x.from, TurnSettled{s.attempt, kept}, x.inc);
@@ -183,7 +183,7 @@
   return keep_.committed(x.line) >= x.mark ? say(true) : Verdict::wait;
 }
 
-bool Registrar::on(const Envelope& e, Millis now) {
+bool TurnCoordinator::on(const Envelope& e, Millis now) {
   if (auto* a = std::get_if<TurnAsk>(&e.body)) {
     auto [i, fresh] = asks_.try_emplace(a->attempt);
     if (fresh) i->second = {*a, e.from, e.from_inc, turn_line(a->program), now};
@@ -204,14 +204,14 @@
   return false;
 }
 
-void Registrar::advance(const std::set<LineName>& changed, Millis now) {
+void TurnCoordinator::advance(const std::set<LineName>& changed, Millis now) {
   for (auto i = asks_.begin(); i != asks_.end();)
     i = changed.count(i->second.line) && serve(i->second, now) == Verdict::over ? asks_.erase(i) : std::next(i);
   for (auto i = ends_.begin(); i != ends_.end();)
     i = changed.count(i->second.line) && settle(i->second, now) == Verdict::over ? ends_.erase(i) : std::next(i);
 }
 
-void Registrar::tick(Millis now) {
+void TurnCoordinator::tick(Millis now) {
   for (auto i = asks_.begin(); i != asks_.end();)
     i = serve(i->second, now) == Verdict::over ? asks_.erase(i) : std::next(i);
   for (auto i = ends_.begin(); i != ends_.end();)
--- a/src/traffic/registrar.hpp
+++ b/src/traffic/turn_coordinator.hpp
@@ -9,9 +9,9 @@
 /// The line on which a program's turns lie, whatever path they came by.
 LineName turn_line(const std::string& program);
 
-class Registrar {
+class TurnCoordinator {
  public:
-  Registrar(Outbox& out, Ledger& led, Keeper& keep) : out_(out), led_(led), keep_(keep) {}
+  TurnCoordinator(Outbox& out, Ledger& led, Keeper& keep) : out_(out), led_(led), keep_(keep) {}
   /// Handles what concerns turns as their owner; false leaves the message to the caller.
   bool on(const Envelope& e, Millis now);
   /// Goes on with what waited for these lines.
--- a/tests/traffic/fixture.hpp
+++ b/tests/traffic/fixture.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // A front with three stores in a directory of its own making, for the parts of the traffic.
-#include "traffic/registrar.hpp"
+#include "traffic/turn_coordinator.hpp"
 
 namespace mosskeel::test {
 
@@ -28,7 +28,7 @@
   Outbox out{id};
   Ledger led;
   Keeper keep{out, led};
-  Registrar reg{out, led, keep};
+  TurnCoordinator reg{out, led, keep};
   Millis now = 1000;
   Owner() {
     led.jump(small_fleet());
--- a/tests/traffic/front.hpp
+++ b/tests/traffic/front.hpp
@@ -69,7 +69,7 @@
   Front() { publish(); }
   /// Lets the traffic see `m`, in touch until `until`.
   void publish(Millis until = 1000000) {
-    t.outlook(std::make_shared<Outlook>(Outlook{std::make_shared<Metadata>(m), DaemonId{1}, until, true, false}), now);
+    t.routing_snapshot(std::make_shared<RoutingSnapshot>(RoutingSnapshot{std::make_shared<Metadata>(m), DaemonId{1}, until, true, false}), now);
   }
   void happen(Event e) { got = t.step(std::move(e), now); }
   void pass(Millis ms) {
--- a/tests/traffic/parts_test.cpp
+++ b/tests/traffic/parts_test.cpp
@@ -62,7 +62,7 @@
 
 struct Choice {
   Metadata m = served();
-  Picker p;
+  LoadBalancer p;
   Millis now = 1000;
   void update(uint64_t me = 1) { p.update({std::make_shared<Metadata>(m), DaemonId{me}, 1000000, true, false}, now); }
   std::string take(uint64_t key = 0, const std::string& service = "app") {
--- a/tests/traffic/trunk_test.cpp
+++ b/tests/traffic/turn_client_test.cpp
@@ -2,28 +2,28 @@
 #include <catch2/catch.hpp>
 
 #include "traffic/fixture.hpp"
-#include "traffic/trunk.hpp"
+#include "traffic/turn_client.hpp"
 
 using namespace mosskeel;
 using namespace mosskeel::test;
 
 namespace {
 
-/// The trunk of front 2; front 1 owns everything.
+/// The turn_client of front 2; front 1 owns everything.
 struct Carrier {
   Identity id{candidate(2, Role::front, "z2"), {}, 0, 99};
   Outbox out{id};
   Ledger led;
-  Trunk trunk{out, led};
+  TurnClient turn_client{out, led};
   Millis now = 1000;
   Carrier() { led.jump(small_fleet()); }
   void own(Message m) {
     Envelope e{};
     e.from = traffic_address;
     e.body = std::move(m);
-    trunk.on(e, now);
+    turn_client.on(e, now);
   }
-  void hear(Message m) { trunk.on(Owner::from(1, std::move(m)), now); }
+  void hear(Message m) { turn_client.on(Owner::from(1, std::move(m)), now); }
   template <class T>
   std::vector<T> sent() {
     std::vector<T> v;
@@ -45,7 +45,7 @@
   SECTION("before the owner has answered the outcome") {
     c.hear(TurnGrant{"a", 200, 0, "", ""});
     c.now += limits::line_retry;
-    c.trunk.tick(c.now);
+    c.turn_client.tick(c.now);
     CHECK(c.sent<TurnSettle>().size() == 1);
   }
   SECTION("after the owner knew of no such turn, for the ask came behind the outcome") {
@@ -57,7 +57,7 @@
     CHECK(s[0].program == "p");
     CHECK(s[0].status == 0);
     c.hear(TurnSettled{"a", true});
-    CHECK(c.trunk.waiting() == 0);
+    CHECK(c.turn_client.waiting() == 0);
   }
   CHECK(c.sent<TurnGrant>().empty());
 }
@@ -83,7 +83,7 @@
   Carrier c;
   c.own(turn("a"));
   c.now += limits::ask_patience + 1;
-  c.trunk.tick(c.now);
+  c.turn_client.tick(c.now);
   auto g = c.sent<TurnGrant>();
   REQUIRE(g.size() == 1);
   CHECK(g[0].status == 503);
