--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -6,7 +6,7 @@
                                                  const Address& ready) {
   std::unique_ptr<Exchange> x(new Exchange(h, d));
   auto* p = x.get();
-  auto callers = Inlet::open(x->loop_, front,
+  auto callers = HttpListener::open(x->loop_, front,
                              {[p](uint64_t id, HttpRequest&& r) {
                                 p->happen(traffic::Asked{id, std::move(r)});
                               },
@@ -19,7 +19,7 @@
       bool asked = p->dialect_.asks_ready(r), yes = o->ready && process_now() < o->until;
       p->ready_->whole(id, asked ? (yes ? 200 : 503) : 404, {}, "");
     };
-    auto r = Inlet::open(x->loop_, ready, {answer, [](uint64_t) {}, [](uint64_t) {}});
+    auto r = HttpListener::open(x->loop_, ready, {answer, [](uint64_t) {}, [](uint64_t) {}});
     if (!ok(r)) return findings(r);
     x->ready_ = std::move(std::get<0>(r));
   }
@@ -33,8 +33,8 @@
     p->asks_.erase(i->second);
     p->names_.erase(i);
   };
-  x->replicas_ = std::make_unique<Outlet>(
-      x->loop_, Outlet::Events{[p, named](uint64_t id, Outlet::Answer&& a) {
+  x->replicas_ = std::make_unique<UpstreamClient>(
+      x->loop_, UpstreamClient::Events{[p, named](uint64_t id, UpstreamClient::Answer&& a) {
                                  p->happen(traffic::ReplicaHead{named(id), a.status, std::move(a.fields)});
                                },
                                [p, named](uint64_t id, std::string_view s) {
@@ -45,10 +45,10 @@
                                  over(id);
                                  p->happen(traffic::ReplicaDone{n});
                                },
-                               [p, named, over](uint64_t id, Outlet::Lost l, std::string why) {
+                               [p, named, over](uint64_t id, UpstreamClient::Lost l, std::string why) {
                                  auto n = named(id);
                                  over(id);
-                                 p->happen(traffic::ReplicaLost{n, l == Outlet::Lost::sent, std::move(why)});
+                                 p->happen(traffic::ReplicaLost{n, l == UpstreamClient::Lost::sent, std::move(why)});
                                }});
   h.route("local:traffic", [p](const Envelope& e) {
     p->loop_.post([p, b = e.body]() mutable {
@@ -87,7 +87,7 @@
   if (o->view->revision != limits_of_) {
     limits_of_ = o->view->revision;
     auto& c = o->view->manifest.callers;
-    InletLimits l;
+    HttpListenerLimits l;
     if (c.head_bytes) l.head_bytes = c.head_bytes;
     if (c.body_bytes) l.body_bytes = c.body_bytes;
     if (c.head_ms) l.head_ms = c.head_ms;
--- a/src/gateway/exchange.hpp
+++ b/src/gateway/exchange.hpp
@@ -2,8 +2,8 @@
 // The traffic thread of a gateway: sockets to callers and replicas around the traffic's machine.
 #include "request/gateway_machine.hpp"
 #include "kernel/host.hpp"
-#include "kernel/inlet.hpp"
-#include "kernel/outlet.hpp"
+#include "kernel/http_listener.hpp"
+#include "kernel/upstream_client.hpp"
 #include "traffic/traffic.hpp"
 
 namespace mosskeel {
@@ -26,12 +26,12 @@
   Host& host_;
   const Dialect& dialect_;
   Loop loop_;
-  std::unique_ptr<Inlet> callers_, ready_;
-  std::unique_ptr<Outlet> replicas_;
+  std::unique_ptr<HttpListener> callers_, ready_;
+  std::unique_ptr<UpstreamClient> replicas_;
   traffic::Traffic traffic_;
   std::shared_ptr<const RoutingSnapshot> snapshot_ =
       std::make_shared<RoutingSnapshot>(RoutingSnapshot{std::make_shared<Metadata>(), {}, 0, false, false});
-  /// From the traffic's own numbers to the outlet's and back.
+  /// From the traffic's own numbers to the upstream_client's and back.
   std::unordered_map<uint64_t, uint64_t> asks_, names_;
   Revision limits_of_{};
   std::atomic<size_t> calls_{0};
--- a/src/kernel/inlet.cpp
+++ b/src/kernel/http_listener.cpp
@@ -7,7 +7,7 @@
 #include <cstring>
 
 #include "kernel/endpoint.hpp"
-#include "kernel/inlet_session.hpp"
+#include "kernel/http_listener_session.hpp"
 
 namespace mosskeel {
 namespace {
@@ -15,35 +15,35 @@
 constexpr Millis parting_ms = 1000, short_of_descriptors_ms = 100;
 }  // namespace
 
-Result<std::unique_ptr<Inlet>> Inlet::open(Loop& loop, const Address& at, Events events) {
+Result<std::unique_ptr<HttpListener>> HttpListener::open(Loop& loop, const Address& at, Events events) {
   auto e = endpoint(at);
   if (!e) return Findings{{at, "not an address to listen at"}};
   Fd fd(::socket(e->bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd || !set_option(fd.get(), SOL_SOCKET, SO_REUSEADDR, 1) ||
       ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&e->bytes), e->size) != 0 || ::listen(fd.get(), 1024) != 0)
     return Findings{{at, std::string("cannot listen: ") + std::strerror(errno)}};
-  return std::unique_ptr<Inlet>(new Inlet(loop, std::move(events), std::move(fd)));
+  return std::unique_ptr<HttpListener>(new HttpListener(loop, std::move(events), std::move(fd)));
 }
 
-Inlet::Inlet(Loop& loop, Events events, Fd listening)
+HttpListener::HttpListener(Loop& loop, Events events, Fd listening)
     : loop_(loop),
       events_(std::move(events)),
       listening_(std::move(listening)),
       buffer_(one_read),
-      self_(std::make_shared<Inlet*>(this)) {
+      self_(std::make_shared<HttpListener*>(this)) {
   loop_.watch(listening_.get(), EPOLLIN, [this](uint32_t) { accept(); });
 }
 
-Inlet::~Inlet() {
+HttpListener::~HttpListener() {
   loop_.forget(listening_.get());
   while (!sessions_.empty()) close(Held(sessions_.begin()->second));
 }
 
-Address Inlet::at() const {
+Address HttpListener::at() const {
   return bound_to(listening_.get());
 }
 
-void Inlet::accept() {
+void HttpListener::accept() {
   while (true) {
     Fd fd(::accept4(listening_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!fd && (errno == EINTR || errno == ECONNABORTED)) continue;
@@ -67,7 +67,7 @@
   }
 }
 
-void Inlet::ready(const Held& s, uint32_t events) {
+void HttpListener::ready(const Held& s, uint32_t events) {
   using P = Session::Phase;
   if (events & (EPOLLERR | EPOLLHUP)) return lose(s);
   if (s->phase == P::running && (events & EPOLLRDHUP)) return lose(s);
@@ -75,7 +75,7 @@
   if ((events & EPOLLIN) && (s->phase == P::head || s->phase == P::body || s->phase == P::parting)) receive(s);
 }
 
-void Inlet::receive(const Held& s) {
+void HttpListener::receive(const Held& s) {
   auto n = ::recv(s->fd.get(), buffer_.data(), buffer_.size(), 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (n <= 0) return close(s);
@@ -84,7 +84,7 @@
   pump(s);
 }
 
-void Inlet::interest(const Held& s) {
+void HttpListener::interest(const Held& s) {
   using P = Session::Phase;
   if (s->phase == P::gone || s->marked) return;
   uint32_t want = 0;
@@ -94,7 +94,7 @@
   if (want != s->armed) loop_.watch(s->fd.get(), s->armed = want);
 }
 
-void Inlet::next(const Held& s) {
+void HttpListener::next(const Held& s) {
   if (!s->keep || (closing_ && s->in.empty())) return part(s);
   s->phase = Session::Phase::head;
   s->headed = s->bodiless = s->in_chunks = s->above = false;
@@ -103,7 +103,7 @@
   pump(s);
 }
 
-void Inlet::part(const Held& s) {
+void HttpListener::part(const Held& s) {
   s->phase = Session::Phase::parting;
   std::string().swap(s->in);
   ::shutdown(s->fd.get(), SHUT_WR);
@@ -111,13 +111,13 @@
   interest(s);
 }
 
-void Inlet::lose(const Held& s) {
+void HttpListener::lose(const Held& s) {
   auto id = s->phase == Session::Phase::running ? s->id : 0;
   close(s);
   if (id && events_.left) events_.left(id);
 }
 
-void Inlet::close(const Held& s) {
+void HttpListener::close(const Held& s) {
   if (std::exchange(s->phase, Session::Phase::gone) == Session::Phase::gone) return;
   if (s->id) exchanges_.erase(s->id);
   if (s->timer) loop_.cancel(s->timer);
@@ -127,27 +127,27 @@
   sessions_.erase(s.get());
 }
 
-void Inlet::reset(const Held& s) {
+void HttpListener::reset(const Held& s) {
   linger at_once{1, 0};
   ::setsockopt(s->fd.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
   close(s);
 }
 
-void Inlet::due(const Held& s, Millis ms) {
+void HttpListener::due(const Held& s, Millis ms) {
   s->deadline = ms ? monotonic_ms() + ms : 0;
   if (!ms || (s->timer && s->timer_at <= s->deadline)) return;
   if (s->timer) loop_.cancel(s->timer);
   arm(s, ms);
 }
 
-void Inlet::arm(const Held& s, Millis ms) {
+void HttpListener::arm(const Held& s, Millis ms) {
   s->timer_at = monotonic_ms() + ms;
   s->timer = loop_.after(ms, [this, s = s.get()] {
     if (auto it = sessions_.find(s); it != sessions_.end()) expire(Held(it->second));
   });
 }
 
-void Inlet::expire(const Held& s) {
+void HttpListener::expire(const Held& s) {
   using P = Session::Phase;
   s->timer = 0;
   if (!s->deadline) return;
@@ -157,7 +157,7 @@
   if (s->phase == P::over || s->phase == P::parting) close(s);
 }
 
-void Inlet::closing(bool on) {
+void HttpListener::closing(bool on) {
   closing_ = on;
   if (!on) return;
   std::vector<Held> idle;
@@ -166,12 +166,12 @@
   for (auto& s : idle) part(s);
 }
 
-Inlet::Held Inlet::held(uint64_t id) const {
+HttpListener::Held HttpListener::held(uint64_t id) const {
   auto it = exchanges_.find(id);
   return it == exchanges_.end() ? nullptr : it->second;
 }
 
-size_t Inlet::unsent(uint64_t id) const {
+size_t HttpListener::unsent(uint64_t id) const {
   auto s = held(id);
   return s ? s->unsent() : 0;
 }
--- a/src/kernel/inlet.hpp
+++ b/src/kernel/http_listener.hpp
@@ -5,7 +5,7 @@
 
 namespace mosskeel {
 
-struct InletLimits {
+struct HttpListenerLimits {
   size_t head_bytes = 16384, body_bytes = 4 << 20;
   Millis head_ms = 3000, idle_ms = 15000;
   size_t sessions = 2000;
@@ -15,7 +15,7 @@
 /// answered here and their session closed. All of it, events too, on the loop's thread; must not be destroyed in an
 /// event. After end(), whole(), cut() or `left` an exchange's id is dead: it has no more events, and calls with it do
 /// nothing.
-class Inlet {
+class HttpListener {
  public:
   struct Events {
     /// A whole request has been read; `id` names the exchange.
@@ -25,9 +25,9 @@
     /// The exchange's unsent bytes fell below 64 KiB after having been above 256 KiB.
     std::function<void(uint64_t id)> drained;
   };
-  static Result<std::unique_ptr<Inlet>> open(Loop& loop, const Address& at, Events events);
-  ~Inlet();
-  void limits(const InletLimits& l) { limits_ = l; }
+  static Result<std::unique_ptr<HttpListener>> open(Loop& loop, const Address& at, Events events);
+  ~HttpListener();
+  void limits(const HttpListenerLimits& l) { limits_ = l; }
   /// The address listened at, with the port the system chose where none was named.
   Address at() const;
   /// The answer's head; without a length its body is chunked. Fields of one connection are dropped.
@@ -46,7 +46,7 @@
  private:
   struct Session;
   using Held = std::shared_ptr<Session>;
-  Inlet(Loop& loop, Events events, Fd listening);
+  HttpListener(Loop& loop, Events events, Fd listening);
   void accept();
   void ready(const Held& s, uint32_t events);
   void receive(const Held& s);
@@ -71,14 +71,14 @@
   Loop& loop_;
   Events events_;
   Fd listening_;
-  InletLimits limits_;
+  HttpListenerLimits limits_;
   bool closing_ = false, flush_posted_ = false;
   uint64_t last_id_ = 0;
   std::unordered_map<uint64_t, Held> exchanges_;
   std::unordered_map<Session*, Held> sessions_;
   std::vector<Held> marked_;
   std::vector<char> buffer_;
-  std::shared_ptr<Inlet*> self_;
+  std::shared_ptr<HttpListener*> self_;
 };
 
 }  // namespace mosskeel
--- a/src/kernel/inlet_answer.cpp
+++ b/src/kernel/http_listener_answer.cpp
@@ -3,7 +3,7 @@
 
 #include <cerrno>
 
-#include "kernel/inlet_session.hpp"
+#include "kernel/http_listener_session.hpp"
 
 namespace mosskeel {
 namespace {
@@ -16,7 +16,7 @@
 }
 }  // namespace
 
-void Inlet::head(uint64_t id, uint32_t status, const Fields& f, std::optional<uint64_t> length) {
+void HttpListener::head(uint64_t id, uint32_t status, const Fields& f, std::optional<uint64_t> length) {
   auto s = held(id);
   if (!s || std::exchange(s->headed, true)) return;
   bool never_a_body = status == 204 || status == 304 || status < 200;
@@ -34,7 +34,7 @@
   mark(s);
 }
 
-void Inlet::bytes(uint64_t id, std::string_view b) {
+void HttpListener::bytes(uint64_t id, std::string_view b) {
   auto s = held(id);
   if (!s || !s->headed || s->bodiless || b.empty()) return;
   if (s->answer_left) {
@@ -48,7 +48,7 @@
   mark(s);
 }
 
-void Inlet::end(uint64_t id) {
+void HttpListener::end(uint64_t id) {
   auto s = held(id);
   if (!s) return;
   if (!s->headed || s->answer_left.value_or(0)) return reset(s);
@@ -59,17 +59,17 @@
   mark(s);
 }
 
-void Inlet::whole(uint64_t id, uint32_t status, const Fields& f, std::string_view body) {
+void HttpListener::whole(uint64_t id, uint32_t status, const Fields& f, std::string_view body) {
   head(id, status, f, body.size());
   bytes(id, body);
   end(id);
 }
 
-void Inlet::cut(uint64_t id) {
+void HttpListener::cut(uint64_t id) {
   if (auto s = held(id)) reset(s);
 }
 
-void Inlet::mark(const Held& s) {
+void HttpListener::mark(const Held& s) {
   if (std::exchange(s->marked, true)) return;
   marked_.push_back(s);
   if (std::exchange(flush_posted_, true)) return;
@@ -78,7 +78,7 @@
   });
 }
 
-void Inlet::flush_marked() {
+void HttpListener::flush_marked() {
   while (!marked_.empty()) {
     for (auto& s : std::exchange(marked_, {})) {
       s->marked = false;
@@ -88,7 +88,7 @@
   flush_posted_ = false;
 }
 
-void Inlet::flush(const Held& s) {
+void HttpListener::flush(const Held& s) {
   using P = Session::Phase;
   if (s->phase == P::gone) return;
   while (s->unsent()) {
--- a/src/kernel/inlet_request.cpp
+++ b/src/kernel/http_listener_request.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "kernel/inlet_session.hpp"
+#include "kernel/http_listener_session.hpp"
 
 namespace mosskeel {
 namespace {
@@ -13,14 +13,14 @@
 
 }  // namespace
 
-void Inlet::pump(const Held& s) {
+void HttpListener::pump(const Held& s) {
   using P = Session::Phase;
   if (s->phase == P::head && !read_head(s)) return interest(s);
   if (s->phase == P::body && !read_body(s)) return interest(s);
   interest(s);
 }
 
-bool Inlet::read_head(const Held& s) {
+bool HttpListener::read_head(const Held& s) {
   if (s->scanned == 0) s->in.erase(0, std::min(s->in.find_first_not_of("\r\n"), s->in.size()));
   auto extent = head_extent(s->in, s->scanned);
   if (extent == Extent::malformed) return refuse(s, 400), false;
@@ -56,7 +56,7 @@
   return true;
 }
 
-bool Inlet::read_body(const Held& s) {
+bool HttpListener::read_body(const Held& s) {
   size_t taken;
   if (s->chunked) {
     taken = s->chunks.feed(s->in, s->request.body);
@@ -74,7 +74,7 @@
   return false;
 }
 
-void Inlet::ask(const Held& s) {
+void HttpListener::ask(const Held& s) {
   s->phase = Session::Phase::running;
   s->id = ++last_id_;
   due(s, 0);
@@ -82,7 +82,7 @@
   events_.asked(s->id, std::exchange(s->request, {}));
 }
 
-void Inlet::refuse(const Held& s, uint32_t status) {
+void HttpListener::refuse(const Held& s, uint32_t status) {
   s->phase = Session::Phase::running;
   s->id = ++last_id_;
   s->keep = s->http_1_0 = false;
--- a/src/kernel/inlet_session.hpp
+++ b/src/kernel/http_listener_session.hpp
@@ -1,11 +1,11 @@
 #pragma once
-// What an inlet keeps of one connection.
+// What an http_listener keeps of one connection.
 #include "kernel/framing.hpp"
-#include "kernel/inlet.hpp"
+#include "kernel/http_listener.hpp"
 
 namespace mosskeel {
 
-struct Inlet::Session {
+struct HttpListener::Session {
   enum class Phase { head, body, running, over, parting, gone };
   Fd fd;
   Phase phase = Phase::head;
--- a/src/kernel/outlet.cpp
+++ b/src/kernel/upstream_client.cpp
@@ -7,7 +7,7 @@
 #include <cstring>
 
 #include "kernel/endpoint.hpp"
-#include "kernel/outlet_connection.hpp"
+#include "kernel/upstream_client_connection.hpp"
 
 namespace mosskeel {
 namespace {
@@ -20,7 +20,7 @@
   return ::recv(fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
 }
 
-bool spell(const Outlet::Ask& a, std::string& out) {
+bool spell(const UpstreamClient::Ask& a, std::string& out) {
   auto plain = [](char c) { return c > 0x20 && c < 0x7f; };
   if (a.method.empty() || a.target.empty() || !std::all_of(a.method.begin(), a.method.end(), plain) ||
       !std::all_of(a.target.begin(), a.target.end(), plain))
@@ -40,14 +40,14 @@
 
 }  // namespace
 
-Outlet::Outlet(Loop& loop, Events events)
-    : loop_(loop), events_(std::move(events)), buffer_(one_read), self_(std::make_shared<Outlet*>(this)) {}
+UpstreamClient::UpstreamClient(Loop& loop, Events events)
+    : loop_(loop), events_(std::move(events)), buffer_(one_read), self_(std::make_shared<UpstreamClient*>(this)) {}
 
-Outlet::~Outlet() {
+UpstreamClient::~UpstreamClient() {
   while (!connections_.empty()) close(Held(connections_.begin()->second));
 }
 
-uint64_t Outlet::ask(Ask a) {
+uint64_t UpstreamClient::ask(Ask a) {
   auto id = ++last_id_;
   std::string out, wrong;
   Held c;
@@ -74,7 +74,7 @@
   return id;
 }
 
-Outlet::Held Outlet::kept(const Address& to) {
+UpstreamClient::Held UpstreamClient::kept(const Address& to) {
   auto it = idle_.find(to);
   while (it != idle_.end()) {
     Held c = it->second.back();
@@ -92,7 +92,7 @@
   return nullptr;
 }
 
-std::string Outlet::open(const Held& c, Millis connect_ms) {
+std::string UpstreamClient::open(const Held& c, Millis connect_ms) {
   auto e = endpoint(c->to);
   if (!e) return "not an address: " + c->to;
   Fd fd(::socket(e->bytes.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
@@ -112,18 +112,18 @@
   return {};
 }
 
-void Outlet::drop(uint64_t id) {
+void UpstreamClient::drop(uint64_t id) {
   if (auto it = asks_.find(id); it != asks_.end()) close(Held(it->second));
 }
 
-void Outlet::pause(uint64_t id, bool on) {
+void UpstreamClient::pause(uint64_t id, bool on) {
   auto it = asks_.find(id);
   if (it == asks_.end()) return;
   it->second->paused = on;
   interest(it->second);
 }
 
-void Outlet::forget(const Address& a) {
+void UpstreamClient::forget(const Address& a) {
   std::vector<Held> idle;
   for (auto& [_, c] : connections_) {
     if (c->to != a) continue;
@@ -133,13 +133,13 @@
   for (auto& c : idle) close(c);
 }
 
-size_t Outlet::idle() const {
+size_t UpstreamClient::idle() const {
   size_t n = 0;
   for (auto& [_, q] : idle_) n += q.size();
   return n;
 }
 
-void Outlet::keep(const Held& c) {
+void UpstreamClient::keep(const Held& c) {
   if (!c->reusable || c->keep_ms <= 0) return close(c);
   c->phase = Connection::Phase::idle;
   c->headed = c->bodiless = c->chunked = c->paused = c->handed = false;
@@ -156,14 +156,14 @@
   if (q.size() > most_idle) close(Held(q.front()));
 }
 
-void Outlet::lose(const Held& c, std::string reason) {
+void UpstreamClient::lose(const Held& c, std::string reason) {
   auto id = c->id;
   auto how = c->handed ? Lost::sent : Lost::unsent;
   close(c);
   if (id && events_.lost) events_.lost(id, how, std::move(reason));
 }
 
-void Outlet::close(const Held& c) {
+void UpstreamClient::close(const Held& c) {
   if (std::exchange(c->phase, Connection::Phase::gone) == Connection::Phase::gone) return;
   if (auto it = idle_.find(c->to); it != idle_.end()) {
     std::erase(it->second, c);
--- a/src/kernel/outlet.hpp
+++ b/src/kernel/upstream_client.hpp
@@ -9,7 +9,7 @@
 
 /// Asks replicas and reads their answers; keeps connections for reuse. Never sends a request twice. All of it, events
 /// too, on the loop's thread; no event comes from within ask(); must not be destroyed in an event.
-class Outlet {
+class UpstreamClient {
  public:
   struct Answer {
     uint32_t status = 0;
@@ -27,8 +27,8 @@
     std::function<void(uint64_t id)> end;
     std::function<void(uint64_t id, Lost, std::string reason)> lost;
   };
-  Outlet(Loop& loop, Events events);
-  ~Outlet();
+  UpstreamClient(Loop& loop, Events events);
+  ~UpstreamClient();
   struct Ask {
     Address to;
     std::string method, target;
@@ -38,7 +38,7 @@
     bool fresh = false;
     Millis connect_ms = 1000;
   };
-  /// The fields are sent as given, but for the framing, which is the outlet's own.
+  /// The fields are sent as given, but for the framing, which is the upstream_client's own.
   uint64_t ask(Ask a);
   /// Closes its connection; no more events of that id.
   void drop(uint64_t id);
@@ -73,7 +73,7 @@
   std::unordered_map<Connection*, Held> connections_;
   std::unordered_map<Address, std::deque<Held>> idle_;
   std::vector<char> buffer_;
-  std::shared_ptr<Outlet*> self_;
+  std::shared_ptr<UpstreamClient*> self_;
 };
 
 }  // namespace mosskeel
--- a/src/kernel/outlet_answer.cpp
+++ b/src/kernel/upstream_client_answer.cpp
@@ -6,7 +6,7 @@
 #include <cstring>
 
 #include "kernel/endpoint.hpp"
-#include "kernel/outlet_connection.hpp"
+#include "kernel/upstream_client_connection.hpp"
 
 namespace mosskeel {
 namespace {
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-void Outlet::interest(const Held& c) {
+void UpstreamClient::interest(const Held& c) {
   using P = Connection::Phase;
   if (c->phase == P::gone || !c->fd) return;
   uint32_t want = EPOLLOUT;
@@ -56,7 +56,7 @@
   c->armed = want;
 }
 
-void Outlet::ready(const Held& c, uint32_t events) {
+void UpstreamClient::ready(const Held& c, uint32_t events) {
   using P = Connection::Phase;
   if (c->phase == P::idle) return close(c);
   if (c->phase == P::connecting) return connected(c);
@@ -69,7 +69,7 @@
   if (c->phase == P::asking && (events & (EPOLLIN | EPOLLERR | EPOLLHUP))) receive(c);
 }
 
-void Outlet::connected(const Held& c) {
+void UpstreamClient::connected(const Held& c) {
   int error = 0;
   socklen_t size = sizeof error;
   ::getsockopt(c->fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
@@ -82,7 +82,7 @@
   send(c);
 }
 
-void Outlet::send(const Held& c) {
+void UpstreamClient::send(const Held& c) {
   while (c->sent < c->out.size()) {
     c->handed = true;
     auto n = ::send(c->fd.get(), c->out.data() + c->sent, c->out.size() - c->sent, MSG_NOSIGNAL);
@@ -99,7 +99,7 @@
   interest(c);
 }
 
-void Outlet::receive(const Held& c) {
+void UpstreamClient::receive(const Held& c) {
   auto n = ::recv(c->fd.get(), buffer_.data(), buffer_.size(), 0);
   if (n < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (n < 0) return lose(c, std::string("receive: ") + std::strerror(errno));
@@ -108,11 +108,11 @@
   while (c->phase == Connection::Phase::asking && read(c)) {}
 }
 
-bool Outlet::read(const Held& c) {
+bool UpstreamClient::read(const Held& c) {
   return c->headed ? read_body(c) : read_head(c);
 }
 
-bool Outlet::read_head(const Held& c) {
+bool UpstreamClient::read_head(const Held& c) {
   auto extent = head_extent(c->in, c->scanned);
   if (extent == Extent::malformed || c->scanned > longest_head) return lose(c, "head malformed or too long"), false;
   if (extent == Extent::more) return false;
@@ -132,7 +132,7 @@
   return c->phase == Connection::Phase::asking;
 }
 
-bool Outlet::read_body(const Held& c) {
+bool UpstreamClient::read_body(const Held& c) {
   if (c->bodiless) return finish(c), false;
   std::string piece;
   size_t taken = c->in.size();
@@ -151,7 +151,7 @@
   return false;
 }
 
-void Outlet::finish(const Held& c) {
+void UpstreamClient::finish(const Held& c) {
   auto id = std::exchange(c->id, 0);
   asks_.erase(id);
   if (c->in.empty() && c->out.empty())
--- a/src/kernel/outlet_connection.hpp
+++ b/src/kernel/upstream_client_connection.hpp
@@ -1,11 +1,11 @@
 #pragma once
-// What an outlet keeps of one connection.
+// What an upstream_client keeps of one connection.
 #include "kernel/framing.hpp"
-#include "kernel/outlet.hpp"
+#include "kernel/upstream_client.hpp"
 
 namespace mosskeel {
 
-struct Outlet::Connection {
+struct UpstreamClient::Connection {
   enum class Phase { connecting, asking, idle, gone };
   Fd fd;
   Address to;
--- a/tests/http/inlet_test.cpp
+++ b/tests/http/http_listener_test.cpp
@@ -182,7 +182,7 @@
 
 TEST_CASE("slow heads get 408, idle sessions are closed, too many are not taken") {
   TestServer d;
-  InletLimits l;
+  HttpListenerLimits l;
   l.head_ms = 20, l.idle_ms = 60, l.sessions = 2;
   d.in->limits(l);
   CHECK(d.talk("GET / HT").starts_with("HTTP/1.1 408 "));
--- a/tests/http/refusal_test.cpp
+++ b/tests/http/refusal_test.cpp
@@ -90,7 +90,7 @@
   }));
   CAPTURE(row.bytes);
   TestServer d;
-  InletLimits l;
+  HttpListenerLimits l;
   l.head_bytes = 2048, l.body_bytes = 1000;
   d.in->limits(l);
   auto got = d.talk(row.bytes);
--- a/tests/http/test_server.hpp
+++ b/tests/http/test_server.hpp
@@ -1,6 +1,6 @@
 #pragma once
-// An inlet whose requests are noted and answered.
-#include "kernel/inlet.hpp"
+// An http_listener whose requests are noted and answered.
+#include "kernel/http_listener.hpp"
 #include "peer.hpp"
 
 namespace mosskeel {
@@ -10,9 +10,9 @@
   std::vector<std::pair<uint64_t, HttpRequest>> asked;
   std::vector<uint64_t> left, drained;
   std::function<void(uint64_t)> answer = [this](uint64_t id) { in->whole(id, 200, {{"X-A", "b"}}, "hello"); };
-  std::unique_ptr<Inlet> in;
+  std::unique_ptr<HttpListener> in;
   TestServer() {
-    auto r = Inlet::open(loop, "127.0.0.1:0",
+    auto r = HttpListener::open(loop, "127.0.0.1:0",
                          {[this](uint64_t id, HttpRequest&& q) {
                             asked.emplace_back(id, std::move(q));
                             if (answer) answer(id);
--- a/tests/http/outlet_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -1,4 +1,4 @@
-#include "kernel/outlet.hpp"
+#include "kernel/upstream_client.hpp"
 #include "peer.hpp"
 
 using namespace mosskeel;
@@ -25,20 +25,20 @@
 
 struct AdminApi {
   struct Told {
-    std::vector<Outlet::Answer> heads;
+    std::vector<UpstreamClient::Answer> heads;
     std::string body, reason;
     int ended = 0, lost = 0;
-    Outlet::Lost how{};
+    UpstreamClient::Lost how{};
     bool over() const { return ended + lost > 0; }
   };
   Loop loop;
   Replica replica;
   std::map<uint64_t, Told> told;
-  Outlet out{
+  UpstreamClient out{
       loop,
-      {[this](uint64_t id, Outlet::Answer&& a) { told[id].heads.push_back(std::move(a)); },
+      {[this](uint64_t id, UpstreamClient::Answer&& a) { told[id].heads.push_back(std::move(a)); },
        [this](uint64_t id, std::string_view s) { told[id].body += s; }, [this](uint64_t id) { ++told[id].ended; },
-       [this](uint64_t id, Outlet::Lost how, std::string why) {
+       [this](uint64_t id, UpstreamClient::Lost how, std::string why) {
          ++told[id].lost, told[id].how = how, told[id].reason = std::move(why);
        }}};
   uint64_t ask(const std::string& method = "POST", bool fresh = false) {
@@ -161,14 +161,14 @@
   auto at = d.replica.at();
   d.replica.fd = Fd();
   auto way = GENERATE(0, 1, 2);
-  Outlet::Ask a{at, "POST", "/", {{"Host", "r"}}, "b"};
+  UpstreamClient::Ask a{at, "POST", "/", {{"Host", "r"}}, "b"};
   if (way == 1) a.to = "no-address";
   if (way == 2) a.fields.emplace_back("X", "a\r\nContent-Length: 9");
   auto id = d.out.ask(a);
   CHECK_FALSE(d.told[id].over());
   auto& t = d.over(id);
   CHECK(t.lost == 1);
-  CHECK(t.how == Outlet::Lost::unsent);
+  CHECK(t.how == UpstreamClient::Lost::unsent);
 }
 
 TEST_CASE("a connect without an answer in time is unsent") {
@@ -177,7 +177,7 @@
   Peer fills(d.replica.at());
   auto id = d.out.ask({d.replica.at(), "GET", "/", {}, "", false, 30});
   auto& t = d.over(id);
-  CHECK(t.how == Outlet::Lost::unsent);
+  CHECK(t.how == UpstreamClient::Lost::unsent);
 }
 
 TEST_CASE("what is lost after that is sent, ends once, and is never asked twice") {
@@ -202,7 +202,7 @@
   breaks ? d.busy->break_off() : d.busy->close();
   auto& t = d.over(id);
   CHECK(t.ended == 0);
-  CHECK(t.how == Outlet::Lost::sent);
+  CHECK(t.how == UpstreamClient::Lost::sent);
   turns(d.loop, 20);
   CHECK(d.replica.requests() <= before + 1);
   CHECK(d.out.opened() == 1);
--- a/tests/standin/replicas.cpp
+++ b/tests/standin/replicas.cpp
@@ -2,8 +2,8 @@
 
 namespace mosskeel::standin {
 
-std::unique_ptr<Inlet> listen(Loop& loop, const Address& at, Inlet::Events e) {
-  auto r = Inlet::open(loop, at, std::move(e));
+std::unique_ptr<HttpListener> listen(Loop& loop, const Address& at, HttpListener::Events e) {
+  auto r = HttpListener::open(loop, at, std::move(e));
   if (ok(r)) return std::move(std::get<0>(r));
   fprintf(stderr, "standin: %s: %s\n", at.c_str(), render(findings(r)).c_str());
   exit(2);
@@ -13,7 +13,7 @@
   in_ = listen(w.loop, listed.at,
                {[this](uint64_t id, HttpRequest&& r) { asked(id, std::move(r)); }, [this](uint64_t id) { left(id); },
                 [](uint64_t) {}});
-  InletLimits limits;
+  HttpListenerLimits limits;
   limits.idle_ms = 2000;
   in_->limits(limits);
 }
--- a/tests/standin/replicas.hpp
+++ b/tests/standin/replicas.hpp
@@ -36,7 +36,7 @@
   virtual void asked(uint64_t id, HttpRequest&& r) = 0;
   virtual void left(uint64_t id) = 0;
   World& w_;
-  std::unique_ptr<Inlet> in_;
+  std::unique_ptr<HttpListener> in_;
 
  private:
   bool bears();
@@ -107,9 +107,9 @@
   std::function<std::vector<Listed>()> now_;
   std::deque<std::pair<Millis, std::vector<Listed>>> past_;
   std::deque<Millis> calls_;
-  std::unique_ptr<Inlet> in_;
+  std::unique_ptr<HttpListener> in_;
 };
 
-std::unique_ptr<Inlet> listen(Loop& loop, const Address& at, Inlet::Events e);
+std::unique_ptr<HttpListener> listen(Loop& loop, const Address& at, HttpListener::Events e);
 
 }  // namespace mosskeel::standin
--- a/tests/standin/world.hpp
+++ b/tests/standin/world.hpp
@@ -2,8 +2,8 @@
 // The one loop of the stand-in, its sockets out, its addresses.
 #include <random>
 
-#include "kernel/inlet.hpp"
-#include "kernel/outlet.hpp"
+#include "kernel/http_listener.hpp"
+#include "kernel/upstream_client.hpp"
 #include "standin/book.hpp"
 
 namespace mosskeel::standin {
@@ -36,7 +36,7 @@
  public:
   explicit World(Plan p);
   /// `done` is called once, never from within.
-  void ask(Outlet::Ask a, Millis patience, std::function<void(Reply&&)> done);
+  void ask(UpstreamClient::Ask a, Millis patience, std::function<void(Reply&&)> done);
   uint64_t roll(uint64_t below) { return dice_() % below; }
   std::string name() { return hex(dice_()); }
   const Plan plan;
@@ -53,7 +53,7 @@
   void finish(uint64_t id, bool whole, bool unsent);
   std::mt19937_64 dice_{20261202};
   std::unordered_map<uint64_t, Talk> talks_;
-  Outlet out_;
+  UpstreamClient out_;
 };
 
 }  // namespace mosskeel::standin
