--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -158,7 +158,7 @@
 
 /// What somebody outside relies on once it is acknowledged.
 bool Proposer::promised(const Transformation& t) {
-  return std::visit(overload{[](const ApplyManifest&) { return true; }, [](const SetReplica&) { return true; },
+  return std::visit(overload{[](const ApplyConfiguration&) { return true; }, [](const SetReplica&) { return true; },
                              [](const DropReplica&) { return true; }, [](const EvacuateZone&) { return true; },
                              [](const RestoreZone&) { return true; }, [](const PrepareDrain&) { return true; },
                              [](const MoveSlot&) { return true; }, [](const MoveRoutes&) { return true; },
--- a/src/controller/admin_api.cpp
+++ b/src/controller/admin_api.cpp
@@ -1,7 +1,7 @@
 #include "controller/admin_api.hpp"
 
 #include "kernel/daemon.hpp"
-#include "manifest/json.hpp"
+#include "configuration/json.hpp"
 
 namespace mosskeel {
 using json::Json;
@@ -79,16 +79,16 @@
   return plain(s);
 }
 
-HttpAnswer AdminApi::put_manifest(const HttpAsk& a) {
+HttpAnswer AdminApi::put_configuration(const HttpAsk& a) {
   auto q = a.query.find("revision");
   if (q == a.query.end() || q->second.empty() || q->second.size() > 18 ||
       q->second.find_first_not_of("0123456789") != std::string::npos)
     return HttpAnswer::error(400, "invalid",
-                             Findings{{"revision", "the revision that this manifest is built on is missing"}});
-  auto m = json::parse<Manifest>(a.body);
+                             Findings{{"revision", "the revision that this configuration is built on is missing"}});
+  auto m = json::parse<Configuration>(a.body);
   if (!ok(m)) return HttpAnswer::error(400, "invalid", findings(m));
   if (auto f = check(value(m)); !f.empty()) return HttpAnswer::error(400, "invalid", f);
-  return change(ApplyManifest{Revision{std::stoull(q->second)}, value(m)}, a);
+  return change(ApplyConfiguration{Revision{std::stoull(q->second)}, value(m)}, a);
 }
 
 HttpAnswer AdminApi::put_replica(const HttpAsk& a, const std::string& name) {
@@ -176,9 +176,9 @@
     return HttpAnswer::error(503, "earlier_generation",
                              "the core was founded anew without this controller; empty its folder");
   if (a.path == "/v1/say" && a.method == "POST") return say(a);
-  if (a.path == "/v1/manifest" && a.method == "GET")
-    return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"manifest", json::write(v->manifest)}});
-  if (a.path == "/v1/manifest" && a.method == "PUT") return put_manifest(a);
+  if (a.path == "/v1/cluster/configuration" && a.method == "GET")
+    return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"configuration", json::write(v->configuration)}});
+  if (a.path == "/v1/cluster/configuration" && a.method == "PUT") return put_configuration(a);
   if (a.path == "/v1/replicas" && a.method == "GET") return replicas();
   if (a.path.starts_with("/v1/replicas/")) {
     auto n = a.path.substr(13);
--- a/src/controller/admin_api.hpp
+++ b/src/controller/admin_api.hpp
@@ -18,7 +18,7 @@
   std::optional<Absent> absent() override;
   View newest() override;
   Verdict settled() override;
-  Verdict apply(const std::string& commit, Revision base, Revision own, const Manifest& m) override;
+  Verdict apply(const std::string& commit, Revision base, Revision own, const Configuration& m) override;
   Verdict evacuate(const std::string& zone) override;
   Verdict restore(const std::string& zone) override;
   Verdict retire(const std::string& machine) override;
@@ -29,7 +29,7 @@
   CommitReply rebuild(const std::vector<DaemonId>& lost);
   HttpAnswer say(const HttpAsk& a);
   HttpAnswer change(const Transformation& t, const HttpAsk& a);
-  HttpAnswer put_manifest(const HttpAsk& a);
+  HttpAnswer put_configuration(const HttpAsk& a);
   HttpAnswer put_replica(const HttpAsk& a, const std::string& name);
   HttpAnswer replicas();
   HttpAnswer fronts();
--- a/src/controller/orders.cpp
+++ b/src/controller/orders.cpp
@@ -79,9 +79,9 @@
   return x;
 }
 
-Verdict AdminApi::apply(const std::string& id, Revision base, Revision own, const Manifest& m) {
+Verdict AdminApi::apply(const std::string& id, Revision base, Revision own, const Configuration& m) {
   auto until = deadline();
-  auto r = commit(ApplyManifest{base, m, own}, id, left(until));
+  auto r = commit(ApplyConfiguration{base, m, own}, id, left(until));
   if (r.outcome == Outcome::yes) return {Kind::done, ""};
   if (r.outcome == Outcome::unknown) return {Kind::unclear, r.reason};
   return {latest()->revision == base ? Kind::invalid : Kind::other_base, r.reason};
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -86,7 +86,7 @@
   traffic_.routing_snapshot(o, now);
   if (o->view->revision != limits_of_) {
     limits_of_ = o->view->revision;
-    auto& c = o->view->manifest.callers;
+    auto& c = o->view->configuration.callers;
     HttpListenerLimits l;
     if (c.head_bytes) l.head_bytes = c.head_bytes;
     if (c.body_bytes) l.body_bytes = c.body_bytes;
--- a/src/kernel/props.cpp
+++ b/src/kernel/props.cpp
@@ -12,7 +12,7 @@
 
 #include "kernel/limits.hpp"
 #include "kernel/log.hpp"
-#include "manifest/json.hpp"
+#include "configuration/json.hpp"
 
 namespace mosskeel {
 namespace {
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -67,12 +67,12 @@
   return m;
 }
 
-R go(Metadata m, const ApplyManifest& t) {
+R go(Metadata m, const ApplyConfiguration& t) {
   if (t.base != m.revision)
     return no("revision", "built on " + std::to_string(t.base.v) + ", in force is " + std::to_string(m.revision.v));
-  if (auto f = check(t.manifest); !f.empty()) return f;
+  if (auto f = check(t.configuration); !f.empty()) return f;
   if (t.revision.v && t.revision <= m.revision) return no("revision", "is not above " + std::to_string(m.revision.v));
-  m.manifest = t.manifest;
+  m.configuration = t.configuration;
   m.revision = t.revision.v ? t.revision : Revision{m.revision.v + 1};
   return m;
 }
--- a/src/metadata/describe.cpp
+++ b/src/metadata/describe.cpp
@@ -11,7 +11,7 @@
   return std::string(list) + "[" + std::to_string(i) + "]." + field;
 }
 
-void check_paths(const Manifest& m, Findings& f) {
+void check_paths(const Configuration& m, Findings& f) {
   std::set<std::string> services, names;
   std::set<std::pair<std::string, std::string>> places;
   for (size_t i = 0; i < m.services.size(); ++i) {
@@ -62,8 +62,8 @@
           [](const PrepareDrain& x) { return "prepare the drain of " + id(x.node); },
           [](const Advance& x) { return std::string(name(x.step)) + " the sequence of " + id(x.node); },
           [](const CancelSequence& x) { return "cancel the sequence of " + id(x.node) + ": " + x.reason; },
-          [](const ApplyManifest& x) {
-            return "apply a manifest of " + std::to_string(x.manifest.cells.size()) + " cells on revision " +
+          [](const ApplyConfiguration& x) {
+            return "apply a configuration of " + std::to_string(x.configuration.cells.size()) + " cells on revision " +
                    std::to_string(x.base.v);
           },
           [](const SetReplica& x) { return "replica " + x.replica.name + " is " + name(x.replica.fitness); },
@@ -86,7 +86,7 @@
       t);
 }
 
-Findings check(const Manifest& m) {
+Findings check(const Configuration& m) {
   Findings f;
   std::set<std::string> seen;
   for (size_t i = 0; i < m.cells.size(); ++i) {
--- a/src/metadata/steps.hpp
+++ b/src/metadata/steps.hpp
@@ -18,7 +18,7 @@
 R go(Metadata m, const AdmitCore& a);
 R go(Metadata m, const ReplaceCore& r);
 R go(Metadata m, const Refound& t);
-R go(Metadata m, const ApplyManifest& t);
+R go(Metadata m, const ApplyConfiguration& t);
 R go(Metadata m, const SetReplica& t);
 R go(Metadata m, const DropReplica& t);
 R go(Metadata m, const Recount& t);
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -49,9 +49,9 @@
   bool operator==(const CancelSequence&) const = default;
 };
 /// `revision` is the number that the operator gave; 0 stands for the next one.
-struct ApplyManifest {
-  BOOST_HANA_DEFINE_STRUCT(ApplyManifest, (Revision, base), (Manifest, manifest), (Revision, revision));
-  bool operator==(const ApplyManifest&) const = default;
+struct ApplyConfiguration {
+  BOOST_HANA_DEFINE_STRUCT(ApplyConfiguration, (Revision, base), (Configuration, configuration), (Revision, revision));
+  bool operator==(const ApplyConfiguration&) const = default;
 };
 struct SetReplica {
   BOOST_HANA_DEFINE_STRUCT(SetReplica, (Replica, replica));
@@ -112,7 +112,7 @@
 /// Append only: the index is what the log keeps.
 using Transformation =
     std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin, PrepareDrain,
-                 Advance, CancelSequence, ApplyManifest, SetReplica, DropReplica, EvacuateZone, RestoreZone, MoveSlot,
+                 Advance, CancelSequence, ApplyConfiguration, SetReplica, DropReplica, EvacuateZone, RestoreZone, MoveSlot,
                  MoveRoutes, Refound, Recount, Recounted, ListReplicas, DropCore>;
 
 struct Entry {
@@ -126,8 +126,8 @@
 /// Everybody in the directory that has not left nor lost its address to another, as a recount would have it.
 std::vector<DaemonId> everybody(const Metadata& m);
 
-/// A manifest's findings, each with its place.
-Findings check(const Manifest& m);
+/// A configuration's findings, each with its place.
+Findings check(const Configuration& m);
 
 /// One line on what a transformation does, for logs and `explain`.
 std::string describe(const Transformation& t);
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -31,13 +31,13 @@
   return n[static_cast<int>(k)];
 }
 
-const Cell* Manifest::cell(const std::string& n) const {
+const Cell* Configuration::cell(const std::string& n) const {
   for (auto& c : cells)
     if (c.name == n) return &c;
   return nullptr;
 }
 
-const Service* Manifest::service(const std::string& n) const {
+const Service* Configuration::service(const std::string& n) const {
   for (auto& s : services)
     if (s.name == n) return &s;
   return nullptr;
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -30,7 +30,7 @@
   bool operator==(const Daemon&) const = default;
 };
 
-/// `service` names the service of the manifest that it belongs to, empty for a cell's own replica; `cold_ms` is how
+/// `service` names the service of the configuration that it belongs to, empty for a cell's own replica; `cold_ms` is how
 /// much longer it is cold, counted from when its list said so.
 struct Replica {
   BOOST_HANA_DEFINE_STRUCT(Replica, (std::string, name), (std::string, kind), (std::string, zone), (std::string, url),
@@ -119,10 +119,10 @@
 };
 
 /// `document` is what the operator sent, word for word, where that was not this JSON.
-struct Manifest {
-  BOOST_HANA_DEFINE_STRUCT(Manifest, (std::vector<Cell>, cells), (std::vector<Path>, paths),
+struct Configuration {
+  BOOST_HANA_DEFINE_STRUCT(Configuration, (std::vector<Cell>, cells), (std::vector<Path>, paths),
                            (std::vector<Service>, services), (CallerLimits, callers), (std::string, document));
-  bool operator==(const Manifest&) const = default;
+  bool operator==(const Configuration&) const = default;
   static std::set<std::string> optional_fields() { return {"paths", "services", "callers", "document"}; }
   const Cell* cell(const std::string& n) const;
   const Service* service(const std::string& n) const;
@@ -143,7 +143,7 @@
   BOOST_HANA_DEFINE_STRUCT(Metadata, (Epoch, epoch), (uint64_t, cluster), (uint32_t, core_size), (uint64_t, generation),
                            (std::vector<DaemonId>, members), (Directory, directory), (uint64_t, next_id),
                            (Replicas, replicas), (std::vector<Slot>, slots), (Locks, locks), (Sequences, sequences),
-                           (Revision, revision), (Manifest, manifest), (std::set<std::string>, evacuated),
+                           (Revision, revision), (Configuration, configuration), (std::set<std::string>, evacuated),
                            (std::vector<Remembered>, remembered), (std::vector<uint64_t>, former),
                            (std::vector<DaemonId>, quorum), (std::vector<DaemonId>, incoming), (Epoch, recounted),
                            (uint32_t, core_most), (uint32_t, copies));
--- a/src/mosskeelctl/main.cpp
+++ b/src/mosskeelctl/main.cpp
@@ -68,7 +68,7 @@
     if (!in) return usage(("file " + f->first + " cannot be read").c_str());
     a.method = "PUT";
     a.body = t.str();
-    auto r = ask(v, a, "/v1/manifest?revision=" + f->second);
+    auto r = ask(v, a, "/v1/cluster/configuration?revision=" + f->second);
     if (!r) return puts("unknown: no controller gave an answer; ask again with the same --id or show the revision"), 3;
     printf("%s: %s", r->status == 200 ? "yes" : "no", r->body.c_str());
     return r->status == 200 ? 0 : 1;
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <sstream>
 
-#include "manifest/json.hpp"
+#include "configuration/json.hpp"
 #include "operator/language.hpp"
 
 namespace mosskeel::operators {
@@ -59,8 +59,8 @@
     o << "epoch " << m.epoch.v << " revision " << m.revision.v << " cluster " << hex(m.cluster) << "\n";
   if (s.what == "fleet") fleet(o, m);
   if (s.what == "cells")
-    for (auto& c : m.manifest.cells) o << c.name << "\n";
-  if (s.what == "manifest") o << "revision " << m.revision.v << "\n" << json::write(m.manifest).dump(2) << "\n";
+    for (auto& c : m.configuration.cells) o << c.name << "\n";
+  if (s.what == "configuration") o << "revision " << m.revision.v << "\n" << json::write(m.configuration).dump(2) << "\n";
   if (s.what == "replicas")
     for (auto& [n, r] : m.replicas)
       o << n << " " << r.kind << " " << name(r.fitness) << " zone " << r.zone << " places " << r.places << " at "
@@ -72,7 +72,7 @@
       o << name(q.kind) << " of daemon " << id.v << " since epoch " << q.started.v << ", next step " << name(q.due)
         << ", " << q.moves.size() << " slots\n";
   if (s.what == "cell") {
-    auto* c = m.manifest.cell(s.name);
+    auto* c = m.configuration.cell(s.name);
     if (!c) return "no: cell " + s.name + " is unknown";
     o << "revision " << m.revision.v << "\n" << json::write(*c).dump(2) << "\n";
   }
--- a/src/operator/control.hpp
+++ b/src/operator/control.hpp
@@ -26,8 +26,8 @@
   virtual View newest() = 0;
   /// Done once everything that this controller knows is in force.
   virtual Verdict settled() = 0;
-  /// Applies a manifest under its own revision on top of `base`; a repeated `commit` is never applied twice.
-  virtual Verdict apply(const std::string& commit, Revision base, Revision own, const Manifest& m) = 0;
+  /// Applies a configuration under its own revision on top of `base`; a repeated `commit` is never applied twice.
+  virtual Verdict apply(const std::string& commit, Revision base, Revision own, const Configuration& m) = 0;
   virtual Verdict evacuate(const std::string& zone) = 0;
   virtual Verdict restore(const std::string& zone) = 0;
   /// Empties the store on this machine; refused where too few copies would remain.
--- a/src/operator/language.cpp
+++ b/src/operator/language.cpp
@@ -71,7 +71,7 @@
 };
 
 std::optional<Command> show_sentence(Parser& p) {
-  for (auto* w : {"fleet", "epoch", "cells", "replicas", "slots", "sequences", "manifest"})
+  for (auto* w : {"fleet", "epoch", "cells", "replicas", "slots", "sequences", "configuration"})
     if (p.take(w)) return p.end() ? std::optional<Command>(Show{w, ""}) : std::nullopt;
   std::string n;
   if (p.take("cell") && p.word(n, "a cell's name") && p.end()) return Show{"cell", n};
@@ -177,7 +177,7 @@
 }
 
 Result<Transformation> to_change(const Command& c, const Metadata& m) {
-  auto next = m.manifest;
+  auto next = m.configuration;
   auto find = [&](const std::string& n) {
     for (auto i = next.cells.begin(); i != next.cells.end(); ++i)
       if (i->name == n) return i;
@@ -200,7 +200,7 @@
     if (x->field == "turn") i->turn_limit = x->value;
     if (x->field == "retention") i->retention_ms = static_cast<int64_t>(x->value);
   }
-  return Transformation{ApplyManifest{m.revision, next}};
+  return Transformation{ApplyConfiguration{m.revision, next}};
 }
 
 }  // namespace mosskeel::operators
--- a/src/request/dispatch.cpp
+++ b/src/request/dispatch.cpp
@@ -172,7 +172,7 @@
 
 void GatewayMachine::history(Ref w, Millis now) {
   auto& v = keep_.records(w.line);
-  auto* c = led_.view()->manifest.cell(w.e.cell);
+  auto* c = led_.view()->configuration.cell(w.e.cell);
   if (v.empty())
     return refuse(w, 404, "the conversation is missing: a majority of its stores keeps no such turns", 0, now);
   nlohmann::json j{{"program", w.e.program}, {"turns", nlohmann::json::array()}};
--- a/src/request/owner.cpp
+++ b/src/request/owner.cpp
@@ -104,7 +104,7 @@
 /// Whether the turn may go on; otherwise it was answered, or waits.
 bool GatewayMachine::examine(Ref w, Millis now) {
   auto& v = keep_.records(w.line);
-  auto* c = led_.view()->manifest.cell(w.e.cell);
+  auto* c = led_.view()->configuration.cell(w.e.cell);
   if (!c) return refuse(w, 404, "cell '" + w.e.cell + "' is unknown", 0, now), false;
   std::map<std::string, const Record*> last, intents;
   for (auto& r : v) {
@@ -177,7 +177,7 @@
   r.turn = w.turn;
   r.runner = me()->id;
   r.input = w.e.body;
-  r.keep_ms = led_.view()->manifest.cell(w.e.cell)->retention_ms;
+  r.keep_ms = led_.view()->configuration.cell(w.e.cell)->retention_ms;
   w.settled = r;
   w.stage = Stage::intending;
   w.mark = keep_.append(w.line, r, now);
@@ -194,7 +194,7 @@
   r.tokens = tokens;
   r.output = status == 200 ? w.text : reason;
   r.input.clear();
-  if (auto* c = led_.view()->manifest.cell(w.e.cell)) r.keep_ms = std::max(r.keep_ms, c->retention_ms);
+  if (auto* c = led_.view()->configuration.cell(w.e.cell)) r.keep_ms = std::max(r.keep_ms, c->retention_ms);
   if (keep_.term(w.line) != w.term) {
     w.asked = now;
     return hand_over(w, now);
--- a/src/request/policies.cpp
+++ b/src/request/policies.cpp
@@ -30,7 +30,7 @@
   int order() const override { return 20; }
   const char* name() const override { return "authenticate"; }
   std::optional<Refusal> judge(Request& e, const Situation& s) const override {
-    auto* c = s.m.manifest.cell(e.cell);
+    auto* c = s.m.configuration.cell(e.cell);
     if (!c) return Refusal{404, "cell '" + e.cell + "' is unknown", 0};
     for (auto& r : c->routes)
       if (r.name == e.route && r.kind == e.kind) return std::nullopt;
@@ -43,7 +43,7 @@
   int order() const override { return 30; }
   const char* name() const override { return "classify"; }
   std::optional<Refusal> judge(Request& e, const Situation& s) const override {
-    auto* c = s.m.manifest.cell(e.cell);
+    auto* c = s.m.configuration.cell(e.cell);
     if (e.kind == "model") {
       e.repeatable = false;
       if (e.program.empty()) return Refusal{400, "program: is empty", 0};
--- a/src/request/select_replica.cpp
+++ b/src/request/select_replica.cpp
@@ -27,7 +27,7 @@
 
 const Replica* ReplicaSelector::select_replica(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
   any = false;
-  auto* c = m.manifest.cell(e.cell);
+  auto* c = m.configuration.cell(e.cell);
   if (!c) return nullptr;
   const Route* route = nullptr;
   for (auto& r : c->routes)
--- a/src/traffic/load_balancer.cpp
+++ b/src/traffic/load_balancer.cpp
@@ -35,7 +35,7 @@
     auto rank = [&](DaemonId id) { return digest(n, id.v + 1); };
     auto first = std::min_element(fronts.begin(), fronts.end(), [&](auto a, auto b) { return rank(a) < rank(b); });
     s.mine = r.fitness != Fitness::cold || (first != fronts.end() && *first == me_);
-    auto* c = m.manifest.service(r.service);
+    auto* c = m.configuration.service(r.service);
     s.rate = r.fitness == Fitness::cold && c ? c->cold_per_s * limits::cold_share : 0;
     if (r.fitness == Fitness::cold && s.since != r.since) s.tokens = 1, s.cold_at = now;
     s.since = r.since;
--- a/src/traffic/paths.cpp
+++ b/src/traffic/paths.cpp
@@ -3,7 +3,7 @@
 namespace mosskeel {
 
 PathTable::PathTable(View v) : view_(std::move(v)) {
-  for (auto& p : view_->manifest.paths) {
+  for (auto& p : view_->configuration.paths) {
     by_[p.host + "\n" + p.prefix] = &p;
     auto& n = longest_[p.host];
     n = std::max(n, p.prefix.size());
--- a/src/traffic/paths.hpp
+++ b/src/traffic/paths.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// The lookup of a manifest's paths by host and longest prefix, built once a revision.
+// The lookup of a configuration's paths by host and longest prefix, built once a revision.
 #include <unordered_map>
 
 #include "metadata/values.hpp"
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -33,7 +33,7 @@
 }
 
 uint64_t Traffic::tokens(const TurnCall& c) const {
-  auto* s = c.view->manifest.service(c.service);
+  auto* s = c.view->configuration.service(c.service);
   return c.events.events() * (s && s->event_tokens ? s->event_tokens : 1);
 }
 
@@ -43,7 +43,7 @@
       TellOwner{TurnSettle{c.words.attempt, c.words.program, status, tokens(c), kept, kept ? c.events.data() : ""}});
 }
 
-/// A newer manifest may lead elsewhere by now, or nowhere.
+/// A newer configuration may lead elsewhere by now, or nowhere.
 bool Traffic::reroute(Call& c) {
   if (c.view->revision == table_->view()->revision) return true;
   auto* p = table_->find(c.request.host, c.request.target);
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -15,7 +15,7 @@
   return p;
 }
 
-/// A ledger at epoch 1 and entries that each apply a manifest of so many cells.
+/// A ledger at epoch 1 and entries that each apply a configuration of so many cells.
 Ledger ledger(int changes, int cells) {
   auto p = small();
   Ledger l;
@@ -23,7 +23,7 @@
   l.jump(scale::rest(p, seats));
   p.cells = cells;
   for (int i = 0; i < changes; ++i)
-    l.add({next(l.epoch()), "", ApplyManifest{l.view()->revision, scale::manifest(p), {}}});
+    l.add({next(l.epoch()), "", ApplyConfiguration{l.view()->revision, scale::configuration(p), {}}});
   return l;
 }
 
--- a/tests/language_test.cpp
+++ b/tests/language_test.cpp
@@ -14,7 +14,7 @@
        "'cancel', "
        "'replace', 'forget' or 'move', found the end"},
       {"show",
-       "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'manifest' or 'cell', found "
+       "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'configuration' or 'cell', found "
        "the end"},
       {"drain zone", "position 11: expected a zone's name, found the end"},
       {"retire store seven", "position 14: expected a daemon's number, found 'seven'"},
@@ -40,8 +40,8 @@
   m.revision = Revision{4};
   auto d = operators::to_change(value(operators::parse("create cell news budget 400 turn 40 retention 60000")), m);
   REQUIRE(ok(d));
-  auto& a = std::get<ApplyManifest>(value(d));
+  auto& a = std::get<ApplyConfiguration>(value(d));
   CHECK(a.base == Revision{4});
-  CHECK(a.manifest.cells.at(0).budget == 400);
+  CHECK(a.configuration.cells.at(0).budget == 400);
   CHECK(ok(operators::to_change(value(operators::parse("drop cell news")), m)) == false);
 }
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -191,7 +191,7 @@
        "kind: is neither model nor app; url: does not begin with http://"},
       {SetReplica{{"m", "model", "a", "http://x", Fitness::ready, {}, 5000}}, "places: must be from 1 to 4096"},
       {Recounted{Epoch{3}}, "none of epoch 3 is under way"},
-      {ApplyManifest{Revision{3}, {}}, "built on 3, in force is 0"},
+      {ApplyConfiguration{Revision{3}, {}}, "built on 3, in force is 0"},
       {Found{8, 3, {}}, "is founded already"},
       {Register{who(21, Role::front, "a")}, "is registered already"},
   };
@@ -209,13 +209,13 @@
   CHECK(f.m.members.front() == f.id("controller4"));
 }
 
-TEST_CASE("of two manifests on one revision only one is taken, with every finding") {
+TEST_CASE("of two configurations on one revision only one is taken, with every finding") {
   Fleet f;
   Cell c{"news", 400, 40, 60000, {{"chat", "model", {}}}};
-  f.must(ApplyManifest{Revision{0}, {{c}}});
-  CHECK(f.refused(ApplyManifest{Revision{0}, {{c}}}) == "revision: built on 0, in force is 1");
+  f.must(ApplyConfiguration{Revision{0}, {{c}}});
+  CHECK(f.refused(ApplyConfiguration{Revision{0}, {{c}}}) == "revision: built on 0, in force is 1");
   Cell bad{"", 0, 50, 10, {{"", "x", {}}, {"", "app", {}}}};
-  auto why = f.refused(ApplyManifest{Revision{1}, {{c, c, bad}}});
+  auto why = f.refused(ApplyConfiguration{Revision{1}, {{c, c, bad}}});
   for (auto* s : {"cells[1].name: 'news' is there twice", "cells[2].name: must be", "cells[2].budget: must be above",
                   "cells[2].turn_limit: exceeds", "cells[2].retention_ms: must", "cells[2].routes[0].kind: is neither",
                   "cells[2].routes[1].name: '' is there twice"})
--- a/tests/platform_admin_api_test.cpp
+++ b/tests/platform_admin_api_test.cpp
@@ -21,13 +21,13 @@
   bool cut = false;
   std::vector<std::string> asked;
   Revision base{}, own{};
-  Manifest manifest{};
+  Configuration configuration{};
   std::optional<Absent> absent() override { return away; }
   View newest() override { return cut ? nullptr : std::make_shared<Metadata>(m); }
   Verdict settled() override { return asked.push_back("settled"), Verdict{Kind::done, ""}; }
-  Verdict apply(const std::string& c, Revision b, Revision o, const Manifest& x) override {
+  Verdict apply(const std::string& c, Revision b, Revision o, const Configuration& x) override {
     asked.push_back(c);
-    base = b, own = o, manifest = x;
+    base = b, own = o, configuration = x;
     return verdict;
   }
   Verdict order(const std::string& s) { return asked.push_back(s), verdict; }
@@ -69,7 +69,7 @@
   CHECK(c.go("PUT", "/v1/config", text, "5").status == 200);
   CHECK(c.base == Revision{5});
   CHECK(c.own == Revision{7});
-  CHECK(c.manifest.document == text);
+  CHECK(c.configuration.document == text);
   c.go("PUT", "/v1/config", text, "\"5\"");
   REQUIRE(c.asked.size() == 2);
   CHECK(c.asked[0] == c.asked[1]);
@@ -99,10 +99,10 @@
 TEST_CASE("a configuration that is in place already is acknowledged on another base too, once in force") {
   Core c;
   c.verdict.kind = Kind::other_base;
-  c.m.manifest.document = R"({ "Revision": 7, "Services": [{"Name":"s"}], "Routes": [] })";
+  c.m.configuration.document = R"({ "Revision": 7, "Services": [{"Name":"s"}], "Routes": [] })";
   CHECK(c.go("PUT", "/v1/config", text, "5").status == 200);
   CHECK(c.asked.back() == "settled");
-  c.m.manifest.document = "{}";
+  c.m.configuration.document = "{}";
   CHECK(c.go("PUT", "/v1/config", text, "5").status == 412);
   c.cut = true;
   CHECK(c.go("PUT", "/v1/config", text, "5").status == 503);
@@ -111,11 +111,11 @@
 TEST_CASE("named items are changed on the document in place, and once taken a resend is acknowledged") {
   Core c;
   const char* patch = R"({"Revision":9,"Upsert":{"Services":[{"Name":"t"}]}})";
-  c.m.manifest.document = text;
+  c.m.configuration.document = text;
   c.m.revision = Revision{7};
   CHECK(c.go("PATCH", "/v1/config", patch, "7").status == 200);
   CHECK(c.own == Revision{9});
-  CHECK(c.manifest.services.size() == 2);
+  CHECK(c.configuration.services.size() == 2);
   CHECK(c.go("PATCH", "/v1/config", patch, "6").status == 412);
   CHECK(c.go("PATCH", "/v1/config", "{}", "7").status == 400);
   auto commit = c.asked.front();
@@ -130,7 +130,7 @@
 TEST_CASE("the configuration is read back only when confirmed as the newest") {
   Core c;
   CHECK(c.go("GET", "/v1/config").status == 404);
-  c.m.manifest.document = text;
+  c.m.configuration.document = text;
   CHECK(c.go("GET", "/v1/config").body == text);
   c.cut = true;
   CHECK(c.go("GET", "/v1/config").status == 503);
@@ -151,7 +151,7 @@
   CHECK(c.go("GET", "/v1/config").status == 503);
   CHECK(c.asked.empty());
   auto* d = control_dialect("platform");
-  for (auto* path : {"/v1/manifest", "/v1/evacuate/", "/v1/retire/a/b", "/v1/say"})
+  for (auto* path : {"/v1/cluster/configuration", "/v1/evacuate/", "/v1/retire/a/b", "/v1/say"})
     CHECK_FALSE(d->answer({"POST", path, "", {}, {}}, c));
 }
 
--- a/tests/platform_config_test.cpp
+++ b/tests/platform_config_test.cpp
@@ -28,18 +28,18 @@
   return Json::parse(whole);
 }
 
-std::string refused(const Result<platform::Configuration>& r) {
+std::string refused(const Result<platform::ConfigurationDocument>& r) {
   REQUIRE_FALSE(ok(r));
   return render(findings(r));
 }
 
 }  // namespace
 
-TEST_CASE("a whole configuration becomes a manifest and is kept word for word") {
+TEST_CASE("a whole configuration becomes a configuration and is kept word for word") {
   auto r = configuration(whole);
   INFO((ok(r) ? "" : render(findings(r))));
   REQUIRE(ok(r));
-  auto& m = value(r).manifest;
+  auto& m = value(r).configuration;
   CHECK(value(r).revision == Revision{7});
   CHECK(m.document == whole);
   CHECK(m.cells.empty());
@@ -116,8 +116,8 @@
   Metadata m{};
   m.revision = Revision{7};
   for (uint64_t own : {uint64_t{6}, uint64_t{7}})
-    CHECK_FALSE(ok(apply(m, {Epoch{1}, "", ApplyManifest{Revision{7}, r.manifest, Revision{own}}})));
-  auto up = apply(m, {Epoch{1}, "", ApplyManifest{Revision{7}, r.manifest, Revision{12}}});
+    CHECK_FALSE(ok(apply(m, {Epoch{1}, "", ApplyConfiguration{Revision{7}, r.configuration, Revision{own}}})));
+  auto up = apply(m, {Epoch{1}, "", ApplyConfiguration{Revision{7}, r.configuration, Revision{12}}});
   REQUIRE(ok(up));
   CHECK(value(up).revision == Revision{12});
 }
@@ -129,7 +129,7 @@
               {"Name":"r-c","Host":"h","PathPrefix":"/","RouteKind":"unsafe","TimeoutMs":7,"Service":"huvo11a"}]}})");
   INFO((ok(r) ? "" : render(findings(r))));
   REQUIRE(ok(r));
-  auto j = Json::parse(value(r).manifest.document);
+  auto j = Json::parse(value(r).configuration.document);
   CHECK(value(r).revision == Revision{9});
   CHECK(j["Revision"] == 9);
   CHECK(j["Extra"] == 1);
@@ -138,11 +138,11 @@
   REQUIRE(j["Routes"].size() == 2);
   CHECK(j["Routes"][0]["New"] == true);
   CHECK(j["Routes"][1]["Name"] == "r-c");
-  CHECK(value(r).manifest.paths[0].timeout_ms == 50);
+  CHECK(value(r).configuration.paths[0].timeout_ms == 50);
   auto kept = changed(whole, R"({"Revision":8,"Upsert":{"Services":[{"Name":"third"}]}})");
   REQUIRE(ok(kept));
-  CHECK(Json::parse(value(kept).manifest.document)["Routes"] == doc()["Routes"]);
-  CHECK(value(kept).manifest.services.size() == 3);
+  CHECK(Json::parse(value(kept).configuration.document)["Routes"] == doc()["Routes"]);
+  CHECK(value(kept).configuration.services.size() == 3);
 }
 
 TEST_CASE("a change on an empty document founds one, and a wrong change is refused") {
--- a/tests/request_test.cpp
+++ b/tests/request_test.cpp
@@ -77,10 +77,10 @@
 
 TEST_CASE("a conversation is kept for its retention and has then ended") {
   Fleet f;
-  auto m = f.w.node("controller1").machine->view()->manifest;
+  auto m = f.w.node("controller1").machine->view()->configuration;
   m.cells[0].retention_ms = 5000;
   bool done = false;
-  f.c.commit(ApplyManifest{Revision{1}, m}, [&](const CommitReply& r) { done = r.outcome == Outcome::yes; });
+  f.c.commit(ApplyConfiguration{Revision{1}, m}, [&](const CommitReply& r) { done = r.outcome == Outcome::yes; });
   REQUIRE(f.w.until(5000, [&] { return done; }));
   f.w.run(1000);
   CHECK(f.turn("p", "k1", "a").status == 200);
--- a/tests/sim/callers.hpp
+++ b/tests/sim/callers.hpp
@@ -32,7 +32,7 @@
 class Callers {
  public:
   Callers(World& w, int models, int apps, uint64_t budget, uint64_t turn_limit);
-  /// Founds the manifest and lists the replicas; false if the cluster does not come up.
+  /// Founds the configuration and lists the replicas; false if the cluster does not come up.
   bool introduce();
   /// Starts programs every `gap` ms until `end`.
   void traffic(Millis gap, Millis end);
--- a/tests/sim/day.cpp
+++ b/tests/sim/day.cpp
@@ -44,16 +44,16 @@
   return v;
 }
 
-/// One acknowledged change of the manifest; its revision, or 0.
+/// One acknowledged change of the configuration; its revision, or 0.
 uint64_t change(Day& d, Millis patience) {
   auto v = latest(d.w);
-  if (!v || v->manifest.cells.empty()) return 0;
-  auto m = v->manifest;
+  if (!v || v->configuration.cells.empty()) return 0;
+  auto m = v->configuration;
   m.cells[0].retention_ms += 1;
   auto got = std::make_shared<uint64_t>(0);
   auto over = std::make_shared<bool>(false);
   d.c.commit(
-      ApplyManifest{v->revision, m},
+      ApplyConfiguration{v->revision, m},
       [=](const CommitReply& r) {
         if (r.outcome == Outcome::yes) *got = v->revision.v + 1;
         *over = true;
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -22,7 +22,7 @@
 void must_serve(Day& d, Millis ms, const char* during);
 /// The newest value that any living controller holds.
 View latest(World& w);
-/// One acknowledged change of the manifest; its revision, or 0.
+/// One acknowledged change of the configuration; its revision, or 0.
 uint64_t change(Day& d, Millis patience);
 void in_force(Day& d, uint64_t revision, Millis within);
 
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -35,7 +35,7 @@
             if (r->outcome == Outcome::yes) {
               ++commits_yes;
               acknowledged(t);
-              if (auto* man = std::get_if<ApplyManifest>(&t)) {
+              if (auto* man = std::get_if<ApplyConfiguration>(&t)) {
                 Revision now{man->base.v + 1};
                 auto [i, fresh] = acked_.emplace(now, id);
                 if (!fresh && i->second != id)
@@ -59,14 +59,14 @@
   (*attempt)();
 }
 
-/// From an acknowledgement on its limits count: for drains at a replica's door, for manifests at every front in touch.
+/// From an acknowledgement on its limits count: for drains at a replica's door, for configurations at every front in touch.
 void Callers::acknowledged(const Transformation& t) {
   if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness == Fitness::leaving)
     replicas[s->replica.name].leaving_since = w_.now();
   if (auto* z = std::get_if<EvacuateZone>(&t))
     for (auto& [n, r] : replicas)
       if (r.zone == z->zone) r.evacuated_since = w_.now();
-  auto* m = std::get_if<ApplyManifest>(&t);
+  auto* m = std::get_if<ApplyConfiguration>(&t);
   if (!m) return;
   w_.at(w_.now() + 2100, [this, rev = Revision{m->base.v + 1}] {
     for (auto& s : w_.names(Kind::gateway))
@@ -92,7 +92,7 @@
         [&left](const CommitReply& c) { left -= c.outcome == Outcome::yes; }, "", 60000);
   Cell c{"news", budget_, limit_, 3600000, {{"chat", "model", {}}, {"app", "app", {}}}};
   commit(
-      ApplyManifest{Revision{0}, {{c}}}, [&left](const CommitReply& r) { left -= r.outcome == Outcome::yes; }, "",
+      ApplyConfiguration{Revision{0}, {{c}}}, [&left](const CommitReply& r) { left -= r.outcome == Outcome::yes; }, "",
       60000);
   return w_.until(60000, [&] {
     if (left) return false;
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -46,13 +46,13 @@
   }
   /// Applies this list of cells beside the first one.
   void cells(const std::vector<Cell>& v) {
-    auto m = latest(d.w)->manifest;
+    auto m = latest(d.w)->configuration;
     m.cells.resize(1);
     for (auto& c : v) m.cells.push_back(c);
     auto over = std::make_shared<bool>(false);
-    d.c.commit(ApplyManifest{latest(d.w)->revision, m},
+    d.c.commit(ApplyConfiguration{latest(d.w)->revision, m},
                [over](const CommitReply& r) { *over = r.outcome == Outcome::yes; });
-    if (!d.w.until(10000, [over] { return *over; })) d.w.fail("the manifest was not acknowledged");
+    if (!d.w.until(10000, [over] { return *over; })) d.w.fail("the configuration was not acknowledged");
     d.w.run(300);
   }
   void expect(const Kept& k, uint32_t status, const char* when) {
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -66,7 +66,7 @@
   d.w.run(12000);
 }
 
-/// Operators race, and every acknowledged manifest is in force in 2 s everywhere in touch.
+/// Operators race, and every acknowledged configuration is in force in 2 s everywhere in touch.
 void storm(Day& d) {
   auto& w = d.w;
   d.c.traffic(150, w.now() + 15000);
@@ -76,9 +76,9 @@
     if (w.now() >= end) return;
     auto v = w.node("controller1").machine ? w.node("controller1").machine->view() : nullptr;
     if (v) {
-      auto m = v->manifest;
+      auto m = v->configuration;
       if (!m.cells.empty()) m.cells[0].retention_ms += 1;
-      d.c.commit(ApplyManifest{v->revision, m}, [](const CommitReply&) {});
+      d.c.commit(ApplyConfiguration{v->revision, m}, [](const CommitReply&) {});
     }
     w.at(w.now() + 20 + w.below(150), *change);
   };
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -86,9 +86,9 @@
     case 8:  // two operators race in a storm
       for (int i = 0; i < 20; ++i) {
         auto v = latest(w);
-        auto m = v->manifest;
+        auto m = v->configuration;
         m.cells[0].retention_ms += 1 + i;
-        for (int k = 0; k < 2; ++k) d.c.commit(ApplyManifest{v->revision, m}, [](const CommitReply&) {});
+        for (int k = 0; k < 2; ++k) d.c.commit(ApplyConfiguration{v->revision, m}, [](const CommitReply&) {});
         w.run(150);
       }
       break;
@@ -221,7 +221,7 @@
   w.run(2000);
   auto from = latest(w)->at("gateway1")->id, to = latest(w)->at("gateway3")->id;
   yes(MoveRoutes{from, to}, "the move of routes");
-  if (!change(d, 10000)) w.fail("a manifest was not acknowledged");
+  if (!change(d, 10000)) w.fail("a configuration was not acknowledged");
   w.run(3000);
   if (auto n = d.c.unknowns + d.c.count_unknown) {
     w.fail(std::to_string(n) + " answers were lost in planned work");
--- a/tests/traffic/front.hpp
+++ b/tests/traffic/front.hpp
@@ -50,12 +50,12 @@
       auto n = s + std::to_string(i);
       m.replicas[n] = listed(n, s, "z1", 8);
     }
-  m.manifest.services = {service("app", 0), service("model", 4), service("spare", 0)};
-  m.manifest.paths = {path("safe", "safe", "app"),          path("unsafe", "unsafe", "app"),
+  m.configuration.services = {service("app", 0), service("model", 4), service("spare", 0)};
+  m.configuration.paths = {path("safe", "safe", "app"),          path("unsafe", "unsafe", "app"),
                       path("stream", "streaming", "model"), path("resume", "streaming", "model"),
                       path("turn", "streaming", "model"),   path("brief", "streaming", "model")};
-  m.manifest.paths[3].resumable = true;
-  m.manifest.paths[4].kept = true;
+  m.configuration.paths[3].resumable = true;
+  m.configuration.paths[4].kept = true;
   return m;
 }
 
--- a/tests/traffic/parts_test.cpp
+++ b/tests/traffic/parts_test.cpp
@@ -30,8 +30,8 @@
 TEST_CASE("the longest prefix that begins the path leads, the query does not count") {
   auto m = std::make_shared<Metadata>();
   for (auto p : {"/a/", "/a/b/", "/a/b/c/d/", "/q/"}) {
-    m->manifest.paths.push_back(path(p, "safe", "app"));
-    m->manifest.paths.back().prefix = p;
+    m->configuration.paths.push_back(path(p, "safe", "app"));
+    m->configuration.paths.back().prefix = p;
   }
   PathTable t(m);
   auto led = [&](const char* target, const char* host = "h.example") {
@@ -131,7 +131,7 @@
     Choice c;
     c.m.replicas = {{"app1", listed("app1", "app", "z1", 1000)}};
     c.m.replicas["app1"].fitness = Fitness::cold;
-    c.m.manifest.services[0].cold_per_s = 19;
+    c.m.configuration.services[0].cold_per_s = 19;
     c.update(me);
     std::vector<Millis> at;
     for (; c.now < 6000; ++c.now)
--- a/tests/traffic/turns_test.cpp
+++ b/tests/traffic/turns_test.cpp
@@ -159,25 +159,25 @@
   CHECK(f.all<AskReplica>().size() == 1);
 }
 
-TEST_CASE("a manifest that changes between asking and offering leads by the new one") {
+TEST_CASE("a configuration that changes between asking and offering leads by the new one") {
   Front f;
   auto a = f.ask("turn");
   f.m.revision = Revision{2};
   SECTION("to another service") {
-    f.m.manifest.paths[4].shares = {{"spare", 1}};
+    f.m.configuration.paths[4].shares = {{"spare", 1}};
     f.publish();
     f.grant(a);
     CHECK(f.one<AskReplica>().to.starts_with("spare"));
   }
   SECTION("nowhere") {
-    f.m.manifest.paths.erase(f.m.manifest.paths.begin() + 4);
+    f.m.configuration.paths.erase(f.m.configuration.paths.begin() + 4);
     f.publish();
     f.grant(a);
     CHECK(f.one<AnswerWhole>().status == 404);
     CHECK(f.told().status == 0);
   }
   SECTION("to a path of another kind: it is there, so it may be asked again") {
-    f.m.manifest.paths[4].kept = false;
+    f.m.configuration.paths[4].kept = false;
     f.publish();
     f.grant(a);
     CHECK(f.one<AnswerWhole>().status == 503);
@@ -188,7 +188,7 @@
 
 TEST_CASE("what waits is served by rank, then by age, and refused at its hold") {
   Front f;
-  f.m.manifest.paths[0].rank = 2;
+  f.m.configuration.paths[0].rank = 2;
   for (auto n : {"app2", "app3"}) f.m.replicas.erase(n);
   f.m.replicas["app1"].places = 1;
   f.m.revision = Revision{2};
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 #include "kernel/log.hpp"
 #include "kernel/limits.hpp"
 #include "kernel/wire.hpp"
-#include "manifest/json.hpp"
+#include "configuration/json.hpp"
 
 using namespace mosskeel;
 
@@ -52,11 +52,11 @@
   CHECK_FALSE(decode(bytes));
 }
 
-TEST_CASE("a manifest's JSON is read whole or with all findings and their places") {
-  auto good = json::parse<Manifest>(
+TEST_CASE("a configuration's JSON is read whole or with all findings and their places") {
+  auto good = json::parse<Configuration>(
       R"({"cells":[{"name":"n","budget":4,"turn_limit":2,"retention_ms":1000,"routes":[{"name":"c","kind":"model"}]}]})");
   REQUIRE(ok(good));
-  CHECK(json::parse<Manifest>(json::write(value(good)).dump()) == good);
+  CHECK(json::parse<Configuration>(json::write(value(good)).dump()) == good);
   struct Row {
     const char *text, *findings;
   };
@@ -70,7 +70,7 @@
        "cells[0].retention_ms: must be a whole number; cells[0].routes: must be a list; cells[0].more: is not known"},
   };
   for (auto& r : rows) {
-    auto m = json::parse<Manifest>(r.text);
+    auto m = json::parse<Configuration>(r.text);
     REQUIRE_FALSE(ok(m));
     CHECK(render(findings(m)) == r.findings);
   }
--- a/tools/local-cluster/fleet.cpp
+++ b/tools/local-cluster/fleet.cpp
@@ -194,7 +194,7 @@
   }
   Json routes = Json::array({{{"name", "chat"}, {"kind", "model"}}, {{"name", "app"}, {"kind", "app"}}});
   Json cell{{"name", "news"}, {"budget", 400}, {"turn_limit", 40}, {"retention_ms", 3600000}, {"routes", routes}};
-  return put("/v1/manifest?revision=0", {{"cells", Json::array({cell})}});
+  return put("/v1/cluster/configuration?revision=0", {{"cells", Json::array({cell})}});
 }
 
 }  // namespace mosskeel::local_cluster
--- a/tools/local-cluster/fleet.hpp
+++ b/tools/local-cluster/fleet.hpp
@@ -35,7 +35,7 @@
   Findings act(const std::string& what, const std::string& name);
   std::vector<Proc> list();
   std::vector<Address> controllers();
-  /// Tells the platform side of the core about the replicas, and applies the first manifest.
+  /// Tells the platform side of the core about the replicas, and applies the first configuration.
   Findings introduce();
 
  private:
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -191,9 +191,9 @@
   int yes = 0;
   for (int i = 0; i < changes; ++i) {
     auto v = f.stations()[majority].machine->view();
-    auto m = v->manifest;
+    auto m = v->configuration;
     m.cells[0].budget += 1;
-    yes += commit(f, majority, ApplyManifest{v->revision, m, {}}, "cut-" + std::to_string(i));
+    yes += commit(f, majority, ApplyConfiguration{v->revision, m, {}}, "cut-" + std::to_string(i));
   }
   r.counts["acknowledged"] = yes;
   r.counts["changes"] = changes;
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 #include "consensus/controller_machine.hpp"
-#include "manifest/json.hpp"
+#include "configuration/json.hpp"
 #include "scale/experiments.hpp"
 #include "scale/field.hpp"
 
@@ -79,13 +79,13 @@
   f.forget();
   auto& m = f.of(Part::controller, 0);
   auto v = m.machine->view();
-  auto next_one = v->manifest;
+  auto next_one = v->configuration;
   if (!next_one.cells.empty()) next_one.cells[0].budget += 1;
   Envelope e{};
   e.from = "local:operator";
   e.cluster = v->cluster;
   e.epoch = v->epoch;
-  e.body = Commit{"operator-" + std::to_string(seed), ApplyManifest{v->revision, next_one, {}}, v->epoch};
+  e.body = Commit{"operator-" + std::to_string(seed), ApplyConfiguration{v->revision, next_one, {}}, v->epoch};
   std::vector<Millis> in_force;
   Millis begun = f.now(), acked = 0;
   f.took = [&](Station&, Epoch at) {
@@ -128,9 +128,9 @@
   Row r{"value", size, seed, {}, {}};
   auto m = rest(p, seats(p, seed));
   for (auto& [k, n] : tables(m)) r.counts["bytes." + k] = static_cast<double>(n);
-  auto entry = Entry{next(m.epoch), "op-1", ApplyManifest{m.revision, m.manifest, {}}};
+  auto entry = Entry{next(m.epoch), "op-1", ApplyConfiguration{m.revision, m.configuration, {}}};
   r.counts["bytes.entry"] = static_cast<double>(codec::pack(entry).size());
-  r.counts["bytes.json"] = static_cast<double>(json::write(m.manifest).dump().size());
+  r.counts["bytes.json"] = static_cast<double>(json::write(m.configuration).dump().size());
   const int times = 5;
   std::string bytes;
   std::vector<Metadata> copies;
@@ -141,7 +141,7 @@
                        }) /
                        times;
   r.counts["bytes.memory"] = static_cast<double>(mallinfo2().uordblks - before) / times;
-  r.times["apply.manifest.ms"] = millis_of([&] {
+  r.times["apply.configuration.ms"] = millis_of([&] {
                                    for (int i = 0; i < times; ++i) apply(m, entry);
                                  }) /
                                  times;
@@ -167,9 +167,9 @@
                                 for (int i = 0; i < times; ++i) m.find(m.directory.rbegin()->second.self.inc);
                               }) /
                               times;
-  if (auto* c = m.manifest.cells.empty() ? nullptr : &m.manifest.cells.back())
+  if (auto* c = m.configuration.cells.empty() ? nullptr : &m.configuration.cells.back())
     r.times["find_cell.ms"] = millis_of([&] {
-                                for (int i = 0; i < times; ++i) m.manifest.cell(c->name);
+                                for (int i = 0; i < times; ++i) m.configuration.cell(c->name);
                               }) /
                               times;
   return r;
@@ -182,7 +182,7 @@
       std::find_if(m.directory.begin(), m.directory.end(), [](auto& d) { return d.second.self.role == Role::front; });
   ReplicaSelector n;
   Request e{};
-  e.cell = m.manifest.cells.at(0).name;
+  e.cell = m.configuration.cells.at(0).name;
   e.route = "chat";
   e.kind = "model";
   bool any = false;
--- a/tools/scale/experiments.hpp
+++ b/tools/scale/experiments.hpp
@@ -13,7 +13,7 @@
 
 /// A fleet at rest, per process and second.
 Row at_rest(const Plan& p, uint64_t seed, double size);
-/// One manifest more, from its commit to everywhere.
+/// One configuration more, from its commit to everywhere.
 Row change(const Plan& p, uint64_t seed, double size);
 /// The value itself: bytes by table, processor time to apply an entry, to encode and to decode it, memory.
 Row whole_value(const Plan& p, uint64_t seed, double size);
--- a/tools/scale/fleet.cpp
+++ b/tools/scale/fleet.cpp
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "kernel/log.hpp"
-#include "manifest/json.hpp"
+#include "configuration/json.hpp"
 #include "scale/run.hpp"
 
 namespace mosskeel::scale {
@@ -43,7 +43,7 @@
   hollow.plan.daemons -= real_stores + real_fronts;
   for (int i = 0; i < hollow.plan.daemons; i += a_.many) crews_.push_back(std::make_unique<Crew>(hollow, i));
   founding();
-  configuration();
+  first_configuration();
   at_rest("rest");
   changes();
   newcomer();
@@ -105,15 +105,15 @@
   put("founding", "epochs", static_cast<double>(voice_.view()->epoch.v));
 }
 
-void Run::configuration() {
+void Run::first_configuration() {
   auto r = voice_.commit(ListReplicas{replicas(a_.plan), {}});
   if (!r.yes) fail("the list of replicas: " + r.reason);
   put("configuration", "replicas.ack.ms", static_cast<double>(r.acked - r.begun));
   auto v = voice_.view();
-  auto m = manifest(a_.plan);
-  r = voice_.commit(ApplyManifest{v->revision, m, {}});
-  if (!r.yes) fail("the first manifest: " + r.reason);
-  put("configuration", "manifest.ack.ms", static_cast<double>(r.acked - r.begun));
+  auto m = configuration(a_.plan);
+  r = voice_.commit(ApplyConfiguration{v->revision, m, {}});
+  if (!r.yes) fail("the first configuration: " + r.reason);
+  put("configuration", "configuration.ack.ms", static_cast<double>(r.acked - r.begun));
   wait(limits::isolation);
   v = voice_.view();
   for (auto& [k, n] : tables(*v))
@@ -176,9 +176,9 @@
 
 Voice::Verdict Run::one_change() {
   auto v = voice_.view();
-  auto m = v->manifest;
+  auto m = v->configuration;
   m.cells[0].budget += 1;
-  auto r = voice_.commit(ApplyManifest{v->revision, m, {}});
+  auto r = voice_.commit(ApplyConfiguration{v->revision, m, {}});
   if (r.yes) promised_ = std::max(promised_, voice_.view()->revision);
   return r;
 }
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -66,8 +66,8 @@
   return {seat(p, Part::agent, n, digest("newcomer", seed)), seat(p, Part::gateway, n, digest("beside", seed))};
 }
 
-Manifest manifest(const Plan& p) {
-  Manifest m;
+Configuration configuration(const Plan& p) {
+  Configuration m;
   auto n = [](const char* s, int i) { return s + std::to_string(10000 + i); };
   for (int i = 0; i < p.cells; ++i)
     m.cells.push_back({n("tenant-", i), 360000, 8192, 3600000, {{"chat", "model", {}}}});
@@ -123,7 +123,7 @@
     }
   step(Recount{});
   step(Recounted{m.epoch});
-  step(ApplyManifest{m.revision, manifest(p), {}});
+  step(ApplyConfiguration{m.revision, configuration(p), {}});
   if (p.replicas) step(ListReplicas{replicas(p), {}});
   for (int i = 0; i < p.remembered; ++i) m.remembered.push_back({"op-" + hex(digest("id", i)), m.epoch});
   for (int i = 0; i < p.left; ++i) {
@@ -139,9 +139,9 @@
   boost::hana::for_each(boost::hana::accessors<Metadata>(), [&](auto a) {
     v[boost::hana::to<const char*>(boost::hana::first(a))] = codec::pack(boost::hana::second(a)(m)).size();
   });
-  v["manifest.cells"] = codec::pack(m.manifest.cells).size();
-  v["manifest.paths"] = codec::pack(m.manifest.paths).size();
-  v["manifest.services"] = codec::pack(m.manifest.services).size();
+  v["configuration.cells"] = codec::pack(m.configuration.cells).size();
+  v["configuration.paths"] = codec::pack(m.configuration.paths).size();
+  v["configuration.services"] = codec::pack(m.configuration.services).size();
   v["whole"] = codec::pack(m).size();
   return v;
 }
--- a/tools/scale/plan.hpp
+++ b/tools/scale/plan.hpp
@@ -27,9 +27,9 @@
 std::vector<Seat> seats(const Plan& p, uint64_t seed);
 /// One more front, as `seats` makes them.
 std::pair<Seat, Seat> front(const Plan& p, size_t n, uint64_t seed);
-Manifest manifest(const Plan& p);
+Configuration configuration(const Plan& p);
 std::vector<Replica> replicas(const Plan& p);
-/// The value after founding, joins, manifest and replica list, all by the transformations themselves.
+/// The value after founding, joins, configuration and replica list, all by the transformations themselves.
 Metadata rest(const Plan& p, const std::vector<Seat>& seats);
 /// Bytes of each table of the value.
 std::map<std::string, size_t> tables(const Metadata& m);
--- a/tools/scale/run.hpp
+++ b/tools/scale/run.hpp
@@ -19,7 +19,7 @@
 
  private:
   void founding();
-  void configuration();
+  void first_configuration();
   void at_rest(const std::string& step);
   void changes();
   void newcomer();
--- a/tools/scale/slopes.cpp
+++ b/tools/scale/slopes.cpp
@@ -105,7 +105,7 @@
       out + "/rest.svg", "A fleet at rest: bytes over the wire", "daemons", "bytes a second",
       {curve("rest.daemons", "agent.out.byte", "front out"), curve("rest.daemons", "agent.in.byte", "front in"),
        curve("rest.daemons", "controller.out.byte", "controller out"), curve("rest.daemons", "controller.in.byte", "controller in")});
-  write_svg(out + "/change.svg", "One change of the manifest", "tenants in it", "bytes at one front",
+  write_svg(out + "/change.svg", "One change of the configuration", "tenants in it", "bytes at one front",
             {curve("change.cells", "agent.more.byte", "front, in and out")});
   write_svg(out + "/turns.svg", "A turn late in its conversation", "turns before it", "bytes",
             {curve("turns.turns", "replica.ask.byte", "asked of the replica"),
