--- a/src/consensus/failure_detector.hpp
+++ b/src/consensus/failure_detector.hpp
@@ -7,7 +7,7 @@
 struct PeerStatus {
   Millis last = 0;
   Epoch known{};
-  uint32_t pressure = 0;
+  uint32_t load = 0;
   Epoch streamed{};
   uint32_t running = 0;
   Candidate self{};
@@ -19,7 +19,7 @@
   explicit FailureDetector(Millis start) : start_(start) {}
   void hear(const Heartbeat& h, Millis now) {
     auto& x = heard_[h.self.inc];
-    x = {now, std::max(x.known, h.known), h.pressure, h.streamed, h.running, h.self, h.lacking};
+    x = {now, std::max(x.known, h.known), h.load, h.streamed, h.running, h.self, h.lacking};
   }
   const PeerStatus* of(Incarnation inc) const {
     auto i = heard_.find(inc);
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -126,12 +126,12 @@
 
 std::optional<Transformation> Supervisor::warm(Millis now) {
   for (auto& [n, r] : led_.view()->replicas) {
-    if (r.fitness != Fitness::cold || !r.service.empty()) continue;
+    if (r.health != Health::cold || !r.service.empty()) continue;
     auto& c = cold_[n];
     if (c.first != r.since) c = {r.since, now};
     if (now - c.second < limits::cold_ramp + limits::isolation) continue;
     auto x = r;
-    x.fitness = Fitness::ready;
+    x.health = Health::ready;
     return SetReplica{x};
   }
   return std::nullopt;
--- a/src/controller/admin_api.cpp
+++ b/src/controller/admin_api.cpp
@@ -100,7 +100,7 @@
     f.push_back({k, "is missing or no string"});
     return "";
   };
-  Replica r{name, text("kind"), text("zone"), text("url"), Fitness::ready, {}, limits::replica_places};
+  Replica r{name, text("kind"), text("zone"), text("url"), Health::ready, {}, limits::replica_places};
   if (j.contains("places")) {
     auto& p = j["places"];
     if (p.is_number_unsigned() && p >= 1 && p <= limits::replica_places_most)
@@ -108,13 +108,13 @@
     else
       f.push_back({"places", "must be a whole number from 1 to " + std::to_string(limits::replica_places_most)});
   }
-  auto fit = j.contains("fitness") ? text("fitness") : "cold";
+  auto fit = j.contains("health") ? text("health") : "cold";
   if (fit == "cold")
-    r.fitness = Fitness::cold;
+    r.health = Health::cold;
   else if (fit == "leaving")
-    r.fitness = Fitness::leaving;
+    r.health = Health::leaving;
   else if (fit != "ready")
-    f.push_back({"fitness", "is none of cold, ready, leaving"});
+    f.push_back({"health", "is none of cold, ready, leaving"});
   if (!f.empty()) return HttpAnswer::error(400, "invalid", f);
   return change(SetReplica{r}, a);
 }
@@ -127,7 +127,7 @@
                  {"kind", r.kind},
                  {"zone", r.zone},
                  {"url", r.url},
-                 {"fitness", name(r.fitness)},
+                 {"health", name(r.health)},
                  {"places", r.places},
                  {"epoch", r.since.v}});
   return body({{"epoch", v->epoch.v}, {"replicas", j}});
@@ -147,7 +147,7 @@
                    {"zone", d.self.zone},
                    {"state", name(d.state)},
                    {"ready", fresh && d.state == DaemonState::up && !v->evacuated.count(d.self.zone)},
-                   {"pressure", x ? x->pressure : 0},
+                   {"load", x ? x->load : 0},
                    {"epoch", x ? x->known.v : 0}});
     }
   });
--- a/src/kernel/limits.hpp
+++ b/src/kernel/limits.hpp
@@ -80,7 +80,7 @@
 constexpr uint32_t replica_places =
     32;  // count; requests all fronts together run on one replica, unless its record says
 constexpr uint32_t replica_places_most = 4096;  // count; more in a record is an error
-constexpr uint32_t bulk_pressure = 4;           // count; bulk pulls one gateway runs at once
+constexpr uint32_t bulk_load = 4;           // count; bulk pulls one gateway runs at once
 constexpr uint32_t cold_fronts = 1;             // count; gateways that may touch a cold replica
 constexpr unsigned http_sessions = 2000;        // count; sessions of one HTTP listener
 constexpr int nng_queue = 1024;                 // count; messages waiting for one peer
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -62,7 +62,7 @@
 };
 /// A daemon's sign of life; a agent's speaks for its gateway too.
 struct Heartbeat {
-  BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, pressure), (Epoch, streamed),
+  BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, load), (Epoch, streamed),
                            (uint32_t, running), (int64_t, sent), (bool, leaving), (uint32_t, lacking));
 };
 struct HeartbeatReply {
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -85,7 +85,7 @@
       return no(r.name, "lacks a name, a service or an address");
     auto i = m.replicas.find(r.name);
     // A cold one's time counts anew from each time that it is told.
-    bool stays = i != m.replicas.end() && i->second.fitness == r.fitness && r.fitness != Fitness::cold;
+    bool stays = i != m.replicas.end() && i->second.health == r.health && r.health != Health::cold;
     r.since = stays ? i->second.since : m.epoch;
     m.replicas[r.name] = r;
   }
--- a/src/metadata/describe.cpp
+++ b/src/metadata/describe.cpp
@@ -66,7 +66,7 @@
             return "apply a configuration of " + std::to_string(x.configuration.cells.size()) + " cells on revision " +
                    std::to_string(x.base.v);
           },
-          [](const SetReplica& x) { return "replica " + x.replica.name + " is " + name(x.replica.fitness); },
+          [](const SetReplica& x) { return "replica " + x.replica.name + " is " + name(x.replica.health); },
           [](const DropReplica& x) { return "forget replica " + x.name; },
           [](const EvacuateZone& x) { return "evacuate zone " + x.zone; },
           [](const RestoreZone& x) { return "restore zone " + x.zone; },
--- a/src/metadata/listing.cpp
+++ b/src/metadata/listing.cpp
@@ -26,13 +26,13 @@
     auto expected = fresh ? now + (l ? std::min(l->cold_ms, r.cold_ms) : 0) : s.warm;
     bool longer = r.cold_ms > std::max<Millis>(0, expected - now) + limits::list_cold_slack;
     bool unheard = l && s.told && l->since == *s.told;
-    if (l && l->fitness == Fitness::cold && l->cold_ms == 0 && r.fitness == Fitness::ready) {
+    if (l && l->health == Health::cold && l->cold_ms == 0 && r.health == Health::ready) {
       if (!s.restored) s.restored = now;
       if (now - s.restored < limits::list_lag) continue;
     } else {
       s.restored = 0;
     }
-    if (l && l->fitness == r.fitness && !(r.fitness == Fitness::cold && (longer || unheard))) {
+    if (l && l->health == r.health && !(r.health == Health::cold && (longer || unheard))) {
       s.warm = expected;
       s.told.reset();
       continue;
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -183,7 +183,7 @@
 R go(Metadata m, const RestoreZone& t) {
   if (!m.evacuated.erase(t.zone)) return no("zone " + t.zone, "is not evacuated");
   for (auto& [n, r] : m.replicas)
-    if (r.zone == t.zone && r.fitness == Fitness::ready) r.fitness = Fitness::cold, r.since = m.epoch;
+    if (r.zone == t.zone && r.health == Health::ready) r.health = Health::cold, r.since = m.epoch;
   return m;
 }
 
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -14,7 +14,7 @@
   static const char* const n[] = {"registered", "up", "draining", "down", "left"};
   return n[static_cast<int>(s)];
 }
-const char* name(Fitness f) {
+const char* name(Health f) {
   static const char* const n[] = {"cold", "ready", "leaving"};
   return n[static_cast<int>(f)];
 }
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -8,13 +8,13 @@
 
 enum class Role : uint8_t { controller, front, store };
 enum class DaemonState : uint8_t { registered, up, draining, down, left };
-enum class Fitness : uint8_t { cold, ready, leaving };
+enum class Health : uint8_t { cold, ready, leaving };
 enum class SequenceKind : uint8_t { join, drain };
 enum class Step : uint8_t { start, mid, finish };
 
 const char* name(Role r);
 const char* name(DaemonState s);
-const char* name(Fitness f);
+const char* name(Health f);
 const char* name(SequenceKind k);
 const char* name(Step s);
 
@@ -34,7 +34,7 @@
 /// much longer it is cold, counted from when its list said so.
 struct Replica {
   BOOST_HANA_DEFINE_STRUCT(Replica, (std::string, name), (std::string, kind), (std::string, zone), (std::string, url),
-                           (Fitness, fitness), (Epoch, since), (uint32_t, places), (std::string, service),
+                           (Health, health), (Epoch, since), (uint32_t, places), (std::string, service),
                            (int64_t, cold_ms));
   bool operator==(const Replica&) const = default;
 };
@@ -93,7 +93,7 @@
   static std::set<std::string> optional_fields() {
     return {"target_ms", "rank", "attempts", "kept", "retention_ms", "sticky", "resumable", "gap_ms"};
   }
-  PathKind nature() const {
+  PathKind path_kind() const {
     return kind == "safe" ? PathKind::safe : kind == "unsafe" ? PathKind::unsafe : PathKind::streaming;
   }
 };
@@ -101,12 +101,12 @@
 /// What replicas of one service bear: sessions each, requests a second while cold for `cold_ms`; `slots`,
 /// `cache_tokens` and `event_tokens` tell of a model's batches, its memory and the tokens in one event.
 struct Service {
-  BOOST_HANA_DEFINE_STRUCT(Service, (std::string, name), (std::string, fitness_path), (uint32_t, sessions),
+  BOOST_HANA_DEFINE_STRUCT(Service, (std::string, name), (std::string, health_path), (uint32_t, sessions),
                            (int64_t, cold_ms), (double, cold_per_s), (uint32_t, slots), (uint64_t, cache_tokens),
                            (uint32_t, event_tokens));
   bool operator==(const Service&) const = default;
   static std::set<std::string> optional_fields() {
-    return {"fitness_path", "sessions", "cold_ms", "cold_per_s", "slots", "cache_tokens", "event_tokens"};
+    return {"health_path", "sessions", "cold_ms", "cold_per_s", "slots", "cache_tokens", "event_tokens"};
   }
 };
 
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -63,7 +63,7 @@
   if (s.what == "configuration") o << "revision " << m.revision.v << "\n" << json::write(m.configuration).dump(2) << "\n";
   if (s.what == "replicas")
     for (auto& [n, r] : m.replicas)
-      o << n << " " << r.kind << " " << name(r.fitness) << " zone " << r.zone << " places " << r.places << " at "
+      o << n << " " << r.kind << " " << name(r.health) << " zone " << r.zone << " places " << r.places << " at "
         << r.url << "\n";
   if (s.what == "slots")
     for (uint32_t i = 0; i < m.slots.size(); ++i) slot_line(o, m, i);
--- a/src/request/policy.hpp
+++ b/src/request/policy.hpp
@@ -50,10 +50,10 @@
   void back_off(const std::string& replica, Millis now);
   /// The share of a cold replica's places that may be used now.
   uint32_t places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const;
-  const std::map<std::string, uint32_t>& pressure() const { return pressure_; }
+  const std::map<std::string, uint32_t>& load() const { return load_; }
 
  private:
-  std::map<std::string, uint32_t> pressure_, bulk_;
+  std::map<std::string, uint32_t> load_, bulk_;
   std::map<std::string, Millis> backed_off_;
   mutable std::map<std::string, std::pair<Epoch, Millis>> cold_since_;
 };
--- a/src/request/select_replica.cpp
+++ b/src/request/select_replica.cpp
@@ -7,7 +7,7 @@
 /// A replica's places are shared out over the fronts in the log; at least one each. While it is cold, one front alone
 /// ramps it up for the whole fleet.
 uint32_t ReplicaSelector::places(const Replica& r, const Metadata& m, const Daemon& me, Millis now) const {
-  if (r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) return 0;
+  if (r.health == Health::leaving || m.evacuated.count(r.zone)) return 0;
   std::vector<std::pair<uint64_t, DaemonId>> v;
   for (auto& [id, d] : m.directory)
     if (d.self.role == Role::front && (d.state == DaemonState::up || d.state == DaemonState::draining) &&
@@ -17,7 +17,7 @@
   auto at = std::find_if(v.begin(), v.end(), [&](auto& x) { return x.second == me.id; });
   if (at == v.end()) return 0;
   auto rank = static_cast<uint32_t>(at - v.begin()), all = static_cast<uint32_t>(v.size());
-  if (r.fitness == Fitness::ready) return std::max(1u, r.places / all + (rank < r.places % all));
+  if (r.health == Health::ready) return std::max(1u, r.places / all + (rank < r.places % all));
   if (rank >= limits::cold_fronts) return 0;
   auto& c = cold_since_[r.name];
   if (c.first != r.since) c = {r.since, now};
@@ -43,10 +43,10 @@
     auto room = places(r, m, me, now);
     if (room == 0) continue;
     any = true;
-    auto i = pressure_.find(n);
-    uint32_t p = i == pressure_.end() ? 0 : i->second;
+    auto i = load_.find(n);
+    uint32_t p = i == load_.end() ? 0 : i->second;
     auto b = bulk_.find(n);
-    if (e.bulk && (b == bulk_.end() ? 0 : b->second) >= std::min(room, limits::bulk_pressure)) continue;
+    if (e.bulk && (b == bulk_.end() ? 0 : b->second) >= std::min(room, limits::bulk_load)) continue;
     if (p >= room) continue;
     auto s = backed_off_.find(n);
     int back_off = s != backed_off_.end() && now < s->second;
@@ -61,11 +61,11 @@
 }
 
 void ReplicaSelector::took(const std::string& n, const Request& e) {
-  ++pressure_[n];
+  ++load_[n];
   if (e.bulk) ++bulk_[n];
 }
 void ReplicaSelector::gave(const std::string& n, const Request& e) {
-  if (auto& p = pressure_[n]; p) --p;
+  if (auto& p = load_[n]; p) --p;
   if (auto& b = bulk_[n]; e.bulk && b) --b;
 }
 void ReplicaSelector::back_off(const std::string& n, Millis now) {
--- a/src/traffic/load_balancer.cpp
+++ b/src/traffic/load_balancer.cpp
@@ -24,7 +24,7 @@
   by_service_.clear();
   for (auto& [n, s] : seen_) s.present = false;
   for (auto& [n, r] : m.replicas) {
-    if (r.service.empty() || r.fitness == Fitness::leaving || m.evacuated.count(r.zone)) continue;
+    if (r.service.empty() || r.health == Health::leaving || m.evacuated.count(r.zone)) continue;
     auto& s = seen_[n];
     s.r = &r;
     s.present = true;
@@ -34,10 +34,10 @@
     s.cap = static_cast<uint32_t>(std::max(1.0, std::ceil(share * limits::crowd)));
     auto rank = [&](DaemonId id) { return digest(n, id.v + 1); };
     auto first = std::min_element(fronts.begin(), fronts.end(), [&](auto a, auto b) { return rank(a) < rank(b); });
-    s.mine = r.fitness != Fitness::cold || (first != fronts.end() && *first == me_);
+    s.mine = r.health != Health::cold || (first != fronts.end() && *first == me_);
     auto* c = m.configuration.service(r.service);
-    s.rate = r.fitness == Fitness::cold && c ? c->cold_per_s * limits::cold_share : 0;
-    if (r.fitness == Fitness::cold && s.since != r.since) s.tokens = 1, s.cold_at = now;
+    s.rate = r.health == Health::cold && c ? c->cold_per_s * limits::cold_share : 0;
+    if (r.health == Health::cold && s.since != r.since) s.tokens = 1, s.cold_at = now;
     s.since = r.since;
     by_service_[r.service].push_back(&s);
   }
@@ -46,7 +46,7 @@
 
 bool LoadBalancer::free(Seen& s, Millis now) {
   if (!s.mine || now < s.backed_off || s.running >= s.cap) return false;
-  if (s.rate <= 0) return s.r->fitness != Fitness::cold;
+  if (s.rate <= 0) return s.r->health != Health::cold;
   s.tokens = std::min(s.tokens + s.rate * static_cast<double>(now - s.cold_at) / 1000, std::max(1.0, s.rate / 10));
   s.cold_at = now;
   return s.tokens >= 1;
@@ -84,7 +84,7 @@
   if (auto i = seen_.find(name); i != seen_.end()) i->second.backed_off = std::max(i->second.backed_off, until);
 }
 void LoadBalancer::told(const std::string&, const std::array<uint32_t, 3>&, Millis) {}
-uint32_t LoadBalancer::pressure(const std::string& name) const {
+uint32_t LoadBalancer::load(const std::string& name) const {
   auto i = seen_.find(name);
   return i == seen_.end() ? 0 : i->second.running;
 }
--- a/src/traffic/load_balancer.hpp
+++ b/src/traffic/load_balancer.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Which replica takes an request: rendezvous hashing with bounded pressure, the own zone first.
+// Which replica takes an request: rendezvous hashing with bounded load, the own zone first.
 #include <unordered_map>
 
 #include "traffic/routing_snapshot.hpp"
@@ -24,7 +24,7 @@
   void back_off(const std::string& name, Millis until);
   /// What a replica told of itself: running, waiting, places.
   void told(const std::string& name, const std::array<uint32_t, 3>& load, Millis now);
-  uint32_t pressure(const std::string& name) const;
+  uint32_t load(const std::string& name) const;
 
  private:
   struct Seen {
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -10,7 +10,7 @@
 constexpr std::string_view scheme = "http://";
 
 bool repeatable(const Path& p) {
-  return p.nature() == PathKind::safe || (p.nature() == PathKind::streaming && p.resumable);
+  return p.path_kind() == PathKind::safe || (p.path_kind() == PathKind::streaming && p.resumable);
 }
 
 }  // namespace
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -72,7 +72,7 @@
   c.hold = now + std::min(p->target_ms > 0 ? p->target_ms / 4 : limits::hold_most, limits::hold_most);
   auto* s = service_of(*p, digest(w.program.empty() ? w.attempt : w.program));
   c.service = s ? *s : "";
-  if (p->nature() == PathKind::streaming && !w.program.empty()) {
+  if (p->path_kind() == PathKind::streaming && !w.program.empty()) {
     if (attempts_.count(w.attempt)) return refuse(a.id, 503, "this attempt is here already", limits::retry_ms);
     TurnCall t{std::move(c)};
     t.key = digest(t.words.program);
@@ -92,7 +92,7 @@
     return;
   }
   Plain x{std::move(c)};
-  if (p->sticky || p->nature() == PathKind::streaming) x.key = x.words.affinity.empty() ? 0 : digest(x.words.affinity);
+  if (p->sticky || p->path_kind() == PathKind::streaming) x.key = x.words.affinity.empty() ? 0 : digest(x.words.affinity);
   auto id = x.id;
   offer(calls_.emplace(id, std::move(x)).first->second, now);
 }
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -25,23 +25,23 @@
     m.directory[id] = {id, {Incarnation{i}, Role::front, "a", "f" + std::to_string(i), "", ""}, DaemonState::up, {}};
   }
   struct Row {
-    Fitness fitness;
+    Health health;
     uint32_t places;
     Millis after;
     uint32_t sum;
   };
   for (auto& r :
-       {Row{Fitness::ready, 32, 0, 32}, Row{Fitness::ready, 6, 0, 6}, Row{Fitness::ready, 3, 0, 6},
-        Row{Fitness::leaving, 32, 0, 0}, Row{Fitness::cold, 32, 0, 1},
-        Row{Fitness::cold, 32, limits::cold_ramp / 2, 16}, Row{Fitness::cold, 32, limits::cold_ramp * 2, 32}}) {
+       {Row{Health::ready, 32, 0, 32}, Row{Health::ready, 6, 0, 6}, Row{Health::ready, 3, 0, 6},
+        Row{Health::leaving, 32, 0, 0}, Row{Health::cold, 32, 0, 1},
+        Row{Health::cold, 32, limits::cold_ramp / 2, 16}, Row{Health::cold, 32, limits::cold_ramp * 2, 32}}) {
     uint32_t sum = 0;
     for (auto& [id, d] : m.directory) {
       ReplicaSelector n;
-      Replica x{"model1", "model", "a", "http://x", r.fitness, Epoch{9}, r.places};
+      Replica x{"model1", "model", "a", "http://x", r.health, Epoch{9}, r.places};
       n.places(x, m, d, 1000);
       sum += n.places(x, m, d, 1000 + r.after);
     }
-    INFO(name(r.fitness) << " " << r.places << " after " << r.after);
+    INFO(name(r.health) << " " << r.places << " after " << r.after);
     CHECK(sum == r.sum);
   }
 }
--- a/tests/platform_admin_api_test.cpp
+++ b/tests/platform_admin_api_test.cpp
@@ -47,7 +47,7 @@
   }
 };
 
-Replica listed(const std::string& name, Fitness f, Millis cold = 0) {
+Replica listed(const std::string& name, Health f, Millis cold = 0) {
   return {name, "listed", "z", "http://10.0.0.1:80", f, {}, 8, "s", cold};
 }
 
@@ -168,10 +168,10 @@
   CHECK(value(p).next == "p-50");
   REQUIRE(value(p).replicas.size() == 3);
   auto& v = value(p).replicas;
-  CHECK(v[0] == Replica{"i-1", "listed", "ct-nord", "http://10.128.0.9:8080", Fitness::ready, {}, 32, "huvo11a", 0});
-  CHECK(v[1].fitness == Fitness::cold);
+  CHECK(v[0] == Replica{"i-1", "listed", "ct-nord", "http://10.128.0.9:8080", Health::ready, {}, 32, "huvo11a", 0});
+  CHECK(v[1].health == Health::cold);
   CHECK(v[1].cold_ms == 900);
-  CHECK(v[2].fitness == Fitness::leaving);
+  CHECK(v[2].health == Health::leaving);
   CHECK(value(d->list_page(R"({"Replicas":[],"NextToken":null})")).next.empty());
   CHECK(d->list_path("") == "/replicas");
   CHECK(d->list_path("p 50&") == "/replicas?PageToken=p%2050%26");
@@ -187,21 +187,21 @@
 TEST_CASE("only what the log lacks of a list is committed") {
   Log log;
   Millis t = limits::process_start;
-  auto c = log.read({listed("a", Fitness::ready), listed("b", Fitness::cold, 3000)}, t);
+  auto c = log.read({listed("a", Health::ready), listed("b", Health::cold, 3000)}, t);
   REQUIRE(c);
   CHECK(c->set.size() == 2);
-  CHECK_FALSE(log.read({listed("a", Fitness::ready), listed("b", Fitness::cold, 2500)}, t + 500));
-  CHECK_FALSE(log.read({listed("a", Fitness::ready), listed("b", Fitness::cold, 2400)}, t + 1000));
-  c = log.read({listed("a", Fitness::ready), listed("b", Fitness::cold, 3000)}, t + 1500);
+  CHECK_FALSE(log.read({listed("a", Health::ready), listed("b", Health::cold, 2500)}, t + 500));
+  CHECK_FALSE(log.read({listed("a", Health::ready), listed("b", Health::cold, 2400)}, t + 1000));
+  c = log.read({listed("a", Health::ready), listed("b", Health::cold, 3000)}, t + 1500);
   REQUIRE(c);
-  CHECK(c->set == std::vector<Replica>{listed("b", Fitness::cold, 3000)});
-  c = log.read({listed("a", Fitness::leaving), listed("b", Fitness::ready)}, t + 2000);
+  CHECK(c->set == std::vector<Replica>{listed("b", Health::cold, 3000)});
+  c = log.read({listed("a", Health::leaving), listed("b", Health::ready)}, t + 2000);
   REQUIRE(c);
   CHECK(c->set.size() == 2);
-  CHECK_FALSE(log.read({listed("a", Fitness::leaving), listed("b", Fitness::ready)}, t + 2500));
-  auto moved = listed("b", Fitness::ready);
+  CHECK_FALSE(log.read({listed("a", Health::leaving), listed("b", Health::ready)}, t + 2500));
+  auto moved = listed("b", Health::ready);
   moved.service = "other";
-  c = log.read({listed("a", Fitness::leaving), moved}, t + 3000);
+  c = log.read({listed("a", Health::leaving), moved}, t + 3000);
   REQUIRE(c);
   CHECK(c->set == std::vector<Replica>{moved});
 }
@@ -209,12 +209,12 @@
 TEST_CASE("a replica goes once two readings lack it, and a cell's own replica never does") {
   Log log;
   Millis t = limits::process_start;
-  log.read({listed("a", Fitness::ready), listed("b", Fitness::ready)}, t);
-  log.m.replicas["own"] = {"own", "model", "z", "http://x", Fitness::ready, {}, 8, "", 0};
-  CHECK_FALSE(log.read({listed("a", Fitness::ready)}, t + 500));
-  CHECK_FALSE(log.read({listed("a", Fitness::ready), listed("b", Fitness::ready)}, t + 1000));
-  CHECK_FALSE(log.read({listed("a", Fitness::ready)}, t + 1500));
-  auto c = log.read({listed("a", Fitness::ready)}, t + 2000);
+  log.read({listed("a", Health::ready), listed("b", Health::ready)}, t);
+  log.m.replicas["own"] = {"own", "model", "z", "http://x", Health::ready, {}, 8, "", 0};
+  CHECK_FALSE(log.read({listed("a", Health::ready)}, t + 500));
+  CHECK_FALSE(log.read({listed("a", Health::ready), listed("b", Health::ready)}, t + 1000));
+  CHECK_FALSE(log.read({listed("a", Health::ready)}, t + 1500));
+  auto c = log.read({listed("a", Health::ready)}, t + 2000);
   REQUIRE(c);
   CHECK(c->gone == std::vector<std::string>{"b"});
   CHECK(log.m.replicas.count("own"));
@@ -223,23 +223,23 @@
 TEST_CASE("a reader without memory takes over, and a change that was not taken is tried again") {
   Log log;
   Millis t = limits::process_start;
-  log.read({listed("b", Fitness::cold, 3000)}, t);
+  log.read({listed("b", Health::cold, 3000)}, t);
   log.listing.forget();
-  CHECK_FALSE(log.read({listed("b", Fitness::cold, 1000)}, t + 2000));
+  CHECK_FALSE(log.read({listed("b", Health::cold, 1000)}, t + 2000));
   auto lost = log.m;
-  REQUIRE(log.read({listed("b", Fitness::cold, 3000)}, t + 2500));
+  REQUIRE(log.read({listed("b", Health::cold, 3000)}, t + 2500));
   log.m = lost;
-  CHECK(log.read({listed("b", Fitness::cold, 2500)}, t + 3000));
-  CHECK_FALSE(log.read({listed("b", Fitness::cold, 2000)}, t + 3500));
+  CHECK(log.read({listed("b", Health::cold, 2500)}, t + 3000));
+  CHECK_FALSE(log.read({listed("b", Health::cold, 2000)}, t + 3500));
 }
 
 TEST_CASE("a replica that a restored zone left cold stays so until the list had time to say it") {
   Log log;
   Millis t = limits::process_start;
-  log.read({listed("a", Fitness::ready)}, t);
-  log.m.replicas["a"].fitness = Fitness::cold;
-  CHECK_FALSE(log.read({listed("a", Fitness::ready)}, t + 500));
-  CHECK_FALSE(log.read({listed("a", Fitness::ready)}, t + 500 + limits::list_lag - 1));
-  REQUIRE(log.read({listed("a", Fitness::ready)}, t + 500 + limits::list_lag));
-  CHECK(log.m.replicas["a"].fitness == Fitness::ready);
+  log.read({listed("a", Health::ready)}, t);
+  log.m.replicas["a"].health = Health::cold;
+  CHECK_FALSE(log.read({listed("a", Health::ready)}, t + 500));
+  CHECK_FALSE(log.read({listed("a", Health::ready)}, t + 500 + limits::list_lag - 1));
+  REQUIRE(log.read({listed("a", Health::ready)}, t + 500 + limits::list_lag));
+  CHECK(log.m.replicas["a"].health == Health::ready);
 }
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -61,7 +61,7 @@
 
 /// From an acknowledgement on its limits count: for drains at a replica's door, for configurations at every front in touch.
 void Callers::acknowledged(const Transformation& t) {
-  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness == Fitness::leaving)
+  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.health == Health::leaving)
     replicas[s->replica.name].leaving_since = w_.now();
   if (auto* z = std::get_if<EvacuateZone>(&t))
     for (auto& [n, r] : replicas)
@@ -77,7 +77,7 @@
 
 /// From the asking on, a drain that is taken back is not in force any more.
 void Callers::asked(const Transformation& t) {
-  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.fitness != Fitness::leaving)
+  if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.health != Health::leaving)
     replicas[s->replica.name].leaving_since = 0;
   if (auto* z = std::get_if<RestoreZone>(&t))
     for (auto& [n, r] : replicas)
@@ -88,7 +88,7 @@
   int left = static_cast<int>(replicas.size()) + 1;
   for (auto& [n, r] : replicas)
     commit(
-        SetReplica{{n, r.kind, r.zone, "http://" + n, Fitness::ready, {}, 0}},
+        SetReplica{{n, r.kind, r.zone, "http://" + n, Health::ready, {}, 0}},
         [&left](const CommitReply& c) { left -= c.outcome == Outcome::yes; }, "", 60000);
   Cell c{"news", budget_, limit_, 3600000, {{"chat", "model", {}}, {"app", "app", {}}}};
   commit(
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -106,10 +106,10 @@
     w.isolate(w.node(f).beside);
     auto n = std::string(i % 2 ? "app" : "model") + std::to_string(i + 1);
     auto& r = d.c.replicas[n];
-    d.c.commit(SetReplica{{n, r.kind, r.zone, "http://" + n, Fitness::leaving, {}, 0}}, [](const CommitReply&) {});
+    d.c.commit(SetReplica{{n, r.kind, r.zone, "http://" + n, Health::leaving, {}, 0}}, [](const CommitReply&) {});
     w.run(4500);
     w.heal();
-    d.c.commit(SetReplica{{n, r.kind, r.zone, "http://" + n, Fitness::ready, {}, 0}}, [](const CommitReply&) {});
+    d.c.commit(SetReplica{{n, r.kind, r.zone, "http://" + n, Health::ready, {}, 0}}, [](const CommitReply&) {});
   }
   w.run(5000);
   d.c.commit(EvacuateZone{"a"}, [](const CommitReply&) {});
--- a/tests/sim/sizes.cpp
+++ b/tests/sim/sizes.cpp
@@ -19,7 +19,7 @@
   for (auto& s : {f, d.w.node(f).beside}) freeze ? d.w.freeze(s) : d.w.kill(s);
 }
 
-void replica(Day& d, const std::string& n, Fitness f) {
+void replica(Day& d, const std::string& n, Health f) {
   auto& r = d.c.replicas[n];
   d.c.commit(SetReplica{{n, r.kind, r.zone, "http://" + n, f, {}, 0}}, [](const CommitReply&) {});
 }
@@ -36,9 +36,9 @@
     case 1:  // replicas replaced one by one
       for (int i = 1; i <= 4; ++i) {
         auto n = "model" + std::to_string(i);
-        replica(d, n, Fitness::leaving);
+        replica(d, n, Health::leaving);
         w.run(1800);
-        replica(d, n, Fitness::cold);
+        replica(d, n, Health::cold);
         w.run(700);
       }
       break;
--- a/tests/traffic/front.hpp
+++ b/tests/traffic/front.hpp
@@ -25,7 +25,7 @@
 }
 
 inline Replica listed(const std::string& name, const std::string& service, const std::string& zone, uint32_t places) {
-  return {name, "listed", zone, "http://" + name + ":1", Fitness::ready, Epoch{3}, places, service, 0};
+  return {name, "listed", zone, "http://" + name + ":1", Health::ready, Epoch{3}, places, service, 0};
 }
 
 inline Service service(const std::string& name, uint32_t event_tokens) {
--- a/tests/traffic/parts_test.cpp
+++ b/tests/traffic/parts_test.cpp
@@ -115,7 +115,7 @@
   CHECK(c.take() == "later");
   c.now += 50;
   CHECK(c.take().starts_with("app"));
-  c.m.replicas["app1"].fitness = Fitness::leaving;
+  c.m.replicas["app1"].health = Health::leaving;
   c.m.replicas["app2"].zone = "z9";
   c.m.evacuated = {"z9"};
   c.update();
@@ -130,7 +130,7 @@
   for (uint64_t me : {1, 2}) {
     Choice c;
     c.m.replicas = {{"app1", listed("app1", "app", "z1", 1000)}};
-    c.m.replicas["app1"].fitness = Fitness::cold;
+    c.m.replicas["app1"].health = Health::cold;
     c.m.configuration.services[0].cold_per_s = 19;
     c.update(me);
     std::vector<Millis> at;
--- a/tools/local-cluster/fleet.cpp
+++ b/tools/local-cluster/fleet.cpp
@@ -188,7 +188,7 @@
     if (p.program != "replica-sim") continue;
     auto kind = p.name.starts_with("app") ? "app" : "model";
     if (auto f = put("/v1/replicas/" + p.name,
-                     {{"kind", kind}, {"zone", p.zone}, {"url", "http://" + p.http}, {"fitness", "ready"}});
+                     {{"kind", kind}, {"zone", p.zone}, {"url", "http://" + p.http}, {"health", "ready"}});
         !f.empty())
       return f;
   }
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -96,7 +96,7 @@
   for (int i = 0; i < p.replicas; ++i) {
     auto z = static_cast<size_t>(i % p.zones);
     v.push_back({"replica-" + std::to_string(10000 + i), "model", zone_name(z),
-                 "http://" + address(z, static_cast<size_t>(i), 9000), Fitness::ready, Epoch{}, 32,
+                 "http://" + address(z, static_cast<size_t>(i), 9000), Health::ready, Epoch{}, 32,
                  "model-" + std::to_string(10000 + i % p.services), 0});
   }
   return v;
