--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -4,11 +4,11 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  auto r = read_props(argc, argv,
+  auto r = read_settings(argc, argv,
                       {"agent", "The agent beside a gateway: keeps its link to the core.", true, false, true,
                        true, true, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
-  auto& p = std::get<Props>(r);
+  auto& p = std::get<Settings>(r);
   start_log("agent");
   hold_signals();
   Identity id{{Incarnation{dice()}, Role::front, p.zone, p.listen, p.agent, "", p.machine}, p.seeds, 0, dice(), p.tcm_rpc_ms};
--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -19,7 +19,7 @@
     if (w.id != c.id) return false;
     if (std::none_of(w.askers.begin(), w.askers.end(), [&](auto& a) { return a.first == e.from; }))
       w.askers.push_back({e.from, c.known});
-    w.horizon = now + out_.id().tcm_rpc;
+    w.deadline = now + out_.id().tcm_rpc;
     return true;
   };
   if (std::any_of(queue_.begin(), queue_.end(), join)) return;
@@ -170,7 +170,7 @@
 bool Proposer::release(const Held& h, Millis now) {
   auto why = promised(h.w.change) && lacking ? lacking(h.at, now) : "";
   if (why.empty()) return answer(h.w, Outcome::yes, ""), true;
-  if (now < h.w.horizon) return false;
+  if (now < h.w.deadline) return false;
   answer(h.w, Outcome::unknown, "epoch " + std::to_string(h.at.v) + " is in the log and not yet in force: " + why);
   return true;
 }
@@ -193,7 +193,7 @@
   heard(now);
   std::vector<Waiting> late;
   std::erase_if(queue_, [&](auto& w) {
-    if (now < w.horizon || led_.view()->outcome(w.id)) return false;
+    if (now < w.deadline || led_.view()->outcome(w.id)) return false;
     late.push_back(w);
     return true;
   });
--- a/src/consensus/proposer.hpp
+++ b/src/consensus/proposer.hpp
@@ -39,7 +39,7 @@
     std::string id;
     Transformation change;
     std::vector<std::pair<Address, Epoch>> askers;
-    Millis horizon;
+    Millis deadline;
     bool proposed = false;
   };
   struct Round {
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -95,8 +95,8 @@
     }
     auto* d = m.find(id);
     bool dead = q.kind == SequenceKind::join && d && d->state == DaemonState::down;
-    if (dead || now - b.second > limits::barrier_horizon) {
-      later_[id] = now + limits::barrier_horizon;
+    if (dead || now - b.second > limits::barrier_timeout) {
+      later_[id] = now + limits::barrier_timeout;
       out_.note(Event::sequence_blocked, "of daemon " + std::to_string(id.v) + " at step " + name(q.due));
       return CancelSequence{id, dead ? "its node is down" : std::string("barrier blocked before ") + name(q.due)};
     }
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -6,11 +6,11 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  auto r = read_props(argc, argv,
+  auto r = read_settings(argc, argv,
                       {"controller", "A core daemon: keeps the metadata log, answers operators and platform.", true, true,
                        false, true, true, true, true});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
-  auto& p = std::get<Props>(r);
+  auto& p = std::get<Settings>(r);
   start_log("controller");
   hold_signals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -60,17 +60,17 @@
   return {{"done", true}, {"turn", e.turn}, {"tokens", e.tokens}, {"pieces", e.pieces}};
 }
 
-/// Common headers: horizon, class, key.
+/// Common headers: deadline, class, key.
 Findings dress(const HttpAsk& a, Request& e) {
   Findings f;
   e.key = header(a, "idempotency-key");
   if (e.key.size() > 256) f.push_back({"Idempotency-Key", "is longer than 256 bytes"});
-  auto h = header(a, "x-horizon-ms");
+  auto h = header(a, "x-deadline-ms");
   if (!h.empty()) {
     if (h.size() > 9 || h.find_first_not_of("0123456789") != std::string::npos)
-      f.push_back({"X-Horizon-Ms", "is no number of milliseconds"});
+      f.push_back({"X-Deadline-Ms", "is no number of milliseconds"});
     else
-      e.horizon_ms = std::stoll(h);
+      e.deadline_ms = std::stoll(h);
   }
   auto c = header(a, "x-class");
   if (c == "urgent")
@@ -96,7 +96,7 @@
   env.cluster = v->cluster;
   env.epoch = v->epoch;
   auto attempt = e.attempt;
-  auto patience = (e.horizon_ms > 0 ? std::min<Millis>(e.horizon_ms, limits::request_horizon) : limits::request_horizon) +
+  auto patience = (e.deadline_ms > 0 ? std::min<Millis>(e.deadline_ms, limits::request_timeout) : limits::request_timeout) +
                   limits::handover_patience;
   env.body = std::move(e);
   host_.post(std::move(env));
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -8,11 +8,11 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  auto r = read_props(argc, argv,
+  auto r = read_settings(argc, argv,
                       {"gateway", "A front worker: takes callers' requests, owns programs, asks replicas.", true,
                        true, true, true, false, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
-  auto& p = std::get<Props>(r);
+  auto& p = std::get<Settings>(r);
   start_log("gateway");
   hold_signals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
--- a/src/kernel/daemon.hpp
+++ b/src/kernel/daemon.hpp
@@ -3,7 +3,7 @@
 #include "kernel/host.hpp"
 #include "kernel/http.hpp"
 #include "kernel/log.hpp"
-#include "kernel/props.hpp"
+#include "kernel/settings.hpp"
 
 namespace mosskeel {
 
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -8,7 +8,7 @@
   X(started, 100, "a daemon started")                                                         \
   X(stopping, 101, "a daemon is stopping in order")                                           \
   X(stopped, 102, "a daemon has stopped")                                                     \
-  X(bad_props, 103, "settings are wrong; every finding is listed")                            \
+  X(bad_settings, 103, "settings are wrong; every finding is listed")                            \
   X(torn_tail, 110, "a torn log tail was cut")                                                \
   X(corrupt, 111, "a log or checkpoint is damaged; the daemon stops")                         \
   X(checkpointed, 112, "a checkpoint was written and the log behind it dropped")              \
@@ -30,7 +30,7 @@
   X(lease_lost, 211, "the supervisor lease ended")                                              \
   X(node_silent, 212, "a daemon is silent for a majority of observers")                       \
   X(sequence_step, 213, "a sequence's next step is proposed")                                 \
-  X(sequence_blocked, 214, "a sequence is blocked past its horizon and is cancelled")         \
+  X(sequence_blocked, 214, "a sequence is blocked past its deadline and is cancelled")         \
   X(in_doubt, 302, "an intent without an outcome was found; it is never run again")           \
   X(replica_fault, 304, "a replica's answer was not whole and sealed")                        \
   X(proxied_lost, 305, "a proxied request was not answered; its outcome is unknown")           \
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -3,7 +3,7 @@
 #include <thread>
 
 #include "kernel/journal_writer.hpp"
-#include "kernel/post.hpp"
+#include "kernel/transport.hpp"
 #include "kernel/queue.hpp"
 
 namespace mosskeel {
--- a/src/kernel/http.cpp
+++ b/src/kernel/http.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "kernel/limits.hpp"
-#include "kernel/props.hpp"
+#include "kernel/settings.hpp"
 
 namespace mosskeel {
 namespace {
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -22,7 +22,7 @@
 
 void note(Event e, const std::string& text) {
   auto n = static_cast<int>(e);
-  bool grave = e == Event::corrupt || e == Event::disk_failed || e == Event::disk_full || e == Event::bad_props;
+  bool grave = e == Event::corrupt || e == Event::disk_failed || e == Event::disk_full || e == Event::bad_settings;
   if (grave)
     LOG(ERROR) << "event=" << n << " " << meaning(e) << ": " << text;
   else
--- a/src/kernel/machine.hpp
+++ b/src/kernel/machine.hpp
@@ -30,7 +30,7 @@
   std::vector<std::string> journal;
 };
 
-/// The props of a daemon: who it is and where others are.
+/// The settings of a daemon: who it is and where others are.
 struct Identity {
   Candidate self;
   Addresses seeds;
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -158,7 +158,7 @@
                            (std::string, program), (std::string, thread), (std::string, key), (std::string, kind),
                            (std::string, method), (std::string, path), (std::string, prefix), (std::string, body),
                            (uint64_t, max_tokens), (std::optional<uint32_t>, after), (bool, urgent), (bool, bulk),
-                           (bool, repeatable), (int64_t, horizon_ms));
+                           (bool, repeatable), (int64_t, deadline_ms));
 };
 struct RequestSeen {
   BOOST_HANA_DEFINE_STRUCT(RequestSeen, (std::string, attempt));
@@ -182,7 +182,7 @@
 /// What the gateway asks of a replica, and hears from it.
 struct ReplicaAsk {
   BOOST_HANA_DEFINE_STRUCT(ReplicaAsk, (std::string, attempt), (std::string, kind), (std::string, url),
-                           (std::string, method), (std::string, body), (int64_t, horizon_ms), (bool, repeatable));
+                           (std::string, method), (std::string, body), (int64_t, deadline_ms), (bool, repeatable));
 };
 struct ReplicaPiece {
   BOOST_HANA_DEFINE_STRUCT(ReplicaPiece, (std::string, attempt), (uint32_t, n), (std::string, text),
--- a/src/kernel/props.cpp
+++ b/src/kernel/settings.cpp
@@ -1,4 +1,4 @@
-#include "kernel/props.hpp"
+#include "kernel/settings.hpp"
 
 #include <arpa/inet.h>
 #include <popt.h>
@@ -38,8 +38,8 @@
 
 int wrong(const Needs& n, const Findings& f) {
   for (auto& x : f)
-    fprintf(stderr, "%s: event=%d %s: %s: %s\n", n.program, static_cast<int>(Event::bad_props),
-            meaning(Event::bad_props), x.place.c_str(), x.reason.c_str());
+    fprintf(stderr, "%s: event=%d %s: %s: %s\n", n.program, static_cast<int>(Event::bad_settings),
+            meaning(Event::bad_settings), x.place.c_str(), x.reason.c_str());
   return 2;
 }
 
@@ -92,7 +92,7 @@
   return sigtimedwait(&s, nullptr, &t) > 0;
 }
 
-std::variant<Props, int> read_props(int argc, const char** argv, const Needs& n) {
+std::variant<Settings, int> read_settings(int argc, const char** argv, const Needs& n) {
   char *file = nullptr, *listen = nullptr, *http = nullptr, *agent = nullptr, *zone = nullptr, *seeds = nullptr,
        *data = nullptr;
   int core = 0, version = 0, check = 0;
@@ -124,7 +124,7 @@
     printf("%s (mosskeel) %s\n", n.program, MOSSKEEL_VERSION);
     return 0;
   }
-  Props p{};
+  Settings p{};
   p.tcm_await_ms = limits::tcm_await;
   p.tcm_rpc_ms = limits::tcm_rpc;
   bool flags = file || listen || http || agent || zone || seeds || data || core || await || rpc;
@@ -146,7 +146,7 @@
     if (!s) {
       f.push_back({file, "cannot be read"});
     } else {
-      auto r = json::parse<Props>(t.str());
+      auto r = json::parse<Settings>(t.str());
       if (ok(r)) {
         auto whole = value(r);
         if (!whole.tcm_await_ms) whole.tcm_await_ms = p.tcm_await_ms;
--- a/src/kernel/props.hpp
+++ b/src/kernel/settings.hpp
@@ -10,8 +10,8 @@
 /// speaks for a platform, empty for the product's own interface; `list` is where the replicas are listed;
 /// `later_start` forbids founding; `core_most` and `copies` as in `Found`;
 /// `tolerated_machines` and `tolerated_zones` are what may be lost at once.
-struct Props {
-  BOOST_HANA_DEFINE_STRUCT(Props, (std::string, listen), (std::string, http), (std::string, agent), (std::string, zone),
+struct Settings {
+  BOOST_HANA_DEFINE_STRUCT(Settings, (std::string, listen), (std::string, http), (std::string, agent), (std::string, zone),
                            (std::vector<std::string>, seeds), (std::string, data), (uint32_t, core_size),
                            (int64_t, tcm_await_ms), (int64_t, tcm_rpc_ms), (std::string, machine), (std::string, ready),
                            (std::string, dialect), (std::string, list), (bool, later_start), (uint32_t, core_most),
@@ -51,7 +51,7 @@
   virtual ~SettingsSource() = default;
   /// Whether this process was started with such settings.
   virtual bool applies() const = 0;
-  virtual Result<Props> read(const std::string& program) const = 0;
+  virtual Result<Settings> read(const std::string& program) const = 0;
 };
 
 /// A static object of this type puts a source into the registry.
@@ -64,7 +64,7 @@
 
 /// Reads flags and file, or a source that applies where no flag gives settings; prints help, version or findings
 /// itself and then gives an exit code. Settings of a source may leave out HTTP, and their core may have an even size.
-std::variant<Props, int> read_props(int argc, const char** argv, const Needs& n);
+std::variant<Settings, int> read_settings(int argc, const char** argv, const Needs& n);
 
 std::optional<std::pair<std::string, uint16_t>> split_address(const std::string& a);
 uint64_t dice();
--- a/src/kernel/post.cpp
+++ b/src/kernel/transport.cpp
@@ -1,4 +1,4 @@
-#include "kernel/post.hpp"
+#include "kernel/transport.hpp"
 
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
--- a/src/kernel/turn_messages.hpp
+++ b/src/kernel/turn_messages.hpp
@@ -10,7 +10,7 @@
 struct TurnAsk {
   BOOST_HANA_DEFINE_STRUCT(TurnAsk, (std::string, attempt), (std::string, program), (std::string, parent),
                            (std::string, input), (uint64_t, budget), (uint64_t, most), (bool, kept),
-                           (int64_t, retention_ms), (int64_t, horizon_ms));
+                           (int64_t, retention_ms), (int64_t, deadline_ms));
 };
 /// 200 means go, with the text of the chain before the input; anything else is final: the turn has not run.
 struct TurnGrant {
--- a/src/kernel/upstream.cpp
+++ b/src/kernel/upstream.cpp
@@ -98,7 +98,7 @@
     curl_easy_setopt(e, CURLOPT_PROXY, "");
     curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, a.method.c_str());
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
-    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, static_cast<long>(a.horizon_ms));
+    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, static_cast<long>(a.deadline_ms));
     if (!a.repeatable) {
       curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(e, CURLOPT_FORBID_REUSE, 1L);
--- a/src/kernel/web.cpp
+++ b/src/kernel/web.cpp
@@ -35,7 +35,7 @@
   curl_easy_setopt(e, CURLOPT_PROXY, "");
   curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, a.method.c_str());
   curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, 1000L);
-  curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, a.horizon_ms);
+  curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, a.deadline_ms);
   if (a.method != "GET") {
     curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE, static_cast<long>(a.body.size()));
     curl_easy_setopt(e, CURLOPT_POSTFIELDS, a.body.c_str());
--- a/src/kernel/web.hpp
+++ b/src/kernel/web.hpp
@@ -7,7 +7,7 @@
 struct WebAsk {
   std::string method = "GET", url, body;
   std::map<std::string, std::string> headers;
-  long horizon_ms = 15000;
+  long deadline_ms = 15000;
   /// Called with the bytes as they come; empty keeps them in the answer.
   std::function<void(const std::string&)> on_bytes;
 };
--- a/src/request/dispatch.cpp
+++ b/src/request/dispatch.cpp
@@ -84,11 +84,11 @@
   auto& m = *led_.view();
   auto i = m.replicas.find(w.replica);
   bool fit = i != m.replicas.end() && me() && nom_.places(i->second, m, *me(), now) > 0;
-  if (!fit || !in_touch(now) || now >= w.horizon)
+  if (!fit || !in_touch(now) || now >= w.deadline)
     return settle(w, 0, Outcome::no, "the replica left before the request reached it", 0, now);
   w.stage = Stage::running;
   w.last = now;
-  ReplicaAsk a{w.e.attempt, w.e.kind, i->second.url, w.e.method, w.e.body, w.horizon - now, w.e.repeatable};
+  ReplicaAsk a{w.e.attempt, w.e.kind, i->second.url, w.e.method, w.e.body, w.deadline - now, w.e.repeatable};
   if (w.e.kind == "model") {
     std::vector<ChainLink> chain;
     std::map<std::string, std::string> input;
@@ -144,7 +144,7 @@
             w.replica + ": " + (r.reason.empty() ? "status " + std::to_string(r.status) : r.reason));
   if (!r.sent || w.e.repeatable) {
     nom_.back_off(w.replica, now);
-    if (retries_ >= 1 && w.pieces == 0 && now < w.horizon) {
+    if (retries_ >= 1 && w.pieces == 0 && now < w.deadline) {
       retries_ -= 1;
       ++metrics_["retries"];
       if (w.direct) {
--- a/src/request/gateway_machine.cpp
+++ b/src/request/gateway_machine.cpp
@@ -170,7 +170,7 @@
     if (r.e.kind == "history" && p->order() > 10) break;
     if (auto f = p->judge(r.e, s)) return refuse(r, f->status, f->reason, f->retry_ms, now);
   }
-  r.horizon = now + (r.e.horizon_ms > 0 ? r.e.horizon_ms : limits::request_horizon);
+  r.deadline = now + (r.e.deadline_ms > 0 ? r.e.deadline_ms : limits::request_timeout);
   r.direct = r.e.kind == "app" && (r.e.repeatable || r.e.key == r.e.attempt);
   if (r.e.kind == "app" && !r.direct) r.e.program = "app:" + r.e.key, r.e.thread = r.e.key;
   if (r.direct) return enqueue(r);
--- a/src/request/gateway_machine.hpp
+++ b/src/request/gateway_machine.hpp
@@ -42,7 +42,7 @@
     uint64_t mark = 0, tokens = 0, reservation = 0, seq = 0;
     std::string replica, text;
     uint32_t pieces = 0, turn = 0;
-    Millis born = 0, horizon = 0, last = 0, asked = 0;
+    Millis born = 0, deadline = 0, last = 0, asked = 0;
     bool direct = false, seen = false, again = false;
     /// It went to an owner whose verdict never came, so "not run" may no longer be said.
     bool doubt = false, sent = false;
--- a/src/request/owner.cpp
+++ b/src/request/owner.cpp
@@ -31,7 +31,7 @@
       return advance(w, now);
     case Stage::queued:
       if (!w.direct && !mine) return route(w, now);
-      if (now >= w.horizon || now - w.asked > limits::queue_patience)
+      if (now >= w.deadline || now - w.asked > limits::queue_patience)
         return ++metrics_["requests_admitted_refused"],
                refuse(w, 503, "no replica had a free place in time", limits::retry_ms * 2, now);
       return;
@@ -46,8 +46,8 @@
       if (keep_.committed(w.line) >= w.mark) return dispatch(w, now);
       return;
     case Stage::running:
-      if (now >= w.horizon || now - w.last > limits::replica_stall) {
-        auto why = now >= w.horizon ? "the horizon passed while the turn was running" : "the replica fell silent";
+      if (now >= w.deadline || now - w.last > limits::replica_stall) {
+        auto why = now >= w.deadline ? "the deadline passed while the turn was running" : "the replica fell silent";
         out_.send("replica:" + w.replica, ReplicaStop{w.e.attempt});
         nom_.back_off(w.replica, now);
         settle(w, 504, Outcome::unknown, why, w.reservation, now);
@@ -63,7 +63,7 @@
       if (now - w.last >= limits::line_retry) hand_over(w, now);
       return;
     case Stage::proxying: {
-      if (now >= w.horizon) return refuse(w, 504, "the horizon passed", limits::retry_ms, now);
+      if (now >= w.deadline) return refuse(w, 504, "the deadline passed", limits::retry_ms, now);
       auto* t = led_.view()->find(w.target);
       bool gone = !t || t->state == DaemonState::down || t->state == DaemonState::left;
       if (o && o->id != w.target && (gone || !w.seen)) return route(w, now);
--- a/src/request/policies.cpp
+++ b/src/request/policies.cpp
@@ -50,7 +50,7 @@
       e.max_tokens = e.max_tokens ? std::min(e.max_tokens, c->turn_limit) : c->turn_limit;
     }
     if (e.key.empty()) e.key = e.attempt;
-    if (e.horizon_ms <= 0 || e.horizon_ms > limits::request_horizon) e.horizon_ms = limits::request_horizon;
+    if (e.deadline_ms <= 0 || e.deadline_ms > limits::request_timeout) e.deadline_ms = limits::request_timeout;
     return std::nullopt;
   }
 };
@@ -69,7 +69,7 @@
     auto wait = e.urgent ? s.urgent_wait : s.wait;
     auto back = static_cast<uint32_t>(std::clamp<Millis>(wait, limits::retry_ms, limits::queue_patience * 2));
     if (s.queued >= room) return Refusal{503, "the queue is full", back};
-    if (wait > std::min(limits::queue_patience / 2, e.horizon_ms / 2))
+    if (wait > std::min(limits::queue_patience / 2, e.deadline_ms / 2))
       return Refusal{503, "it would wait " + std::to_string(wait) + " ms for a replica", back};
     return std::nullopt;
   }
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -4,10 +4,10 @@
 using namespace mosskeel;
 
 int main(int argc, const char** argv) {
-  auto r = read_props(
+  auto r = read_settings(
       argc, argv, {"store", "A storage daemon: keeps the histories.", true, true, false, true, true, true, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
-  auto& p = std::get<Props>(r);
+  auto& p = std::get<Settings>(r);
   start_log("store");
   hold_signals();
   auto d = open_disk(p.data);
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -182,7 +182,7 @@
     if (c.offer->streaming) return failed(any, Outcome::unknown, "", now);
     c.doubt = true;
     free_offer(c);
-    return give_up(any, 504, "the horizon passed while a replica was at work", 0);
+    return give_up(any, 504, "the deadline passed while a replica was at work", 0);
   }
   if (t && t->stage == TurnCall::Stage::asking && now < c.until) return;
   if (now >= c.until || now >= c.hold)
--- a/src/traffic/turn_client.cpp
+++ b/src/traffic/turn_client.cpp
@@ -71,7 +71,7 @@
   auto due = [&](auto& x) { return now - x.last >= limits::line_retry || (moved(x) && now - x.last >= limits::tick); };
   for (auto i = asks_.begin(); i != asks_.end();) {
     auto& x = i->second;
-    if (now - x.born > std::min(limits::ask_patience, x.body.horizon_ms)) {
+    if (now - x.born > std::min(limits::ask_patience, x.body.deadline_ms)) {
       auto a = x.body;
       i = asks_.erase(i);
       send(ends_[a.attempt] = {TurnSettle{a.attempt, a.program, 0, 0, false, {}}, now, 0, {}}, now);
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -42,7 +42,7 @@
   return s.replace(i, from.size(), to);
 }
 
-std::string places(const Result<Props>& r) {
+std::string places(const Result<Settings>& r) {
   std::string s;
   REQUIRE_FALSE(ok(r));
   for (auto& f : findings(r)) s += (s.empty() ? "" : ",") + f.place;
@@ -109,22 +109,22 @@
   setenv("MOSSKEEL_CONFIG", path.c_str(), 1);
   const Needs store{"store", "", true, true, false, true, true, true, false};
   const char* bare[] = {"store", nullptr};
-  auto r = read_props(1, bare, store);
-  REQUIRE(std::holds_alternative<Props>(r));
-  CHECK(std::get<Props>(r).listen == "10.1.0.32:7383");
-  CHECK(std::get<Props>(r).tcm_await_ms == limits::tcm_await);
+  auto r = read_settings(1, bare, store);
+  REQUIRE(std::holds_alternative<Settings>(r));
+  CHECK(std::get<Settings>(r).listen == "10.1.0.32:7383");
+  CHECK(std::get<Settings>(r).tcm_await_ms == limits::tcm_await);
   const char* flags[] = {"store", "--zone", "b", nullptr};
-  CHECK(std::get<int>(read_props(3, flags, store)) == 2);
+  CHECK(std::get<int>(read_settings(3, flags, store)) == 2);
   std::ofstream(path) << with("SeedNodes = [\"10.1.0.33:8144\",", "SeedNodes = [");
   const Needs controller{"controller", "", true, true, false, true, true, true, true};
   const char* core[] = {"controller", nullptr};
-  auto even = read_props(1, core, controller);
-  REQUIRE(std::holds_alternative<Props>(even));
-  CHECK(std::get<Props>(even).core_size == 2);
+  auto even = read_settings(1, core, controller);
+  REQUIRE(std::holds_alternative<Settings>(even));
+  CHECK(std::get<Settings>(even).core_size == 2);
   std::filesystem::remove(path);
-  CHECK(std::get<int>(read_props(1, bare, store)) == 2);
+  CHECK(std::get<int>(read_settings(1, bare, store)) == 2);
   unsetenv("MOSSKEEL_CONFIG");
-  CHECK(std::get<int>(read_props(1, bare, store)) == 2);
+  CHECK(std::get<int>(read_settings(1, bare, store)) == 2);
 }
 
 TEST_CASE("a majority of a line's copies outlives the tolerated losses") {
--- a/tests/process/serve.sh
+++ b/tests/process/serve.sh
@@ -15,7 +15,7 @@
 expect 400 '"place":"body"' -d '{' "$T"
 expect 400 '"place":"input"' -d '{}' "$T"
 expect 400 '"place":"max_tokens"' -d '{"input":"x","max_tokens":-1}' "$T"
-expect 400 'X-Horizon-Ms' -H 'X-Horizon-Ms: soon' -d '{"input":"x"}' "$T"
+expect 400 'X-Deadline-Ms' -H 'X-Deadline-Ms: soon' -d '{"input":"x"}' "$T"
 expect 400 'X-Class' -H 'X-Class: first' -d '{"input":"x"}' "$T"
 expect 404 "cell 'nowhere' is unknown" -d '{"input":"x"}' "http://$F/v1/cells/nowhere/programs/p/turns"
 expect 404 "route 'q'" -d '{"input":"x","route":"q"}' "$T"
--- a/tests/sim/callers.cpp
+++ b/tests/sim/callers.cpp
@@ -187,7 +187,7 @@
   e.key = t->key;
   e.body = t->input;
   e.max_tokens = limit_;
-  e.horizon_ms = 30000;
+  e.deadline_ms = 30000;
   e.urgent = urgent;
   e.after = t->after;
   Envelope env{};
@@ -244,7 +244,7 @@
   e.cell = "news";
   e.kind = "history";
   e.program = program;
-  e.horizon_ms = 5000;
+  e.deadline_ms = 5000;
   Envelope env{};
   env.from = a;
   env.body = e;
--- a/tests/traffic/turns_test.cpp
+++ b/tests/traffic/turns_test.cpp
@@ -94,7 +94,7 @@
   }
 }
 
-TEST_CASE("the horizon passes at each stage") {
+TEST_CASE("the deadline passes at each stage") {
   for (auto s : stages) {
     INFO(static_cast<int>(s));
     Front f;
--- a/tools/loadgen/checks.cpp
+++ b/tools/loadgen/checks.cpp
@@ -97,7 +97,7 @@
   for (auto& m : controllers_) {
     WebAsk a;
     a.url = "http://" + m + "/v1/fronts";
-    a.horizon_ms = 1000;
+    a.deadline_ms = 1000;
     auto j = Json::parse(web(a).body, nullptr, false);
     if (!j.is_object() || !j.contains("fronts")) continue;
     std::vector<Address> v;
--- a/tools/loadgen/load.cpp
+++ b/tools/loadgen/load.cpp
@@ -60,7 +60,7 @@
     a.method = "POST";
     a.url = "http://" + front + "/v1/cells/" + plan_.cell + "/programs/" + program + "/turns";
     a.headers["Idempotency-Key"] = t.key;
-    a.headers["X-Horizon-Ms"] = "30000";
+    a.headers["X-Deadline-Ms"] = "30000";
     if (random() % 20 == 0) a.headers["X-Class"] = "urgent";
     Json body{{"input", t.input},
               {"thread", thread},
@@ -69,7 +69,7 @@
               {"stream", true}};
     if (sure) body["after"] = settled;
     a.body = body.dump();
-    a.horizon_ms = 60000;
+    a.deadline_ms = 60000;
     a.on_bytes = [&](const std::string& b) { s.feed(b, begun); };
     auto r = web(a);
     if (i == 0)
--- a/tools/local-cluster/fleet.cpp
+++ b/tools/local-cluster/fleet.cpp
@@ -13,7 +13,7 @@
 #include <thread>
 
 #include "kernel/host.hpp"
-#include "kernel/props.hpp"
+#include "kernel/settings.hpp"
 #include "kernel/web.hpp"
 
 extern char** environ;
--- a/tools/local-cluster/main.cpp
+++ b/tools/local-cluster/main.cpp
@@ -11,7 +11,7 @@
 #include "kernel/host.hpp"
 #include "kernel/http.hpp"
 #include "kernel/log.hpp"
-#include "kernel/props.hpp"
+#include "kernel/settings.hpp"
 #include "kernel/web.hpp"
 
 using namespace mosskeel;
@@ -25,7 +25,7 @@
     if (p.program == "gateway" && p.pid) {
       WebAsk a;
       a.url = "http://" + p.http + "/ready";
-      a.horizon_ms = 1000;
+      a.deadline_ms = 1000;
       n += web(a).status == 200;
     }
   return n;
--- a/tools/replica-sim/main.cpp
+++ b/tools/replica-sim/main.cpp
@@ -10,7 +10,7 @@
 #include "kernel/http.hpp"
 #include "kernel/limits.hpp"
 #include "kernel/log.hpp"
-#include "kernel/props.hpp"
+#include "kernel/settings.hpp"
 
 using namespace mosskeel;
 using Json = nlohmann::json;
--- a/tools/scale/churn.cpp
+++ b/tools/scale/churn.cpp
@@ -8,7 +8,7 @@
 namespace mosskeel::scale {
 namespace {
 
-constexpr Millis settle = 4000, horizon = 900000;
+constexpr Millis settle = 4000, deadline = 900000;
 
 struct Fronts {
   Fronts(Field& f) : f(f) {
@@ -83,14 +83,14 @@
   f.run(settle);
   Fronts v(f);
   v.stop(v.v.front());
-  f.until(horizon, [&] { return calm(f); });
+  f.until(deadline, [&] { return calm(f); });
   f.forget();
   auto before = core(f)->epoch;
   auto begun = f.now();
   v.start(v.v.front());
-  f.until(horizon, [&] { return f.stations()[v.v.front()].seen.v > 0; });
+  f.until(deadline, [&] { return f.stations()[v.v.front()].seen.v > 0; });
   r.counts["value_after.ms"] = static_cast<double>(f.now() - begun);
-  f.until(horizon, [&] { return calm(f); });
+  f.until(deadline, [&] { return calm(f); });
   Tally in;
   double whole = 0, value = static_cast<double>(codec::pack(*core(f)).size());
   for (auto& [k, x] : f.stations()[v.v.front()].t.in) {
@@ -122,7 +122,7 @@
     f.run(limits::heartbeat);
     auto at = f.now();
     v.start(k);
-    good = f.until(horizon, [&] { return calm(f); });
+    good = f.until(deadline, [&] { return calm(f); });
     took.push_back(f.now() - at);
   }
   std::sort(took.begin(), took.end());
@@ -156,14 +156,14 @@
       }
     return n == all;
   };
-  r.counts["all_down"] = f.until(horizon, down);
+  r.counts["all_down"] = f.until(deadline, down);
   r.counts["down.ms"] = static_cast<double>(f.now() - begun);
-  f.until(horizon, [&] { return calm(f); });
+  f.until(deadline, [&] { return calm(f); });
   auto back = f.now();
   r.counts["daemons"] = static_cast<double>(gone.size());
   r.counts["epochs.down"] = static_cast<double>(core(f)->epoch.v - before.v);
   for (auto i : gone) f.start(i, true);
-  r.counts["back"] = f.until(horizon, [&] { return calm(f); });
+  r.counts["back"] = f.until(deadline, [&] { return calm(f); });
   r.counts["back.ms"] = static_cast<double>(f.now() - back);
   account(r, f, before, begun);
   return r;
@@ -200,7 +200,7 @@
   r.counts["cut.epochs"] = static_cast<double>(f.stations()[majority].machine->view()->epoch.v - before.v);
   auto healed = f.now();
   f.cut = nullptr;
-  r.counts["back"] = f.until(horizon, [&] { return calm(f); });
+  r.counts["back"] = f.until(deadline, [&] { return calm(f); });
   r.counts["back.ms"] = static_cast<double>(f.now() - healed);
   account(r, f, before, begun);
   return r;
--- a/tools/scale/crew.hpp
+++ b/tools/scale/crew.hpp
@@ -3,7 +3,7 @@
 #include <sys/types.h>
 
 #include "follow/ledger.hpp"
-#include "kernel/post.hpp"
+#include "kernel/transport.hpp"
 #include "kernel/queue.hpp"
 #include "scale/fleet.hpp"
 
--- a/tools/scale/hollow.cpp
+++ b/tools/scale/hollow.cpp
@@ -9,7 +9,7 @@
 
 #include "follow/agent_machine.hpp"
 #include "kernel/host.hpp"
-#include "kernel/post.hpp"
+#include "kernel/transport.hpp"
 #include "kernel/queue.hpp"
 #include "scale/fleet.hpp"
 
