--- a/src/line/chains.cpp
+++ b/src/history/chains.cpp
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <unordered_map>
 
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 
 namespace mosskeel {
 namespace {
@@ -11,7 +11,7 @@
 std::optional<std::string> chain_of(const Records& v, const std::string& turn) {
   std::unordered_map<std::string, const Record*> intents, settled;
   for (auto& r : v) {
-    if (r.kind == RecordKind::intent) intents.emplace(r.key, &r);
+    if (r.kind == RecordKind::reservation) intents.emplace(r.key, &r);
     if (r.kind == RecordKind::settled) settled.emplace(r.key, &r);
   }
   std::vector<std::string> parts;
--- a/src/line/expiry.cpp
+++ b/src/history/expiry.cpp
@@ -1,13 +1,13 @@
 // How a line ends: by the clocks of a majority of its stores, and by its owner's own record.
 #include <algorithm>
 
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 
 namespace mosskeel {
 
 void StoreMachine::bury(SlotStore& s, const LineName& n) {
   s.lines.erase(n);
-  s.graves.add(grave_of(n));
+  s.tombstones.add(tombstone_of(n));
 }
 
 /// Time counts from the last write, over this store's own uptime only, stretched by a margin: what clocks do can
@@ -36,7 +36,7 @@
 
 void StoreMachine::on(const Envelope& e, const LineBury& b) {
   auto& s = slots_[b.slot];
-  if (!placed(e, b.slot) || s.fence > b.term || s.graves.has(grave_of(b.line))) return;
+  if (!placed(e, b.slot) || s.fence > b.term || s.tombstones.has(tombstone_of(b.line))) return;
   bury(s, b.line);
   journal(BuryRecord{b.slot, b.line});
 }
@@ -47,9 +47,9 @@
   return n;
 }
 
-size_t StoreMachine::kept_graves() const {
+size_t StoreMachine::kept_tombstones() const {
   size_t n = 0;
-  for (auto& [s, x] : slots_) n += x.graves.size();
+  for (auto& [s, x] : slots_) n += x.tombstones.size();
   return n;
 }
 
--- a/src/line/keeper.cpp
+++ b/src/history/history_writer.cpp
@@ -1,17 +1,17 @@
-#include "line/keeper.hpp"
+#include "history/history_writer.hpp"
 
 #include <algorithm>
 
 namespace mosskeel {
 
-bool Keeper::mine(SlotId s) const {
+bool HistoryWriter::mine(SlotId s) const {
   auto& m = *led_.view();
   if (s.v >= m.slots.size()) return false;
   auto* d = m.find(m.slots[s.v].owner);
   return d && d->self.inc == out_.id().self.inc;
 }
 
-std::vector<const Daemon*> Keeper::targets(const Held& h) const {
+std::vector<const Daemon*> HistoryWriter::targets(const Held& h) const {
   auto& m = *led_.view();
   auto& s = m.slots[h.slot.v];
   std::set<DaemonId> ids(s.stores.begin(), s.stores.end());
@@ -22,7 +22,7 @@
   return v;
 }
 
-bool Keeper::enough(const Held& h, const std::function<bool(DaemonId)>& has) const {
+bool HistoryWriter::enough(const Held& h, const std::function<bool(DaemonId)>& has) const {
   auto& s = led_.view()->slots[h.slot.v];
   auto good = [&](const std::vector<DaemonId>& v) {
     auto n = static_cast<size_t>(std::count_if(v.begin(), v.end(), has));
@@ -31,7 +31,7 @@
   return good(s.stores) && (s.pending.empty() || h.reading || good(s.pending));
 }
 
-Keeper::State Keeper::open(const LineName& n, Millis now) {
+HistoryWriter::State HistoryWriter::open(const LineName& n, Millis now) {
   auto slot = slot_of(n.cell, n.program);
   if (!mine(slot)) return State::fenced;
   auto term = led_.view()->slots[slot.v].term;
@@ -56,39 +56,39 @@
   return h.state;
 }
 
-const Records& Keeper::records(const LineName& n) const {
+const Records& HistoryWriter::records(const LineName& n) const {
   static const Records none;
   auto i = lines_.find(n);
   return i == lines_.end() ? none : i->second.records;
 }
 
-uint64_t Keeper::committed(const LineName& n) const {
+uint64_t HistoryWriter::committed(const LineName& n) const {
   auto i = lines_.find(n);
   return i == lines_.end() ? 0 : i->second.committed;
 }
 
-bool Keeper::kept(const LineName& n, const Record& r) const {
+bool HistoryWriter::kept(const LineName& n, const Record& r) const {
   return static_cast<uint64_t>(&r - records(n).data()) < committed(n);
 }
 
-Epoch Keeper::term(const LineName& n) const {
+Epoch HistoryWriter::term(const LineName& n) const {
   auto i = lines_.find(n);
   return i == lines_.end() ? Epoch{} : i->second.term;
 }
 
-bool Keeper::ended(const LineName& n) const {
+bool HistoryWriter::ended(const LineName& n) const {
   auto i = lines_.find(n);
   if (i == lines_.end()) return false;
   auto& v = i->second.records;
   return i->second.buried || (!v.empty() && v.back().kind == RecordKind::ended);
 }
 
-bool Keeper::agreed(const LineName& n, const std::function<bool(DaemonId)>& has) const {
+bool HistoryWriter::agreed(const LineName& n, const std::function<bool(DaemonId)>& has) const {
   auto i = lines_.find(n);
   return i != lines_.end() && enough(i->second, has);
 }
 
-uint64_t Keeper::append(const LineName& n, Record r, Millis now) {
+uint64_t HistoryWriter::append(const LineName& n, Record r, Millis now) {
   auto i = lines_.find(n);
   if (i == lines_.end()) return 0;
   i->second.records.push_back(std::move(r));
@@ -96,7 +96,7 @@
   return i->second.records.size();
 }
 
-void Keeper::pump(const LineName& n, Held& h, Millis now, bool retry) {
+void HistoryWriter::pump(const LineName& n, Held& h, Millis now, bool retry) {
   if (h.state == State::fenced) return;
   for (auto* d : targets(h)) {
     auto& p = h.peers[d->id];
@@ -123,7 +123,7 @@
   }
 }
 
-void Keeper::settle(const LineName& n, Held& h, Millis now) {
+void HistoryWriter::settle(const LineName& n, Held& h, Millis now) {
   if (h.reading) {
     if (!enough(h, [&](DaemonId id) { return h.peers.count(id) && h.peers[id].read; })) return;
     h.reading = false;
@@ -156,7 +156,7 @@
   if (h.committed != before) changed_.insert(n);
 }
 
-bool Keeper::on(const Envelope& e, Millis now) {
+bool HistoryWriter::on(const Envelope& e, Millis now) {
   if (auto* r = std::get_if<LineReadReply>(&e.body)) {
     auto i = lines_.find(r->line);
     auto* d = led_.view()->find(e.from_inc);
@@ -195,7 +195,7 @@
   return false;
 }
 
-void Keeper::tick(Millis now) {
+void HistoryWriter::tick(Millis now) {
   for (auto i = lines_.begin(); i != lines_.end();) {
     auto& [n, h] = *i;
     if (!mine(h.slot) || led_.view()->slots[h.slot.v].term != h.term) {
--- a/src/line/keeper.hpp
+++ b/src/history/history_writer.hpp
@@ -4,10 +4,10 @@
 
 namespace mosskeel {
 
-class Keeper {
+class HistoryWriter {
  public:
   enum class State { opening, open, fenced, unavailable };
-  Keeper(Outbox& out, Ledger& led) : out_(out), led_(led) {}
+  HistoryWriter(Outbox& out, Ledger& led) : out_(out), led_(led) {}
 
   /// Starts opening a line of a slot we own; call again at will.
   State open(const LineName& n, Millis now);
--- a/src/line/repair.cpp
+++ b/src/history/repair.cpp
@@ -1,4 +1,4 @@
-#include "line/repair.hpp"
+#include "history/repair.hpp"
 
 #include <algorithm>
 
@@ -34,7 +34,7 @@
   auto i = slots_.find(s);
   if (i == slots_.end()) return x;
   for (auto& [n, l] : i->second.lines)
-    if (settled(l)) x += digest(codec::pack(std::make_pair(l.term, l.records.size())), grave_of(n));
+    if (settled(l)) x += digest(codec::pack(std::make_pair(l.term, l.records.size())), tombstone_of(n));
   return x;
 }
 
@@ -130,7 +130,7 @@
     Epoch term{};
     uint64_t length = 0;
     if (i != slots_.end()) {
-      if (i->second.graves.has(grave_of(x.line))) continue;
+      if (i->second.tombstones.has(tombstone_of(x.line))) continue;
       if (auto l = i->second.lines.find(x.line); l != i->second.lines.end())
         term = l->second.term, length = l->second.records.size();
     }
--- a/src/line/repair.hpp
+++ b/src/history/repair.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // A store's background repair: compare slots with the other stores, fetch the lines that are lacking here.
 #include "follow/ledger.hpp"
-#include "line/store.hpp"
+#include "history/store.hpp"
 
 namespace mosskeel {
 
--- a/src/line/store.hpp
+++ b/src/history/store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 // What a store keeps of its slots.
-#include "line/graves.hpp"
+#include "history/tombstones.hpp"
 
 namespace mosskeel {
 
@@ -10,12 +10,12 @@
 };
 using Lines = std::map<LineName, Line>;
 struct SlotStore {
-  BOOST_HANA_DEFINE_STRUCT(SlotStore, (Epoch, fence), (Lines, lines), (Graves, graves));
+  BOOST_HANA_DEFINE_STRUCT(SlotStore, (Epoch, fence), (Lines, lines), (Tombstones, tombstones));
 };
 using SlotStores = std::map<SlotId, SlotStore>;
 struct StreamRecord {
   BOOST_HANA_DEFINE_STRUCT(StreamRecord, (SlotId, slot), (Epoch, fence), (std::vector<StreamedLine>, lines),
-                           (std::vector<uint64_t>, graves));
+                           (std::vector<uint64_t>, tombstones));
 };
 
 }  // namespace mosskeel
--- a/src/line/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -1,4 +1,4 @@
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 
 #include <algorithm>
 
@@ -70,7 +70,7 @@
 void StoreMachine::on(const Envelope& e, const LineRead& r) {
   bool yes = placed(e, r.slot) && fence(r.slot, r.term);
   auto& s = slots_[r.slot];
-  LineReadReply a{r.line, r.term, yes, {}, s.graves.has(grave_of(r.line)), {}};
+  LineReadReply a{r.line, r.term, yes, {}, s.tombstones.has(tombstone_of(r.line)), {}};
   if (auto i = s.lines.find(r.line); yes && i != s.lines.end())
     a.line_term = i->second.term, a.records = i->second.records;
   out_.send_synced(e.from, a, e.from_inc);
@@ -78,7 +78,7 @@
 
 LineWriteReply StoreMachine::write(SlotStore& s, const LineWrite& w) {
   s.fence = std::max(s.fence, w.term);
-  if (s.graves.has(grave_of(w.line))) return {w.line, w.term, false, false, 0};
+  if (s.tombstones.has(tombstone_of(w.line))) return {w.line, w.term, false, false, 0};
   auto i = s.lines.find(w.line);
   if (w.adopt) {
     auto& l = s.lines[w.line];
@@ -107,7 +107,7 @@
 }
 
 void StoreMachine::on(const Envelope& e, const SlotStream& q) {
-  SlotStreamReply r{q.slot, q.sequence, q.after, q.grave, {}, {}, {}, false};
+  SlotStreamReply r{q.slot, q.sequence, q.after, q.tombstone, {}, {}, {}, false};
   if (auto i = slots_.find(q.slot); i != slots_.end()) {
     r.fence = i->second.fence;
     size_t bytes = 0;
@@ -120,18 +120,18 @@
       for (auto& x : j->second.records) bytes += x.input.size() + x.output.size() + 128;
       r.lines.push_back({j->first, j->second.term, j->second.records});
     }
-    r.graves = i->second.graves.above(q.grave, limits::graves_page);
-    r.more = r.more || r.graves.size() == limits::graves_page;
+    r.tombstones = i->second.tombstones.above(q.tombstone, limits::tombstones_page);
+    r.more = r.more || r.tombstones.size() == limits::tombstones_page;
   }
   out_.send(e.from, r, e.from_inc);
 }
 
 void StoreMachine::merge(SlotStore& s, const StreamRecord& r) {
   s.fence = std::max(s.fence, r.fence);
-  for (auto g : r.graves) s.graves.add(g);
-  if (!r.graves.empty()) std::erase_if(s.lines, [&](auto& l) { return s.graves.has(grave_of(l.first)); });
+  for (auto g : r.tombstones) s.tombstones.add(g);
+  if (!r.tombstones.empty()) std::erase_if(s.lines, [&](auto& l) { return s.tombstones.has(tombstone_of(l.first)); });
   for (auto& l : r.lines) {
-    if (s.graves.has(grave_of(l.line))) continue;
+    if (s.tombstones.has(tombstone_of(l.line))) continue;
     auto& mine = s.lines[l.line];
     if (std::make_pair(mine.term, mine.records.size()) < std::make_pair(l.line_term, l.records.size()))
       mine = {l.line_term, l.records, uptime()};
@@ -144,14 +144,14 @@
   if (i == streams_.end() || i->second.sequence != r.sequence || !d || i->second.complete) return;
   auto& x = i->second;
   auto at = x.at.find(d->id);
-  if (at == x.at.end() || at->second.line != r.after || at->second.grave != r.grave || x.done.count(d->id)) return;
-  StreamRecord q{r.slot, r.fence, r.lines, r.graves};
+  if (at == x.at.end() || at->second.line != r.after || at->second.tombstone != r.tombstone || x.done.count(d->id)) return;
+  StreamRecord q{r.slot, r.fence, r.lines, r.tombstones};
   merge(slots_[r.slot], q);
   journal(q);
   if (r.more) {
     if (!r.lines.empty()) at->second.line = r.lines.back().line;
-    if (!r.graves.empty()) at->second.grave = r.graves.back();
-    out_.send(e.from, SlotStream{r.slot, r.sequence, at->second.line, at->second.grave});
+    if (!r.tombstones.empty()) at->second.tombstone = r.tombstones.back();
+    out_.send(e.from, SlotStream{r.slot, r.sequence, at->second.line, at->second.tombstone});
     return;
   }
   x.done.insert(d->id);
@@ -184,7 +184,7 @@
     x.last = now;
     for (auto r : s.stores)
       if (auto* d = m.find(r); d && !x.done.count(r))
-        out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].grave}, d->self.inc);
+        out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].tombstone}, d->self.inc);
   }
 }
 
--- a/src/line/store_machine.hpp
+++ b/src/history/store_machine.hpp
@@ -1,7 +1,7 @@
 #pragma once
 // A store: fenced append logs, one a line; it syncs before it answers.
 #include "follow/follower.hpp"
-#include "line/repair.hpp"
+#include "history/repair.hpp"
 
 namespace mosskeel {
 
@@ -25,14 +25,14 @@
   std::string checkpoint() const override;
   const SlotStores& slots() const { return slots_; }
   size_t kept_lines() const;
-  size_t kept_graves() const;
+  size_t kept_tombstones() const;
   const Repair& repair() const { return rep_; }
 
  private:
   /// How far a stream has come.
   struct Place {
     LineName line;
-    uint64_t grave = 0;
+    uint64_t tombstone = 0;
   };
   struct Streaming {
     Epoch sequence;
--- a/src/line/graves.cpp
+++ b/src/history/tombstones.cpp
@@ -1,14 +1,14 @@
-#include "line/graves.hpp"
+#include "history/tombstones.hpp"
 
 #include <algorithm>
 
 namespace mosskeel {
 
-bool Graves::has(uint64_t x) const {
+bool Tombstones::has(uint64_t x) const {
   return std::binary_search(young.begin(), young.end(), x) || std::binary_search(old.begin(), old.end(), x);
 }
 
-void Graves::add(uint64_t x, size_t bound) {
+void Tombstones::add(uint64_t x, size_t bound) {
   auto i = std::lower_bound(young.begin(), young.end(), x);
   if (i != young.end() && *i == x) return;
   young.insert(i, x);
@@ -16,7 +16,7 @@
   old = std::exchange(young, {});
 }
 
-std::vector<uint64_t> Graves::above(uint64_t after, size_t most) const {
+std::vector<uint64_t> Tombstones::above(uint64_t after, size_t most) const {
   std::vector<uint64_t> v;
   auto a = std::upper_bound(young.begin(), young.end(), after), b = std::upper_bound(old.begin(), old.end(), after);
   while (v.size() < most && (a != young.end() || b != old.end())) {
@@ -27,7 +27,7 @@
   return v;
 }
 
-uint64_t grave_of(const LineName& n) {
+uint64_t tombstone_of(const LineName& n) {
   return digest(n.program, digest(n.cell));
 }
 
--- a/src/line/graves.hpp
+++ b/src/history/tombstones.hpp
@@ -6,15 +6,15 @@
 namespace mosskeel {
 
 /// Digests of the names of ended lines, bounded: the older half goes when the younger is full.
-struct Graves {
-  BOOST_HANA_DEFINE_STRUCT(Graves, (std::vector<uint64_t>, young), (std::vector<uint64_t>, old));
+struct Tombstones {
+  BOOST_HANA_DEFINE_STRUCT(Tombstones, (std::vector<uint64_t>, young), (std::vector<uint64_t>, old));
   bool has(uint64_t x) const;
-  void add(uint64_t x, size_t bound = limits::graves);
+  void add(uint64_t x, size_t bound = limits::tombstones);
   /// Those above `after` in order, at most `most`.
   std::vector<uint64_t> above(uint64_t after, size_t most) const;
   size_t size() const { return young.size() + old.size(); }
 };
 
-uint64_t grave_of(const LineName& n);
+uint64_t tombstone_of(const LineName& n);
 
 }  // namespace mosskeel
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -22,8 +22,8 @@
 
 void note(Event e, const std::string& text) {
   auto n = static_cast<int>(e);
-  bool grave = e == Event::corrupt || e == Event::disk_failed || e == Event::disk_full || e == Event::bad_settings;
-  if (grave)
+  bool tombstone = e == Event::corrupt || e == Event::disk_failed || e == Event::disk_full || e == Event::bad_settings;
+  if (tombstone)
     LOG(ERROR) << "event=" << n << " " << meaning(e) << ": " << text;
   else
     LOG(INFO) << "event=" << n << " " << meaning(e) << ": " << text;
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -79,7 +79,7 @@
 };
 
 /// An `intent` is there before dispatch with its token reservation, a `settled` before success; `ended` closes a line.
-enum class RecordKind : uint8_t { intent, settled, ended };
+enum class RecordKind : uint8_t { reservation, settled, ended };
 struct Record {
   BOOST_HANA_DEFINE_STRUCT(Record, (RecordKind, kind), (std::string, key), (std::string, thread),
                            (uint64_t, body_digest), (uint64_t, tokens), (uint32_t, turn), (uint32_t, status),
@@ -117,14 +117,14 @@
   BOOST_HANA_DEFINE_STRUCT(LineBury, (LineName, line), (SlotId, slot), (Epoch, term));
 };
 struct SlotStream {
-  BOOST_HANA_DEFINE_STRUCT(SlotStream, (SlotId, slot), (Epoch, sequence), (LineName, after), (uint64_t, grave));
+  BOOST_HANA_DEFINE_STRUCT(SlotStream, (SlotId, slot), (Epoch, sequence), (LineName, after), (uint64_t, tombstone));
 };
 struct StreamedLine {
   BOOST_HANA_DEFINE_STRUCT(StreamedLine, (LineName, line), (Epoch, line_term), (Records, records));
 };
 struct SlotStreamReply {
-  BOOST_HANA_DEFINE_STRUCT(SlotStreamReply, (SlotId, slot), (Epoch, sequence), (LineName, after), (uint64_t, grave),
-                           (Epoch, fence), (std::vector<StreamedLine>, lines), (std::vector<uint64_t>, graves),
+  BOOST_HANA_DEFINE_STRUCT(SlotStreamReply, (SlotId, slot), (Epoch, sequence), (LineName, after), (uint64_t, tombstone),
+                           (Epoch, fence), (std::vector<StreamedLine>, lines), (std::vector<uint64_t>, tombstones),
                            (bool, more));
 };
 
--- a/src/request/dispatch.cpp
+++ b/src/request/dispatch.cpp
@@ -54,7 +54,7 @@
       continue;
     }
     if (!w.direct) {
-      if (keep_.open(w.line, now) != Keeper::State::open || keep_.term(w.line) != w.term) {
+      if (keep_.open(w.line, now) != HistoryWriter::State::open || keep_.term(w.line) != w.term) {
         route(w, now);
         continue;
       }
@@ -94,7 +94,7 @@
     std::map<std::string, std::string> input;
     for (auto& r : keep_.records(w.line)) {
       if (r.thread != w.e.thread) continue;
-      if (r.kind == RecordKind::intent)
+      if (r.kind == RecordKind::reservation)
         input[r.key] = r.input;
       else if (r.status == 200)
         chain.push_back({input[r.key], r.output});
@@ -181,8 +181,8 @@
   uint64_t spent = 0;
   for (auto& r : v) {
     if (!keep_.kept(w.line, r)) break;
-    open[r.key] = r.kind == RecordKind::intent;
-    if (r.kind == RecordKind::intent) {
+    open[r.key] = r.kind == RecordKind::reservation;
+    if (r.kind == RecordKind::reservation) {
       intents[r.key] = &r;
       continue;
     }
--- a/src/request/ending.cpp
+++ b/src/request/ending.cpp
@@ -16,7 +16,7 @@
   auto* d = led_.view()->find(e.from_inc);
   if (!d || x.slot != slot_of(x.line.cell, x.line.program)) return;
   auto s = keep_.open(x.line, now);
-  if (s != Keeper::State::open) return;
+  if (s != HistoryWriter::State::open) return;
   auto& v = keep_.records(x.line);
   if (keep_.ended(x.line)) {
     if (keep_.committed(x.line) >= v.size())
@@ -34,7 +34,7 @@
   std::map<std::string, const Record*> last;
   for (auto& r : v) last[r.key] = &r;
   for (auto& [k, r] : last)
-    if (r->kind == RecordKind::intent && running_elsewhere(x.line, *r, now)) return;
+    if (r->kind == RecordKind::reservation && running_elsewhere(x.line, *r, now)) return;
   Record r{};
   r.kind = RecordKind::ended;
   keep_.append(x.line, r, now);
--- a/src/request/gateway_machine.hpp
+++ b/src/request/gateway_machine.hpp
@@ -4,7 +4,7 @@
 
 #include "request/policy.hpp"
 #include "follow/follower.hpp"
-#include "line/keeper.hpp"
+#include "history/history_writer.hpp"
 #include "traffic/routing_snapshot.hpp"
 #include "traffic/turn_client.hpp"
 
@@ -113,7 +113,7 @@
   Outbox out_;
   Ledger led_;
   Follower fol_;
-  Keeper keep_;
+  HistoryWriter keep_;
   TurnCoordinator reg_;
   TurnClient turn_client_;
   ReplicaSelector nom_;
--- a/src/request/owner.cpp
+++ b/src/request/owner.cpp
@@ -16,9 +16,9 @@
     case Stage::opening:
       if (!mine) return route(w, now);
       switch (keep_.open(w.line, now)) {
-        case Keeper::State::open:
+        case HistoryWriter::State::open:
           return opened(w, now);
-        case Keeper::State::unavailable:
+        case HistoryWriter::State::unavailable:
           return refuse(w, 503, "too few stores answer", limits::retry_ms * 2, now);
         default:
           return;
@@ -109,7 +109,7 @@
   std::map<std::string, const Record*> last, intents;
   for (auto& r : v) {
     last[r.key] = &r;
-    if (r.kind == RecordKind::intent) intents[r.key] = &r;
+    if (r.kind == RecordKind::reservation) intents[r.key] = &r;
   }
   if (auto i = last.find(w.e.key);
       i != last.end() && !(i->second->kind == RecordKind::settled && i->second->status == 0)) {
@@ -141,7 +141,7 @@
   uint32_t turns = 0;
   bool busy = false;
   for (auto& [k, r] : last) {
-    bool open = r->kind == RecordKind::intent;
+    bool open = r->kind == RecordKind::reservation;
     if (open || r->status != 0) spent += r->tokens;
     if (r->thread != w.e.thread) continue;
     if (!open && r->status == 200) ++turns;
@@ -169,7 +169,7 @@
 
 void GatewayMachine::intend(Ref w, Millis now) {
   Record r{};
-  r.kind = RecordKind::intent;
+  r.kind = RecordKind::reservation;
   r.key = w.e.key;
   r.thread = w.e.thread;
   r.body_digest = digest(w.e.body + '\0' + w.e.path);
@@ -222,8 +222,8 @@
   auto& x = std::get<LateSettle>(l.from.body);
   auto say = [&](Outcome o) { return out_.send(l.from.from, LateSettled{x.attempt, o}, l.from.from_inc), true; };
   auto s = keep_.open(x.line, now);
-  if (s == Keeper::State::fenced || now - l.born > limits::handover_patience) return true;
-  if (s != Keeper::State::open) return false;
+  if (s == HistoryWriter::State::fenced || now - l.born > limits::handover_patience) return true;
+  if (s != HistoryWriter::State::open) return false;
   if (keep_.ended(x.line)) return say(Outcome::no);
   if (l.mark && l.term == keep_.term(x.line)) return keep_.committed(x.line) >= l.mark ? say(Outcome::yes) : false;
   const Record *last = nullptr, *after = nullptr;
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -1,5 +1,5 @@
 #include "kernel/daemon.hpp"
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 
 using namespace mosskeel;
 
@@ -29,13 +29,13 @@
       size_t n = 0, g = 0, lacking = 0, fetched = 0;
       host.ask([&](Machine& m, Millis) {
         n = static_cast<StoreMachine&>(m).kept_lines();
-        g = static_cast<StoreMachine&>(m).kept_graves();
+        g = static_cast<StoreMachine&>(m).kept_tombstones();
         lacking = static_cast<StoreMachine&>(m).repair().lacking();
         fetched = static_cast<StoreMachine&>(m).repair().fetched();
       });
       x.body = metrics_of(host, "store",
                           {{"lines", static_cast<double>(n)},
-                           {"graves", static_cast<double>(g)},
+                           {"tombstones", static_cast<double>(g)},
                            {"slots_lacking", static_cast<double>(lacking)},
                            {"lines_repaired", static_cast<double>(fetched)}});
       x.headers["Content-Type"] = "text/plain";
--- a/src/traffic/turn_coordinator.cpp
+++ b/src/traffic/turn_coordinator.cpp
@@ -29,7 +29,7 @@
     auto& r = v[t.seen];
     if (r.kind == RecordKind::ended) continue;
     auto& x = t.turns[r.key];
-    if (r.kind == RecordKind::intent && x.intent == none && x.settled == none) {
+    if (r.kind == RecordKind::reservation && x.intent == none && x.settled == none) {
       x.intent = t.seen;
       t.reserved += r.tokens;
     } else if (r.kind == RecordKind::settled && x.settled == none) {
@@ -73,13 +73,13 @@
   auto& a = p.ask;
   if (!mine(p.line)) return refuse(p, 0, "another front owns the program", 0);
   switch (keep_.open(p.line, now)) {
-    case Keeper::State::open:
+    case HistoryWriter::State::open:
       break;
-    case Keeper::State::unavailable:
+    case HistoryWriter::State::unavailable:
       return refuse(p, 503, "too few stores answer", limits::retry_ms);
-    case Keeper::State::fenced:
+    case HistoryWriter::State::fenced:
       return refuse(p, 0, "another front owns the program", 0);
-    case Keeper::State::opening:
+    case HistoryWriter::State::opening:
       return Verdict::wait;
   }
   if (keep_.ended(p.line))
@@ -100,7 +100,7 @@
     if (t.spent + t.reserved + a.most > a.budget) return refuse(p, 402, "the program's budget is spent", 0);
     auto* d = led_.view()->find(p.inc);
     Record r{};
-    r.kind = RecordKind::intent;
+    r.kind = RecordKind::reservation;
     r.key = a.attempt;
     r.tokens = a.most;
     r.runner = d ? d->id : DaemonId{};
@@ -141,7 +141,7 @@
     if (!p.searching || p.ask.parent != f.turn) continue;
     if (!f.found) {
       p.without.insert(d->id);
-    } else if (mine(p.line) && keep_.open(p.line, now) == Keeper::State::open && !tab(p.line).turns.count(f.turn)) {
+    } else if (mine(p.line) && keep_.open(p.line, now) == HistoryWriter::State::open && !tab(p.line).turns.count(f.turn)) {
       Record r{};
       r.kind = RecordKind::settled;
       r.key = f.turn;
@@ -162,7 +162,7 @@
     return Verdict::over;
   };
   if (!mine(x.line)) return Verdict::over;
-  if (keep_.open(x.line, now) != Keeper::State::open)
+  if (keep_.open(x.line, now) != HistoryWriter::State::open)
     return now - x.born > limits::line_patience ? Verdict::over : Verdict::wait;
   auto& t = tab(x.line);
   auto i = t.turns.find(s.attempt);
--- a/src/traffic/turn_coordinator.hpp
+++ b/src/traffic/turn_coordinator.hpp
@@ -2,7 +2,7 @@
 // The owner's side of turns that fronts carry: budget, chain, a durable reservation before, the outcome after.
 #include <unordered_map>
 
-#include "line/keeper.hpp"
+#include "history/history_writer.hpp"
 
 namespace mosskeel {
 
@@ -11,7 +11,7 @@
 
 class TurnCoordinator {
  public:
-  TurnCoordinator(Outbox& out, Ledger& led, Keeper& keep) : out_(out), led_(led), keep_(keep) {}
+  TurnCoordinator(Outbox& out, Ledger& led, HistoryWriter& keep) : out_(out), led_(led), keep_(keep) {}
   /// Handles what concerns turns as their owner; false leaves the message to the caller.
   bool on(const Envelope& e, Millis now);
   /// Goes on with what waited for these lines.
@@ -64,7 +64,7 @@
 
   Outbox& out_;
   Ledger& led_;
-  Keeper& keep_;
+  HistoryWriter& keep_;
   std::map<std::string, Pending> asks_;
   std::map<std::string, Ending> ends_;
   std::map<LineName, Tab> tabs_;
--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -1,7 +1,7 @@
 #include "consensus/acceptor.hpp"
 #include "disk_fixture.hpp"
 #include "kernel/log_frame.hpp"
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 
 using namespace mosskeel;
 namespace fs = std::filesystem;
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -2,12 +2,12 @@
 #include <catch2/catch.hpp>
 
 #include "request/policy.hpp"
-#include "line/graves.hpp"
+#include "history/tombstones.hpp"
 
 using namespace mosskeel;
 
 TEST_CASE("names of ended lines are found, and the oldest go when there are too many") {
-  Graves g;
+  Tombstones g;
   for (uint64_t i = 1; i <= 20; ++i) g.add(i * 7 % 101, 8);
   CHECK(g.size() <= 16);
   for (uint64_t i = 17; i <= 20; ++i) CHECK(g.has(i * 7 % 101));
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -5,7 +5,7 @@
 #include "consensus/controller_machine.hpp"
 #include "request/gateway_machine.hpp"
 #include "follow/agent_machine.hpp"
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 
 namespace mosskeel::sim {
 
--- a/tests/traffic/fixture.hpp
+++ b/tests/traffic/fixture.hpp
@@ -27,7 +27,7 @@
   Identity id{candidate(1, Role::front, "z1"), {}, 0, 99};
   Outbox out{id};
   Ledger led;
-  Keeper keep{out, led};
+  HistoryWriter keep{out, led};
   TurnCoordinator reg{out, led, keep};
   Millis now = 1000;
   Owner() {
--- a/tests/traffic/turn_coordinator_test.cpp
+++ b/tests/traffic/turn_coordinator_test.cpp
@@ -11,7 +11,7 @@
   CHECK(o.sent<TurnGrant>().empty());
   auto kept = o.settle_writes();
   REQUIRE(kept.size() == 1);
-  CHECK(kept[0].kind == RecordKind::intent);
+  CHECK(kept[0].kind == RecordKind::reservation);
   CHECK(kept[0].tokens == 100);
   auto g = o.sent<TurnGrant>();
   REQUIRE(g.size() == 1);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -17,7 +17,7 @@
   e.from = "127.0.0.1:1";
   e.body = LineWrite{
       {"news", "p"}, SlotId{3}, Epoch{4},
-      false,         2,         {Record{RecordKind::intent, "k", "main", 1, 2, 3, 0, DaemonId{4}, 5, "in", ""}}};
+      false,         2,         {Record{RecordKind::reservation, "k", "main", 1, 2, 3, 0, DaemonId{4}, 5, "in", ""}}};
   return e;
 }
 }  // namespace
--- a/tools/scale/field.hpp
+++ b/tools/scale/field.hpp
@@ -3,7 +3,7 @@
 #include <unordered_map>
 
 #include "request/gateway_machine.hpp"
-#include "line/store_machine.hpp"
+#include "history/store_machine.hpp"
 #include "scale/plan.hpp"
 
 namespace mosskeel::scale {
