--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -5,13 +5,14 @@
 
 int main(int argc, const char** argv) {
   auto r = read_settings(argc, argv,
-                      {"agent", "The agent beside a gateway: keeps its link to the core.", true, false, true,
-                       true, true, false, false});
+                         {"agent", "The agent beside a gateway: keeps its link to the core.", true, false, true, true,
+                          true, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Settings>(r);
   start_log("agent");
   hold_signals();
-  Identity id{{Incarnation{dice()}, Role::front, p.zone, p.listen, p.agent, "", p.machine}, p.seeds, 0, dice(), p.tcm_rpc_ms};
+  Identity id{
+      {Incarnation{dice()}, Role::front, p.zone, p.listen, p.agent, "", p.machine}, p.seeds, 0, dice(), p.tcm_rpc_ms};
   Host host(nullptr, p.listen);
   if (auto f = host.start([&](const Recovered&, Millis now) { return std::make_unique<AgentMachine>(id, now); });
       !f.empty())
--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -20,8 +20,8 @@
 using ControllerRecord = std::variant<PromiseRecord, AcceptRecord, DecidedRecord, JumpRecord>;
 
 struct ControllerCheckpoint {
-  BOOST_HANA_DEFINE_STRUCT(ControllerCheckpoint, (Metadata, metadata), (Entries, recent), (Epoch, open), (Ballot, promised),
-                           (std::optional<Accept_>, accepted));
+  BOOST_HANA_DEFINE_STRUCT(ControllerCheckpoint, (Metadata, metadata), (Entries, recent), (Epoch, open),
+                           (Ballot, promised), (std::optional<Accept_>, accepted));
 };
 
 class Acceptor {
--- a/src/consensus/controller_machine.cpp
+++ b/src/consensus/controller_machine.cpp
@@ -132,7 +132,8 @@
                           for (auto id : led_.view()->members) r.core.push_back(led_.view()->find(id)->self.addr);
                         else
                           for (auto& [i, f] : fellows_) r.candidates.push_back(f.first);
-                        if (d.self.role == Role::controller && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+                        if (d.self.role == Role::controller && d.self.inc != self.inc)
+                          fellows_[d.self.inc] = {d.self, now};
                         out_.send(e.from, r);
                       },
                       [&](const DiscoverReply& d) {
@@ -147,7 +148,8 @@
                           return;
                         }
                         if (d.cluster) return out_.send(e.from, Catchup{led_.epoch()});
-                        if (d.self.role == Role::controller && d.self.inc != self.inc) fellows_[d.self.inc] = {d.self, now};
+                        if (d.self.role == Role::controller && d.self.inc != self.inc)
+                          fellows_[d.self.inc] = {d.self, now};
                         for (auto& c : d.candidates)
                           if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
                       },
@@ -193,8 +195,8 @@
                         if (e.from_inc != self.inc) out_.send_synced(e.from, reply_to(h));
                       },
                       [&](const HeartbeatReply& h) { learn(h.entries, h.checkpoint); },
-                      [&](const LeaseRequest& a) { lease_.on(e, a, now); }, [&](const LeaseGrant& g) { lease_.on(e, g, now); },
-                      [&](const auto&) {}},
+                      [&](const LeaseRequest& a) { lease_.on(e, a, now); },
+                      [&](const LeaseGrant& g) { lease_.on(e, g, now); }, [&](const auto&) {}},
              e.body);
 }
 
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -23,7 +23,8 @@
   size_t n = 0;
   for (auto& [inc, s] : lease_.observers()) {
     auto i = s.second.find(d.id);
-    if (now - s.first < limits::supervisor_lease && led_.view()->member(inc) && i != s.second.end() && i->second >= limit)
+    if (now - s.first < limits::supervisor_lease && led_.view()->member(inc) && i != s.second.end() &&
+        i->second >= limit)
       ++n;
   }
   return n >= majority_of(led_.view()->members.size());
@@ -44,7 +45,8 @@
   auto& m = *led_.view();
   const Daemon* spare = nullptr;
   for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::controller && d.state == DaemonState::up && !m.member(d.self.inc) && heard(d, now)) spare = &d;
+    if (d.self.role == Role::controller && d.state == DaemonState::up && !m.member(d.self.inc) && heard(d, now))
+      spare = &d;
   if (!spare) return std::nullopt;
   if (m.members.size() < m.core_size) return AdmitCore{spare->id};
   for (auto id : m.members)
@@ -153,7 +155,8 @@
   bool alone = !m.quorate([&](const Daemon& d) { return detector_.silence(d, now) < limits::silence; });
   auto limit = alone ? limits::silence_many : limits::silence;
   for (auto& [id, d] : m.directory) {
-    if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::controller)) continue;
+    if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::controller))
+      continue;
     if (d.state != DaemonState::down && silent(d, now, limit)) {
       out_.note(Event::node_silent, std::string(name(d.self.role)) + " daemon " + std::to_string(id.v));
       return MarkDown{id};
--- a/src/consensus/supervisor_lease.cpp
+++ b/src/consensus/supervisor_lease.cpp
@@ -22,7 +22,8 @@
   denied_ = denied_ || !g.granted;
   if (!g.granted) return;
   grants_.insert(e.from_inc);
-  if (grants_.size() >= majority_of(m.members.size())) until_ = asked_ + limits::supervisor_lease - limits::supervisor_lease_margin;
+  if (grants_.size() >= majority_of(m.members.size()))
+    until_ = asked_ + limits::supervisor_lease - limits::supervisor_lease_margin;
 }
 
 void SupervisorLease::tick(Millis now) {
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -7,8 +7,8 @@
 
 int main(int argc, const char** argv) {
   auto r = read_settings(argc, argv,
-                      {"controller", "A core daemon: keeps the metadata log, answers operators and platform.", true, true,
-                       false, true, true, true, true});
+                         {"controller", "A core daemon: keeps the metadata log, answers operators and platform.", true,
+                          true, false, true, true, true, true});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Settings>(r);
   start_log("controller");
@@ -28,7 +28,8 @@
   Host host(disk, p.listen);
   Sessions sessions;
   host.route("local", [&](const Envelope& e) { sessions.deliver(e); });
-  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<ControllerMachine>(id, r, now); });
+  if (auto f =
+          host.start([&](const Recovered& r, Millis now) { return std::make_unique<ControllerMachine>(id, r, now); });
       !f.empty())
     return cannot_start("controller", f);
   auto* dialect = control_dialect(p.dialect);
--- a/src/controller/orders.cpp
+++ b/src/controller/orders.cpp
@@ -35,8 +35,7 @@
 bool emptied(const Metadata& m, const Daemon& d) {
   if (d.state != DaemonState::left || m.sequences.count(d.id)) return false;
   return std::none_of(m.slots.begin(), m.slots.end(), [&](auto& s) {
-    return std::count(s.stores.begin(), s.stores.end(), d.id) ||
-           std::count(s.pending.begin(), s.pending.end(), d.id);
+    return std::count(s.stores.begin(), s.stores.end(), d.id) || std::count(s.pending.begin(), s.pending.end(), d.id);
   });
 }
 
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -96,15 +96,16 @@
   env.cluster = v->cluster;
   env.epoch = v->epoch;
   auto attempt = e.attempt;
-  auto patience = (e.deadline_ms > 0 ? std::min<Millis>(e.deadline_ms, limits::request_timeout) : limits::request_timeout) +
-                  limits::handover_patience;
+  auto patience =
+      (e.deadline_ms > 0 ? std::min<Millis>(e.deadline_ms, limits::request_timeout) : limits::request_timeout) +
+      limits::handover_patience;
   env.body = std::move(e);
   host_.post(std::move(env));
   std::string text;
   uint32_t n = 0;
   auto until = process_now() + patience;
   RequestEnd lost{attempt, 504, Outcome::unknown, "this worker lost sight of the request", "", 0, 0, limits::retry_ms,
-                 false,   0};
+                  false,   0};
   while (true) {
     auto m = w->pop(std::max<Millis>(1, until - process_now()));
     if (!m) return refused(lost);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -7,10 +7,10 @@
   std::unique_ptr<Exchange> x(new Exchange(h, d));
   auto* p = x.get();
   auto callers = HttpListener::open(x->loop_, front,
-                             {[p](uint64_t id, HttpRequest&& r) {
-                                p->happen(traffic::Asked{id, std::move(r)});
-                              },
-                              [p](uint64_t id) { p->happen(traffic::CallerLeft{id}); }, [](uint64_t) {}});
+                                    {[p](uint64_t id, HttpRequest&& r) {
+                                       p->happen(traffic::Asked{id, std::move(r)});
+                                     },
+                                     [p](uint64_t id) { p->happen(traffic::CallerLeft{id}); }, [](uint64_t) {}});
   if (!ok(callers)) return findings(callers);
   x->callers_ = std::move(std::get<0>(callers));
   if (!ready.empty()) {
@@ -34,22 +34,23 @@
     p->names_.erase(i);
   };
   x->replicas_ = std::make_unique<UpstreamClient>(
-      x->loop_, UpstreamClient::Events{[p, named](uint64_t id, UpstreamClient::Answer&& a) {
-                                 p->happen(traffic::ReplicaHead{named(id), a.status, std::move(a.fields)});
-                               },
-                               [p, named](uint64_t id, std::string_view s) {
-                                 p->happen(traffic::ReplicaBytes{named(id), std::string(s)});
-                               },
-                               [p, named, over](uint64_t id) {
-                                 auto n = named(id);
-                                 over(id);
-                                 p->happen(traffic::ReplicaDone{n});
-                               },
-                               [p, named, over](uint64_t id, UpstreamClient::Lost l, std::string why) {
-                                 auto n = named(id);
-                                 over(id);
-                                 p->happen(traffic::ReplicaLost{n, l == UpstreamClient::Lost::sent, std::move(why)});
-                               }});
+      x->loop_,
+      UpstreamClient::Events{[p, named](uint64_t id, UpstreamClient::Answer&& a) {
+                               p->happen(traffic::ReplicaHead{named(id), a.status, std::move(a.fields)});
+                             },
+                             [p, named](uint64_t id, std::string_view s) {
+                               p->happen(traffic::ReplicaBytes{named(id), std::string(s)});
+                             },
+                             [p, named, over](uint64_t id) {
+                               auto n = named(id);
+                               over(id);
+                               p->happen(traffic::ReplicaDone{n});
+                             },
+                             [p, named, over](uint64_t id, UpstreamClient::Lost l, std::string why) {
+                               auto n = named(id);
+                               over(id);
+                               p->happen(traffic::ReplicaLost{n, l == UpstreamClient::Lost::sent, std::move(why)});
+                             }});
   h.route("local:traffic", [p](const Envelope& e) {
     p->loop_.post([p, b = e.body]() mutable {
       if (auto* g = std::get_if<TurnGrant>(&b)) p->happen(std::move(*g));
@@ -76,7 +77,8 @@
 void Exchange::publish(Machine& m, Millis now) {
   auto& s = static_cast<GatewayMachine&>(m);
   s.carry(calls_);
-  std::atomic_store(&snapshot_, std::shared_ptr<const RoutingSnapshot>(std::make_shared<RoutingSnapshot>(s.routing_snapshot(now))));
+  std::atomic_store(&snapshot_,
+                    std::shared_ptr<const RoutingSnapshot>(std::make_shared<RoutingSnapshot>(s.routing_snapshot(now))));
 }
 
 void Exchange::tick() {
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -9,14 +9,15 @@
 
 int main(int argc, const char** argv) {
   auto r = read_settings(argc, argv,
-                      {"gateway", "A front worker: takes callers' requests, owns programs, asks replicas.", true,
-                       true, true, true, false, false, false});
+                         {"gateway", "A front worker: takes callers' requests, owns programs, asks replicas.", true,
+                          true, true, true, false, false, false});
   if (auto* rc = std::get_if<int>(&r)) return *rc;
   auto& p = std::get<Settings>(r);
   start_log("gateway");
   hold_signals();
   curl_global_init(CURL_GLOBAL_DEFAULT);
-  Identity id{{Incarnation{dice()}, Role::front, p.zone, p.listen, p.agent, p.http, p.machine}, {}, 0, dice(), p.tcm_rpc_ms};
+  Identity id{
+      {Incarnation{dice()}, Role::front, p.zone, p.listen, p.agent, p.http, p.machine}, {}, 0, dice(), p.tcm_rpc_ms};
   Host host(nullptr, p.listen);
   Sessions sessions;
   Upstream up([&](Message m) {
--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -144,7 +144,8 @@
   if (i == streams_.end() || i->second.sequence != r.sequence || !d || i->second.complete) return;
   auto& x = i->second;
   auto at = x.at.find(d->id);
-  if (at == x.at.end() || at->second.line != r.after || at->second.tombstone != r.tombstone || x.done.count(d->id)) return;
+  if (at == x.at.end() || at->second.line != r.after || at->second.tombstone != r.tombstone || x.done.count(d->id))
+    return;
   StreamRecord q{r.slot, r.fence, r.lines, r.tombstones};
   merge(slots_[r.slot], q);
   journal(q);
@@ -203,8 +204,8 @@
   if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
                       [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); },
-                      [&](const SlotStreamReply& r) { on(e, r, now); },
-                      [&](const ChainFind& f) { on(e, f); }, [&](const auto&) {}},
+                      [&](const SlotStreamReply& r) { on(e, r, now); }, [&](const ChainFind& f) { on(e, f); },
+                      [&](const auto&) {}},
              e.body);
 }
 
--- a/src/kernel/daemon.cpp
+++ b/src/kernel/daemon.cpp
@@ -53,8 +53,8 @@
 
 int cannot_start(const char* program, const Findings& f) {
   for (auto& x : f)
-    fprintf(stderr, "%s: event=%d %s: %s: %s\n", program, static_cast<int>(Event::bad_settings), meaning(Event::bad_settings),
-            x.place.c_str(), x.reason.c_str());
+    fprintf(stderr, "%s: event=%d %s: %s: %s\n", program, static_cast<int>(Event::bad_settings),
+            meaning(Event::bad_settings), x.place.c_str(), x.reason.c_str());
   return 2;
 }
 
--- a/src/kernel/events.hpp
+++ b/src/kernel/events.hpp
@@ -8,13 +8,13 @@
   X(started, 100, "a daemon started")                                                         \
   X(stopping, 101, "a daemon is stopping in order")                                           \
   X(stopped, 102, "a daemon has stopped")                                                     \
-  X(bad_settings, 103, "settings are wrong; every finding is listed")                            \
+  X(bad_settings, 103, "settings are wrong; every finding is listed")                         \
   X(torn_tail, 110, "a torn log tail was cut")                                                \
   X(corrupt, 111, "a log or checkpoint is damaged; the daemon stops")                         \
   X(checkpointed, 112, "a checkpoint was written and the log behind it dropped")              \
   X(disk_failed, 113, "the disk refused a write or a sync; the daemon stops")                 \
-  X(disk_full, 114, "the disk is full; what it must hold first is not answered")               \
-  X(disk_room, 115, "the disk has room again; what was held back is on it")                    \
+  X(disk_full, 114, "the disk is full; what it must hold first is not answered")              \
+  X(disk_room, 115, "the disk has room again; what was held back is on it")                   \
   X(foreign, 120, "a foreign or damaged message was dropped")                                 \
   X(unsent, 121, "messages to a peer were dropped because its queue is full")                 \
   X(founding, 200, "a founding is proposed")                                                  \
@@ -26,20 +26,20 @@
   X(caught_up, 205, "missing epochs were fetched")                                            \
   X(registered, 206, "this daemon is in the directory")                                       \
   X(lost_identity, 208, "the log says that this daemon has left or been replaced")            \
-  X(lease_taken, 210, "the supervisor lease was taken")                                         \
-  X(lease_lost, 211, "the supervisor lease ended")                                              \
+  X(lease_taken, 210, "the supervisor lease was taken")                                       \
+  X(lease_lost, 211, "the supervisor lease ended")                                            \
   X(node_silent, 212, "a daemon is silent for a majority of observers")                       \
   X(sequence_step, 213, "a sequence's next step is proposed")                                 \
-  X(sequence_blocked, 214, "a sequence is blocked past its deadline and is cancelled")         \
+  X(sequence_blocked, 214, "a sequence is blocked past its deadline and is cancelled")        \
   X(in_doubt, 302, "an intent without an outcome was found; it is never run again")           \
   X(replica_fault, 304, "a replica's answer was not whole and sealed")                        \
-  X(proxied_lost, 305, "a proxied request was not answered; its outcome is unknown")           \
+  X(proxied_lost, 305, "a proxied request was not answered; its outcome is unknown")          \
   X(behind, 306, "something stamped with too old an epoch was refused")                       \
   X(isolated, 307, "out of touch with a majority; dispatching stops")                         \
   X(in_touch, 308, "in touch again; dispatching resumes")                                     \
   X(handed_over, 309, "a running turn's outcome was handed to the slot's new owner")          \
   X(streamed, 310, "a store has streamed the lines of its new slots")                         \
-  X(turn_refused, 311, "an owner refused a caller's turn; it has not run")                                     \
+  X(turn_refused, 311, "an owner refused a caller's turn; it has not run")                    \
   X(operator_asked, 400, "an operator's sentence and its answer")                             \
   X(platform_asked, 401, "a platform's ask and its answer")                                   \
   X(list_unread, 402, "the list of replicas could not be read whole; the last view stays")
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -22,7 +22,10 @@
   Findings start(const Make& make);
   void route(const std::string& prefix, Deliver d) { routes_[prefix] = std::move(d); }
   /// Called in the machine's thread after each batch of its steps; set before `start`'s threads need it.
-  void watch(std::function<void(Machine&, Millis)> f) { std::lock_guard l(watch_lock_); watch_ = std::move(f); }
+  void watch(std::function<void(Machine&, Millis)> f) {
+    std::lock_guard l(watch_lock_);
+    watch_ = std::move(f);
+  }
   /// Puts a message from inside the process before the machine.
   void post(Envelope e) { in_.push(std::move(e)); }
   /// Runs in the machine's own thread and waits for the result.
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -168,9 +168,9 @@
 };
 /// The last word on an request. `ran` is what is known of it: no, yes, or unknown.
 struct RequestEnd {
-  BOOST_HANA_DEFINE_STRUCT(RequestEnd, (std::string, attempt), (uint32_t, status), (Outcome, ran), (std::string, reason),
-                           (std::string, body), (uint32_t, turn), (uint64_t, tokens), (uint32_t, retry_ms),
-                           (bool, elsewhere), (uint32_t, pieces));
+  BOOST_HANA_DEFINE_STRUCT(RequestEnd, (std::string, attempt), (uint32_t, status), (Outcome, ran),
+                           (std::string, reason), (std::string, body), (uint32_t, turn), (uint64_t, tokens),
+                           (uint32_t, retry_ms), (bool, elsewhere), (uint32_t, pieces));
 };
 /// The outcome of a turn that was running when its slot moved.
 struct LateSettle {
@@ -211,12 +211,12 @@
 
 using Message =
     std::variant<std::monostate, Discover, DiscoverReply, Prepare, Promise, Accept, Accepted, Decided, Catchup,
-                 CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply, LeaseRequest,
-                 LeaseGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream, SlotStreamReply, Request,
-                 RequestSeen, RequestPiece, RequestEnd, LateSettle, LateSettled, ReplicaAsk, ReplicaPiece, ReplicaEnd,
-                 ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged, LineBury, SlotCheck, SlotCheckReply, SlotList,
-                 SlotListReply, LinesFetch, LinesFetched, TurnAsk, TurnGrant, TurnSettle, TurnSettled, ChainFind,
-                 ChainFound>;
+                 CatchupReply, QuorumRead, QuorumReadReply, Commit, CommitReply, Heartbeat, HeartbeatReply,
+                 LeaseRequest, LeaseGrant, LineRead, LineReadReply, LineWrite, LineWriteReply, SlotStream,
+                 SlotStreamReply, Request, RequestSeen, RequestPiece, RequestEnd, LateSettle, LateSettled, ReplicaAsk,
+                 ReplicaPiece, ReplicaEnd, ReplicaStop, Rebuild, RunnerAsk, RunnerWord, LineAged, LineBury, SlotCheck,
+                 SlotCheckReply, SlotList, SlotListReply, LinesFetch, LinesFetched, TurnAsk, TurnGrant, TurnSettle,
+                 TurnSettled, ChainFind, ChainFound>;
 
 /// A framed message: kind and body are the variant, the rest is what every daemon checks first.
 struct Envelope {
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -36,7 +36,8 @@
 
 R go(Metadata m, const ReplaceCore& r) {
   auto *o = m.find(r.old), *f = m.find(r.fresh);
-  if (!f || f->self.role != Role::controller || m.member(f->self.inc)) return no(who(r.fresh), "is not a spare controller");
+  if (!f || f->self.role != Role::controller || m.member(f->self.inc))
+    return no(who(r.fresh), "is not a spare controller");
   auto i = std::find(m.members.begin(), m.members.end(), r.old);
   if (i == m.members.end() || !o) return no(who(r.old), "is not a core member");
   if (o->state != DaemonState::down) return no(who(r.old), std::string("is a live member (") + name(o->state) + ")");
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -38,7 +38,8 @@
   return m;
 }
 
-/// A front that starts again takes over the slots of what ran at its address: that one runs no more, the term fences it.
+/// A front that starts again takes over the slots of what ran at its address: that one runs no more, the term fences
+/// it.
 void inherit(Metadata& m, DaemonId old, DaemonId fresh) {
   for (auto& s : m.slots)
     if (s.owner == old) owner_to(m, s, fresh);
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -112,8 +112,8 @@
 /// Append only: the index is what the log keeps.
 using Transformation =
     std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin, PrepareDrain,
-                 Advance, CancelSequence, ApplyConfiguration, SetReplica, DropReplica, EvacuateZone, RestoreZone, MoveSlot,
-                 MoveRoutes, Refound, Recount, Recounted, ListReplicas, DropCore>;
+                 Advance, CancelSequence, ApplyConfiguration, SetReplica, DropReplica, EvacuateZone, RestoreZone,
+                 MoveSlot, MoveRoutes, Refound, Recount, Recounted, ListReplicas, DropCore>;
 
 struct Entry {
   BOOST_HANA_DEFINE_STRUCT(Entry, (Epoch, epoch), (std::string, commit), (Transformation, change));
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -30,8 +30,8 @@
   bool operator==(const Daemon&) const = default;
 };
 
-/// `service` names the service of the configuration that it belongs to, empty for a cell's own replica; `cold_ms` is how
-/// much longer it is cold, counted from when its list said so.
+/// `service` names the service of the configuration that it belongs to, empty for a cell's own replica; `cold_ms` is
+/// how much longer it is cold, counted from when its list said so.
 struct Replica {
   BOOST_HANA_DEFINE_STRUCT(Replica, (std::string, name), (std::string, kind), (std::string, zone), (std::string, url),
                            (Health, health), (Epoch, since), (uint32_t, places), (std::string, service),
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -44,8 +44,8 @@
 
 void slot_line(std::ostream& o, const Metadata& m, uint32_t i) {
   auto& s = m.slots[i];
-  o << "slot " << i << ": owned by daemon " << s.owner.v << " since epoch " << s.term.v << ", kept by "
-    << ids(s.stores) << " since epoch " << s.changed.v;
+  o << "slot " << i << ": owned by daemon " << s.owner.v << " since epoch " << s.term.v << ", kept by " << ids(s.stores)
+    << " since epoch " << s.changed.v;
   if (!s.pending.empty()) o << ", moving to " << ids(s.pending);
   if (auto l = m.locks.find(SlotId{i}); l != m.locks.end()) o << ", locked by the sequence of daemon " << l->second.v;
   o << "\n";
@@ -60,7 +60,8 @@
   if (s.what == "fleet") fleet(o, m);
   if (s.what == "cells")
     for (auto& c : m.configuration.cells) o << c.name << "\n";
-  if (s.what == "configuration") o << "revision " << m.revision.v << "\n" << json::write(m.configuration).dump(2) << "\n";
+  if (s.what == "configuration")
+    o << "revision " << m.revision.v << "\n" << json::write(m.configuration).dump(2) << "\n";
   if (s.what == "replicas")
     for (auto& [n, r] : m.replicas)
       o << n << " " << r.kind << " " << name(r.health) << " zone " << r.zone << " places " << r.places << " at "
--- a/src/request/policies.cpp
+++ b/src/request/policies.cpp
@@ -64,7 +64,8 @@
     size_t room = e.urgent ? limits::queue_requests + limits::urgent_share
                   : e.bulk ? limits::queue_requests / 4
                            : limits::queue_requests;
-    if (s.running >= limits::running_requests) return Refusal{503, "too many requests are running", limits::retry_ms * 2};
+    if (s.running >= limits::running_requests)
+      return Refusal{503, "too many requests are running", limits::retry_ms * 2};
     if (!s.here) return std::nullopt;
     auto wait = e.urgent ? s.urgent_wait : s.wait;
     auto back = static_cast<uint32_t>(std::clamp<Millis>(wait, limits::retry_ms, limits::queue_patience * 2));
--- a/src/request/select_replica.cpp
+++ b/src/request/select_replica.cpp
@@ -25,7 +25,8 @@
   return static_cast<uint32_t>(std::clamp<Millis>(grown, 1, r.places));
 }
 
-const Replica* ReplicaSelector::select_replica(const Request& e, const Metadata& m, const Daemon& me, Millis now, bool& any) const {
+const Replica* ReplicaSelector::select_replica(const Request& e, const Metadata& m, const Daemon& me, Millis now,
+                                               bool& any) const {
   any = false;
   auto* c = m.configuration.cell(e.cell);
   if (!c) return nullptr;
@@ -53,8 +54,8 @@
     int high = p * 2 >= room;
     int far = r.zone != me.self.zone;
     auto affinity = digest(n, digest(e.prefix.empty() ? e.program : e.prefix));
-    auto key =
-        e.kind == "model" ? std::make_tuple(back_off, high, 0, affinity) : std::make_tuple(back_off, high, far, affinity);
+    auto key = e.kind == "model" ? std::make_tuple(back_off, high, 0, affinity)
+                                 : std::make_tuple(back_off, high, far, affinity);
     if (!best || key < top) best = &r, top = key;
   }
   return best;
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -13,14 +13,10 @@
   auto d = open_disk(p.data);
   if (auto* rc = std::get_if<int>(&d)) return *rc;
   auto disk = std::get<0>(d);
-  Identity id{{disk->recovered().inc, Role::store, p.zone, p.listen, "", p.http, p.machine},
-              p.seeds,
-              0,
-              dice(),
-              p.tcm_rpc_ms};
+  Identity id{
+      {disk->recovered().inc, Role::store, p.zone, p.listen, "", p.http, p.machine}, p.seeds, 0, dice(), p.tcm_rpc_ms};
   Host host(disk, p.listen);
-  if (auto f =
-          host.start([&](const Recovered& r, Millis now) { return std::make_unique<StoreMachine>(id, r, now); });
+  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<StoreMachine>(id, r, now); });
       !f.empty())
     return cannot_start("store", f);
   auto answer = [&](const HttpAsk& a) {
--- a/src/traffic/traffic.cpp
+++ b/src/traffic/traffic.cpp
@@ -92,7 +92,8 @@
     return;
   }
   Plain x{std::move(c)};
-  if (p->sticky || p->path_kind() == PathKind::streaming) x.key = x.words.affinity.empty() ? 0 : digest(x.words.affinity);
+  if (p->sticky || p->path_kind() == PathKind::streaming)
+    x.key = x.words.affinity.empty() ? 0 : digest(x.words.affinity);
   auto id = x.id;
   offer(calls_.emplace(id, std::move(x)).first->second, now);
 }
--- a/src/traffic/turn_coordinator.cpp
+++ b/src/traffic/turn_coordinator.cpp
@@ -64,7 +64,8 @@
   return s;
 }
 
-TurnCoordinator::Verdict TurnCoordinator::refuse(const Pending& p, uint32_t status, std::string reason, uint32_t retry_ms) {
+TurnCoordinator::Verdict TurnCoordinator::refuse(const Pending& p, uint32_t status, std::string reason,
+                                                 uint32_t retry_ms) {
   out_.send(p.from, TurnGrant{p.ask.attempt, status, retry_ms, std::move(reason), {}}, p.inc);
   return Verdict::over;
 }
@@ -141,7 +142,8 @@
     if (!p.searching || p.ask.parent != f.turn) continue;
     if (!f.found) {
       p.without.insert(d->id);
-    } else if (mine(p.line) && keep_.open(p.line, now) == HistoryWriter::State::open && !tab(p.line).turns.count(f.turn)) {
+    } else if (mine(p.line) && keep_.open(p.line, now) == HistoryWriter::State::open &&
+               !tab(p.line).turns.count(f.turn)) {
       Record r{};
       r.kind = RecordKind::settled;
       r.key = f.turn;
--- a/tests/http/test_server.hpp
+++ b/tests/http/test_server.hpp
@@ -12,12 +12,13 @@
   std::function<void(uint64_t)> answer = [this](uint64_t id) { in->whole(id, 200, {{"X-A", "b"}}, "hello"); };
   std::unique_ptr<HttpListener> in;
   TestServer() {
-    auto r = HttpListener::open(loop, "127.0.0.1:0",
-                         {[this](uint64_t id, HttpRequest&& q) {
-                            asked.emplace_back(id, std::move(q));
-                            if (answer) answer(id);
-                          },
-                          [this](uint64_t id) { left.push_back(id); }, [this](uint64_t id) { drained.push_back(id); }});
+    auto r = HttpListener::open(
+        loop, "127.0.0.1:0",
+        {[this](uint64_t id, HttpRequest&& q) {
+           asked.emplace_back(id, std::move(q));
+           if (answer) answer(id);
+         },
+         [this](uint64_t id) { left.push_back(id); }, [this](uint64_t id) { drained.push_back(id); }});
     REQUIRE(ok(r));
     in = std::move(std::get<0>(r));
   }
--- a/tests/language_test.cpp
+++ b/tests/language_test.cpp
@@ -14,7 +14,8 @@
        "'cancel', "
        "'replace', 'forget' or 'move', found the end"},
       {"show",
-       "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'configuration' or 'cell', found "
+       "position 5: expected 'fleet', 'epoch', 'cells', 'replicas', 'slots', 'sequences', 'configuration' or 'cell', "
+       "found "
        "the end"},
       {"drain zone", "position 11: expected a zone's name, found the end"},
       {"retire store seven", "position 14: expected a daemon's number, found 'seven'"},
--- a/tests/line_test.cpp
+++ b/tests/line_test.cpp
@@ -30,10 +30,9 @@
     Millis after;
     uint32_t sum;
   };
-  for (auto& r :
-       {Row{Health::ready, 32, 0, 32}, Row{Health::ready, 6, 0, 6}, Row{Health::ready, 3, 0, 6},
-        Row{Health::leaving, 32, 0, 0}, Row{Health::cold, 32, 0, 1},
-        Row{Health::cold, 32, limits::cold_ramp / 2, 16}, Row{Health::cold, 32, limits::cold_ramp * 2, 32}}) {
+  for (auto& r : {Row{Health::ready, 32, 0, 32}, Row{Health::ready, 6, 0, 6}, Row{Health::ready, 3, 0, 6},
+                  Row{Health::leaving, 32, 0, 0}, Row{Health::cold, 32, 0, 1},
+                  Row{Health::cold, 32, limits::cold_ramp / 2, 16}, Row{Health::cold, 32, limits::cold_ramp * 2, 32}}) {
     uint32_t sum = 0;
     for (auto& [id, d] : m.directory) {
       ReplicaSelector n;
--- a/tests/request_test.cpp
+++ b/tests/request_test.cpp
@@ -34,7 +34,7 @@
     return *got;
   }
   RequestEnd turn(const std::string& program, const std::string& key, const std::string& body,
-                 std::optional<uint32_t> after = std::nullopt) {
+                  std::optional<uint32_t> after = std::nullopt) {
     Request e{};
     e.program = program;
     e.thread = "main";
--- a/tests/sim/cores.cpp
+++ b/tests/sim/cores.cpp
@@ -94,8 +94,8 @@
     if (s != stay) w.wipe(s);
 }
 
-/// Right after an acknowledgement all disks but one are lost, those of controllers and stores alike; the one that stays was
-/// in touch, and is enough. (Histories are not promised to survive this.)
+/// Right after an acknowledgement all disks but one are lost, those of controllers and stores alike; the one that stays
+/// was in touch, and is enough. (Histories are not promised to survive this.)
 void survivor(Day& d) {
   auto& w = d.w;
   d.closed = true;
--- a/tests/sim/operators.cpp
+++ b/tests/sim/operators.cpp
@@ -59,7 +59,8 @@
   (*attempt)();
 }
 
-/// From an acknowledgement on its limits count: for drains at a replica's door, for configurations at every front in touch.
+/// From an acknowledgement on its limits count: for drains at a replica's door, for configurations at every front in
+/// touch.
 void Callers::acknowledged(const Transformation& t) {
   if (auto* s = std::get_if<SetReplica>(&t); s && s->replica.health == Health::leaving)
     replicas[s->replica.name].leaving_since = w_.now();
@@ -100,8 +101,7 @@
       if (!w_.ready(s)) return false;
     auto v = w_.node("gateway1").machine->view();
     for (auto& s : v->slots)
-      if (s.stores.size() < std::min<size_t>(limits::copies, w_.names(Kind::store).size()) || !s.owner.v)
-        return false;
+      if (s.stores.size() < std::min<size_t>(limits::copies, w_.names(Kind::store).size()) || !s.owner.v) return false;
     return v->sequences.empty();
   });
 }
--- a/tests/sim/retention.cpp
+++ b/tests/sim/retention.cpp
@@ -136,9 +136,7 @@
   else
     w.start(away);
   w.run(1000);
-  auto machine = [&](const std::string& s) -> StoreMachine& {
-    return static_cast<StoreMachine&>(*w.node(s).machine);
-  };
+  auto machine = [&](const std::string& s) -> StoreMachine& { return static_cast<StoreMachine&>(*w.node(s).machine); };
   auto whole = [&] {
     auto v = latest(w);
     if (!v || !v->sequences.empty()) return false;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -179,7 +179,8 @@
   auto& n = node(name);
   if (n.life != life || !n.machine) return;
   if (!n.frozen) act(n, n.machine->tick(clock(n)));
-  if (!n.frozen && n.machine && n.kind == Kind::controller && static_cast<ControllerMachine&>(*n.machine).is_supervisor(clock(n)))
+  if (!n.frozen && n.machine && n.kind == Kind::controller &&
+      static_cast<ControllerMachine&>(*n.machine).is_supervisor(clock(n)))
     for (auto& [s, x] : nodes_)
       if (s != name && x->machine && !x->frozen && x->kind == Kind::controller &&
           static_cast<ControllerMachine&>(*x->machine).is_supervisor(clock(*x)))
--- a/tests/standin/world.cpp
+++ b/tests/standin/world.cpp
@@ -65,8 +65,9 @@
                   },
                   [this](uint64_t id, std::string_view s) { talks_.at(id).reply.body += s; },
                   [this](uint64_t id) { finish(id, true, false); },
-                  [this](uint64_t id, UpstreamClient::Lost l, std::string) { finish(id, false, l == UpstreamClient::Lost::unsent); }}) {
-}
+                  [this](uint64_t id, UpstreamClient::Lost l, std::string) {
+                    finish(id, false, l == UpstreamClient::Lost::unsent);
+                  }}) {}
 
 void World::ask(UpstreamClient::Ask a, Millis patience, std::function<void(Reply&&)> done) {
   a.fresh = true;
--- a/tests/traffic/front.hpp
+++ b/tests/traffic/front.hpp
@@ -52,8 +52,8 @@
     }
   m.configuration.services = {service("app", 0), service("model", 4), service("spare", 0)};
   m.configuration.paths = {path("safe", "safe", "app"),          path("unsafe", "unsafe", "app"),
-                      path("stream", "streaming", "model"), path("resume", "streaming", "model"),
-                      path("turn", "streaming", "model"),   path("brief", "streaming", "model")};
+                           path("stream", "streaming", "model"), path("resume", "streaming", "model"),
+                           path("turn", "streaming", "model"),   path("brief", "streaming", "model")};
   m.configuration.paths[3].resumable = true;
   m.configuration.paths[4].kept = true;
   return m;
@@ -69,7 +69,9 @@
   Front() { publish(); }
   /// Lets the traffic see `m`, in touch until `until`.
   void publish(Millis until = 1000000) {
-    t.routing_snapshot(std::make_shared<RoutingSnapshot>(RoutingSnapshot{std::make_shared<Metadata>(m), DaemonId{1}, until, true, false}), now);
+    t.routing_snapshot(std::make_shared<RoutingSnapshot>(
+                           RoutingSnapshot{std::make_shared<Metadata>(m), DaemonId{1}, until, true, false}),
+                       now);
   }
   void happen(Event e) { got = t.step(std::move(e), now); }
   void pass(Millis ms) {
--- a/tools/local-cluster/main.cpp
+++ b/tools/local-cluster/main.cpp
@@ -90,7 +90,8 @@
   if (!dir) return fprintf(stderr, "local-cluster: dir: is missing\n"), 2;
   p.dir = dir;
   if (pace) p.pace = pace;
-  if (p.base == 0) p.base = local_cluster::free_base(2 * p.controllers + 2 * p.stores + 3 * p.fronts + p.models + p.apps);
+  if (p.base == 0)
+    p.base = local_cluster::free_base(2 * p.controllers + 2 * p.stores + 3 * p.fronts + p.models + p.apps);
   p.bin = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   if (!quiet) std::filesystem::remove_all(p.dir);
   start_log("local-cluster");
@@ -107,8 +108,8 @@
   if (!ok(web)) return fprintf(stderr, "local-cluster: %s\n", render(findings(web)).c_str()), 2;
   std::string m;
   for (auto& a : f.controllers()) m += (m.empty() ? "" : ",") + a;
-  printf("local-cluster: %d of %d fronts ready after %lld ms; controllers %s; control 127.0.0.1:%d\n", ready(f), p.fronts,
-         static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
+  printf("local-cluster: %d of %d fronts ready after %lld ms; controllers %s; control 127.0.0.1:%d\n", ready(f),
+         p.fronts, static_cast<long long>(process_now() - begun), m.c_str(), p.base - 1);
   fflush(stdout);
   while (!signalled(1000)) {}
   return 0;
--- a/tools/scale/control.cpp
+++ b/tools/scale/control.cpp
@@ -142,9 +142,9 @@
                        times;
   r.counts["bytes.memory"] = static_cast<double>(mallinfo2().uordblks - before) / times;
   r.times["apply.configuration.ms"] = millis_of([&] {
-                                   for (int i = 0; i < times; ++i) apply(m, entry);
-                                 }) /
-                                 times;
+                                        for (int i = 0; i < times; ++i) apply(m, entry);
+                                      }) /
+                                      times;
   r.times["apply.small.ms"] = millis_of([&] {
                                 for (int i = 0; i < times; ++i) apply(m, {next(m.epoch), "", Recount{}});
                               }) /
@@ -188,10 +188,10 @@
   bool any = false;
   const int times = 10;
   r.times["select_replica.ms"] = millis_of([&] {
-                             for (int i = 0; i < times; ++i)
-                               e.program = "p" + std::to_string(i), n.select_replica(e, m, me->second, 1, any);
-                           }) /
-                           times;
+                                   for (int i = 0; i < times; ++i)
+                                     e.program = "p" + std::to_string(i), n.select_replica(e, m, me->second, 1, any);
+                                 }) /
+                                 times;
   r.counts["found"] = any;
   return r;
 }
@@ -203,8 +203,8 @@
   char s[300];
   snprintf(s, sizeof s, "| %d | %.1f | %.0f | %.1f | %.0f | %.0f | %.0f | %.0f | %.0f |", daemons,
            a["agent.out.msg"] + a["agent.in.msg"], a["agent.out.byte"] + a["agent.in.byte"],
-           a["controller.out.msg"] + a["controller.in.msg"], a["controller.out.byte"] + a["controller.in.byte"], b["agent.more.msg"],
-           b["agent.more.byte"], b["in_force.ms.max"], b["acknowledged.ms"]);
+           a["controller.out.msg"] + a["controller.in.msg"], a["controller.out.byte"] + a["controller.in.byte"],
+           b["agent.more.msg"], b["agent.more.byte"], b["in_force.ms.max"], b["acknowledged.ms"]);
   return s;
 }
 
--- a/tools/scale/data.cpp
+++ b/tools/scale/data.cpp
@@ -138,8 +138,8 @@
     Line l{Epoch{1}, {}, 0};
     for (int k = 0; k < turns; ++k) {
       auto key = std::to_string(i) + "-" + std::to_string(k);
-      l.records.push_back({RecordKind::reservation, key, "main", 1, 8192, static_cast<uint32_t>(k), 0, DaemonId{4}, 3600000,
-                           text(turn_in, 1), "", ""});
+      l.records.push_back({RecordKind::reservation, key, "main", 1, 8192, static_cast<uint32_t>(k), 0, DaemonId{4},
+                           3600000, text(turn_in, 1), "", ""});
       l.records.push_back({RecordKind::settled, key, "main", 1, turn_tokens, static_cast<uint32_t>(k), 200, DaemonId{4},
                            3600000, "", text(turn_out, 2), ""});
     }
--- a/tools/scale/slopes.cpp
+++ b/tools/scale/slopes.cpp
@@ -101,16 +101,16 @@
   auto curve = [&](const char* what, const char* figure, const char* label) {
     return Curve{label, points(rows, what, figure)};
   };
-  write_svg(
-      out + "/rest.svg", "A fleet at rest: bytes over the wire", "daemons", "bytes a second",
-      {curve("rest.daemons", "agent.out.byte", "front out"), curve("rest.daemons", "agent.in.byte", "front in"),
-       curve("rest.daemons", "controller.out.byte", "controller out"), curve("rest.daemons", "controller.in.byte", "controller in")});
+  write_svg(out + "/rest.svg", "A fleet at rest: bytes over the wire", "daemons", "bytes a second",
+            {curve("rest.daemons", "agent.out.byte", "front out"), curve("rest.daemons", "agent.in.byte", "front in"),
+             curve("rest.daemons", "controller.out.byte", "controller out"),
+             curve("rest.daemons", "controller.in.byte", "controller in")});
   write_svg(out + "/change.svg", "One change of the configuration", "tenants in it", "bytes at one front",
             {curve("change.cells", "agent.more.byte", "front, in and out")});
-  write_svg(out + "/turns.svg", "A turn late in its conversation", "turns before it", "bytes",
-            {curve("turns.turns", "replica.ask.byte", "asked of the replica"),
-             curve("turns.turns", "store.journal.byte", "journals"),
-             curve("turns.turns", "gateway.out.byte", "fronts out")});
+  write_svg(
+      out + "/turns.svg", "A turn late in its conversation", "turns before it", "bytes",
+      {curve("turns.turns", "replica.ask.byte", "asked of the replica"),
+       curve("turns.turns", "store.journal.byte", "journals"), curve("turns.turns", "gateway.out.byte", "fronts out")});
   write_svg(out + "/zone.svg", "A zone lost and back", "daemons in the fleet", "ms",
             {curve("zone.daemons", "down.ms", "all marked down"), curve("zone.daemons", "back.ms", "all back")});
 }
