--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -60,7 +60,7 @@
   BOOST_HANA_DEFINE_STRUCT(CommitReply, (std::string, id), (Outcome, outcome), (std::string, reason), (Epoch, epoch),
                            (std::optional<Metadata>, checkpoint), (Entries, entries));
 };
-/// A daemon's sign of life; a agent's speaks for its gateway too.
+/// A daemon's sign of life; an agent's speaks for its gateway too.
 struct Heartbeat {
   BOOST_HANA_DEFINE_STRUCT(Heartbeat, (Candidate, self), (Epoch, known), (uint32_t, load), (Epoch, streamed),
                            (uint32_t, running), (int64_t, sent), (bool, leaving), (uint32_t, lacking));
@@ -166,7 +166,7 @@
 struct RequestPiece {
   BOOST_HANA_DEFINE_STRUCT(RequestPiece, (std::string, attempt), (uint32_t, n), (std::string, text));
 };
-/// The last word on an request. `ran` is what is known of it: no, yes, or unknown.
+/// The last word on a request. `ran` is what is known of it: no, yes, or unknown.
 struct RequestEnd {
   BOOST_HANA_DEFINE_STRUCT(RequestEnd, (std::string, attempt), (uint32_t, status), (Outcome, ran),
                            (std::string, reason), (std::string, body), (uint32_t, turn), (uint64_t, tokens),
--- a/src/kernel/settings.cpp
+++ b/src/kernel/settings.cpp
@@ -101,7 +101,7 @@
       {"settings", 's', POPT_ARG_STRING, &file, 0, "JSON file with any of the settings below", "FILE"},
       {"listen", 'l', POPT_ARG_STRING, &listen, 0, "address for other daemons", "IP:PORT"},
       {"http", 'w', POPT_ARG_STRING, &http, 0, "address for HTTP", "IP:PORT"},
-      {"agent", 'a', POPT_ARG_STRING, &agent, 0, "a gateway's agent, or a agent's gateway", "IP:PORT"},
+      {"agent", 'a', POPT_ARG_STRING, &agent, 0, "a gateway's agent, or an agent's gateway", "IP:PORT"},
       {"zone", 'z', POPT_ARG_STRING, &zone, 0, "the zone of this machine", "NAME"},
       {"seeds", 'e', POPT_ARG_STRING, &seeds, 0, "three addresses of controllers", "A,B,C"},
       {"data", 'd', POPT_ARG_STRING, &data, 0, "the data folder", "DIR"},
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -71,7 +71,7 @@
   static std::set<std::string> optional_fields() { return {}; }
 };
 
-/// How often an request of a path may run: as often as need be, or once; a stream runs once unless it may be resumed.
+/// How often a request of a path may run: as often as need be, or once; a stream runs once unless it may be resumed.
 enum class PathKind : uint8_t { safe, unsafe, streaming };
 const char* name(PathKind k);
 
--- a/src/request/dispatch.cpp
+++ b/src/request/dispatch.cpp
@@ -14,7 +14,7 @@
   queue_.push({w.e.urgent, w.seq, w.e.attempt});
 }
 
-/// How long an request that came now would wait: those before it, at the pace at which the queue was seen to move.
+/// How long a request that came now would wait: those before it, at the pace at which the queue was seen to move.
 Millis GatewayMachine::expected_wait(const std::string& kind, bool urgent) const {
   auto i = paces_.find(kind);
   if (i == paces_.end()) return 0;
@@ -25,7 +25,7 @@
   return static_cast<Millis>(static_cast<double>(before) * i->second.interval);
 }
 
-/// An request left the queue; the time since the one before it counts while others wait.
+/// A request left the queue; the time since the one before it counts while others wait.
 void GatewayMachine::paced(const std::string& kind, Millis now) {
   auto& p = paces_[kind];
   bool busy = p.last && count(Stage::queued) > 1;
--- a/src/request/policy.hpp
+++ b/src/request/policy.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// The way of an request: policies as plug-ins that register themselves, behind one interface.
+// The way of a request: policies as plug-ins that register themselves, behind one interface.
 #include "kernel/machine.hpp"
 
 namespace mosskeel {
@@ -17,7 +17,7 @@
   Millis wait, urgent_wait;
 };
 
-/// Why an request is refused; it has not run.
+/// Why a request is refused; it has not run.
 struct Refusal {
   uint32_t status;
   std::string reason;
@@ -40,7 +40,7 @@
   explicit Enrolled(std::unique_ptr<Policy> p);
 };
 
-/// Which replica an request goes to.
+/// Which replica a request goes to.
 class ReplicaSelector {
  public:
   /// The replica with a free place that suits best, or nothing; `busy` tells whether any would do later.
--- a/src/request/relay.cpp
+++ b/src/request/relay.cpp
@@ -1,4 +1,4 @@
-// Proxying an request to the owner of its program, and the way back.
+// Proxying a request to the owner of its program, and the way back.
 #include "request/gateway_machine.hpp"
 
 namespace mosskeel {
--- a/src/request/standing.cpp
+++ b/src/request/standing.cpp
@@ -1,4 +1,4 @@
-// Whether a front is in touch and ready, and what an request meets there.
+// Whether a front is in touch and ready, and what a request meets there.
 #include "request/gateway_machine.hpp"
 
 namespace mosskeel {
--- a/src/traffic/load_balancer.hpp
+++ b/src/traffic/load_balancer.hpp
@@ -1,5 +1,5 @@
 #pragma once
-// Which replica takes an request: rendezvous hashing with bounded load, the own zone first.
+// Which replica takes a request: rendezvous hashing with bounded load, the own zone first.
 #include <unordered_map>
 
 #include "traffic/routing_snapshot.hpp"
--- a/src/traffic/paths.hpp
+++ b/src/traffic/paths.hpp
@@ -19,7 +19,7 @@
   std::unordered_map<std::string, size_t> longest_;
 };
 
-/// The service that takes an request of this path: by weight, the same one for the same dice.
+/// The service that takes a request of this path: by weight, the same one for the same dice.
 const std::string* service_of(const Path& p, uint64_t dice);
 
 }  // namespace mosskeel
--- a/src/traffic/stages.cpp
+++ b/src/traffic/stages.cpp
@@ -1,4 +1,4 @@
-// The stages of an request: waiting, offered, passed on, settled, refused.
+// The stages of a request: waiting, offered, passed on, settled, refused.
 #include <algorithm>
 
 #include "kernel/limits.hpp"
--- a/src/traffic/traffic.hpp
+++ b/src/traffic/traffic.hpp
@@ -76,7 +76,7 @@
     std::variant<AnswerWhole, AnswerHead, AnswerBytes, AnswerEnd, AnswerCut, AskReplica, DropReplica, TellOwner>;
 using Actions = std::vector<Action>;
 
-/// One ask of a replica for an request.
+/// One ask of a replica for a request.
 struct Offer {
   uint64_t ask = 0;
   std::string replica;
@@ -141,12 +141,12 @@
     return std::visit([](auto& x) -> Call& { return x; }, c);
   }
   bool in_touch(Millis now) const { return snapshot_ && now < snapshot_->until; }
-  /// Offers an request to a replica or lets it wait for one; it may be refused and gone afterwards.
+  /// Offers a request to a replica or lets it wait for one; it may be refused and gone afterwards.
   void offer(AnyCall& c, Millis now);
   bool reroute(Call& c);
   void queue(Call& c, Millis now);
   void unqueue(const Call& c) { queue_.erase({c.path->rank, c.born, c.id}); }
-  /// The last word on an request that was not passed on.
+  /// The last word on a request that was not passed on.
   void give_up(AnyCall& c, uint32_t status, const std::string& why, Millis retry);
   void head(Plain& c, ReplicaHead& h);
   void head(TurnCall& c, ReplicaHead& h);
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -193,7 +193,7 @@
        [](Day& d) {
          havoc(d, {Kind::gateway, Kind::agent}, false);
        }},
-      {"stores", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::store}, true); }},
+      {"store-havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, {Kind::store}, true); }},
       {"controllers", {5, 3, 3, 4, 3}, 400, [](Day& d) { havoc(d, {Kind::controller}, true); }},
       {"havoc", {3, 3, 3, 4, 3}, 30, [](Day& d) { havoc(d, all, true); }},
       {"faults", {3, 3, 3, 6, 3}, 40, faults},
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -15,7 +15,7 @@
     {"lossy", {1, 2}},
     {"budget", {1, 2}},
     {"fronts", {1, 2, 6, 32}},
-    {"stores", {1, 2, 11}},
+    {"store-havoc", {1, 2, 11}},
     {"controllers", {1, 2}},
     {"havoc", {1, 2, 3}},
     {"faults", {1, 2}},
--- a/tools/scale/field.hpp
+++ b/tools/scale/field.hpp
@@ -11,7 +11,7 @@
 /// Times of the virtual fleet, in ms; they stand in for a cluster's network and its disks.
 constexpr Millis near_delay = 1, zone_delay = 2, region_delay = 30, sync_time = 2;
 
-/// Of one kind of message; `loop` is what stays on its machine (a agent and its gateway, a controller and itself).
+/// Of one kind of message; `loop` is what stays on its machine (an agent and its gateway, a controller and itself).
 struct Tally {
   uint64_t count = 0, bytes = 0;
   Tally& operator+=(const Tally& o) { return count += o.count, bytes += o.bytes, *this; }
