Keep as many copies of a history as the tolerated losses ask for

Cause: `copies_for` was computed at the settings and used nowhere. Placement and the history writer used the constant three and a majority of two, so where two machines may be lost at once an acknowledged turn could lie on just these two.

Now the founding writes the number of copies into the log (2f + 1, three at least), placement fills sets up to it, and `Metadata::write_quorum` and `read_quorum` give what a write, a reading and a stream to a newcomer wait for. Also: an answer to a reading counts only if the store knew the set in force. Before, a store that was asked while its places were still on their way counted as a member once the step was finished, without what it had streamed meanwhile.

Weighed: four copies with a write quorum of three bear two losses as well, for a fifth less memory, but a partition that lost two members takes no writes until it is repaired (13% of the partitions with ten stores), and so does one whose two members in one zone are lost. Five copies go on.

A store that comes back without places is registered anew, not up with nothing. A store's drain that is given up stays ordered.

--- a/src/consensus/discovery.cpp
+++ b/src/consensus/discovery.cpp
@@ -23,7 +23,7 @@
   if (v.size() > core) v.resize(core);
   if (!prop_.idle() || now - evidence_ <= limits::evidence) return;
   out_.note(Event::founding, std::to_string(v.size()) + " of " + std::to_string(core) + " controllers");
-  prop_.found({digest(hex(self.inc.v)), static_cast<uint32_t>(core), v}, v, now);
+  prop_.found({digest(hex(self.inc.v)), static_cast<uint32_t>(core), v, 0, out_.id().copies}, v, now);
 }
 
 }  // namespace mosskeel
--- a/src/history/history_writer.cpp
+++ b/src/history/history_writer.cpp
@@ -22,13 +22,22 @@
   return v;
 }
 
+/// A read quorum of the set in force, or a write quorum of both sets while places move.
 bool HistoryWriter::enough(const Held& h, const std::function<bool(DaemonId)>& has) const {
-  auto& s = led_.view()->slots[h.slot.v];
-  auto good = [&](const std::vector<DaemonId>& v) {
-    auto n = static_cast<size_t>(std::count_if(v.begin(), v.end(), has));
-    return n >= majority_of(std::max<size_t>(v.size(), limits::copies));
+  auto& metadata = *led_.view();
+  auto& slot = metadata.slots[h.slot.v];
+  auto count = [&](const std::vector<DaemonId>& set) {
+    return static_cast<size_t>(std::count_if(set.begin(), set.end(), has));
   };
-  return good(s.stores) && (s.pending.empty() || h.reading || good(s.pending));
+  auto written = [&](const std::vector<DaemonId>& set) { return count(set) >= metadata.write_quorum(set.size()); };
+  auto size = slot.stores.size();
+  if (h.reading) return size >= metadata.write_quorum(size) && count(slot.stores) >= metadata.read_quorum(size);
+  return written(slot.stores) && (slot.pending.empty() || written(slot.pending));
+}
+
+/// What a store said before it knew of the set in force is no word on what it holds as a member of that set.
+bool HistoryWriter::has_read(const Held& h, const Peer& p) const {
+  return p.read && p.read_at >= led_.view()->slots[h.slot.v].changed;
 }
 
 HistoryWriter::State HistoryWriter::open(const LineName& n, Millis now) {
@@ -106,7 +115,7 @@
     }
     bool due = p.last == 0 || (retry && now - p.last >= limits::line_retry);
     if (h.reading) {
-      if (p.read || !due) continue;
+      if (has_read(h, p) || !due) continue;
       out_.send(d->self.addr, LineRead{n, h.slot, h.term}, d->self.inc);
     } else if (!p.adopted) {
       if (!due || h.records.empty()) continue;
@@ -125,7 +134,7 @@
 
 void HistoryWriter::settle(const LineName& n, Held& h, Millis now) {
   if (h.reading) {
-    if (!enough(h, [&](DaemonId id) { return h.peers.count(id) && h.peers[id].read; })) return;
+    if (!enough(h, [&](DaemonId id) { return h.peers.count(id) && has_read(h, h.peers[id]); })) return;
     h.reading = false;
     for (auto& [id, p] : h.peers) p.last = 0, p.adopted = false;
     if (h.buried) h.records.clear();
@@ -165,6 +174,7 @@
     if (!r->granted || !h.reading) return true;
     auto& p = h.peers[d->id];
     p.read = true;
+    p.read_at = std::max(p.read_at, e.epoch);
     h.buried = h.buried || r->buried;
     if (std::make_pair(h.best_term, h.records.size()) < std::make_pair(r->line_term, r->records.size())) {
       h.best_term = r->line_term;
--- a/src/history/history_writer.hpp
+++ b/src/history/history_writer.hpp
@@ -35,6 +35,8 @@
   struct Peer {
     uint64_t acked = 0, sent = 0;
     bool read = false, adopted = false;
+    /// The epoch that the store knew when it answered the reading.
+    Epoch read_at{};
     Millis last = 0;
   };
   struct Held {
@@ -49,6 +51,7 @@
     uint64_t committed = 0;
     Millis since = 0, used = 0;
   };
+  bool has_read(const Held& h, const Peer& p) const;
   bool enough(const Held& h, const std::function<bool(DaemonId)>& has) const;
   void pump(const LineName& n, Held& h, Millis now, bool retry);
   void settle(const LineName& n, Held& h, Millis now);
--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -157,7 +157,7 @@
   }
   x.done.insert(d->id);
   auto& s = led_.view()->slots[r.slot.v];
-  x.complete = x.done.size() >= majority_of(s.stores.size());
+  x.complete = x.done.size() >= led_.view()->read_quorum(s.stores.size());
   if (x.complete && streamed() >= r.sequence) {
     out_.note(Event::streamed, "sequence of epoch " + std::to_string(r.sequence.v));
     fol_.hurry();
--- a/src/metadata/describe.cpp
+++ b/src/metadata/describe.cpp
@@ -60,6 +60,8 @@
           [](const MarkUp& x) { return "mark " + id(x.node) + " up"; },
           [](const PrepareJoin& x) { return "prepare the join of " + id(x.node); },
           [](const PrepareDrain& x) { return "prepare the drain of " + id(x.node); },
+          [](const PrepareRepair& x) { return "prepare the repair of the places of " + id(x.node); },
+          [](const ForgetStore& x) { return "forget " + id(x.node) + ", a store without places"; },
           [](const Advance& x) { return std::string(name(x.step)) + " the sequence of " + id(x.node); },
           [](const CancelSequence& x) { return "cancel the sequence of " + id(x.node) + ": " + x.reason; },
           [](const ApplyConfiguration& x) {
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -87,7 +87,8 @@
 R go(Metadata m, const MarkUp& t) {
   auto i = m.directory.find(t.node);
   if (i == m.directory.end() || i->second.state != DaemonState::down) return no(who(t.node), "is not down");
-  i->second.state = i->second.self.role == Role::front ? DaemonState::registered : DaemonState::up;
+  bool joins = i->second.self.role == Role::front || (i->second.self.role == Role::store && !m.holds_places(t.node));
+  i->second.state = joins ? DaemonState::registered : DaemonState::up;
   i->second.since = m.epoch;
   return m;
 }
@@ -99,9 +100,14 @@
   if (d->state == DaemonState::left) return no(who(node), "has left");
   if (k == SequenceKind::join && (d->state == DaemonState::down || d->state == DaemonState::draining))
     return no(who(node), std::string("is ") + name(d->state));
+  if (k == SequenceKind::repair && (d->self.role != Role::store || d->state != DaemonState::down))
+    return no(who(node), "is no store that is down");
   std::vector<Move> moves;
   if (k == SequenceKind::join) {
     moves = places::for_join(m, *d);
+  } else if (k == SequenceKind::repair) {
+    moves = places::for_repair(m, *d);
+    if (moves.empty()) return no(who(node), "holds no places that other stores could take now");
   } else {
     auto r = places::for_drain(m, *d);
     if (!ok(r)) return findings(r);
@@ -122,6 +128,36 @@
   return prepare(std::move(m), t.node, SequenceKind::drain);
 }
 
+R go(Metadata m, const PrepareRepair& t) {
+  return prepare(std::move(m), t.node, SequenceKind::repair);
+}
+R go(Metadata m, const ForgetStore& t) {
+  auto i = m.directory.find(t.node);
+  if (i == m.directory.end() || i->second.self.role != Role::store || i->second.state != DaemonState::down)
+    return no(who(t.node), "is no store that is down");
+  if (m.holds_places(t.node) || m.sequences.count(t.node)) return no(who(t.node), "still holds places");
+  i->second.state = DaemonState::left;
+  i->second.since = m.epoch;
+  return m;
+}
+
+/// What becomes of a sequence's node when all its moves are made. A front that drains lingers until its turns are over.
+void conclude(Metadata& m, const Sequence& q) {
+  auto& d = m.directory[q.node];
+  switch (q.kind) {
+    case SequenceKind::join:
+      if (d.state != DaemonState::down) d.state = DaemonState::up;
+      break;
+    case SequenceKind::drain:
+      if (d.self.role != Role::front || d.state == DaemonState::down) d.state = DaemonState::left;
+      break;
+    case SequenceKind::repair:
+      if (d.state == DaemonState::up && !m.holds_places(q.node)) d.state = DaemonState::registered;
+      break;
+  }
+  d.since = m.epoch;
+}
+
 R go(Metadata m, const Advance& t) {
   auto i = m.sequences.find(t.node);
   if (i == m.sequences.end()) return no(who(t.node), "has no sequence in progress");
@@ -142,17 +178,10 @@
     if (s.owner != x.owner && o && o->state != DaemonState::down && o->state != DaemonState::left)
       owner_to(m, s, x.owner);
   }
-  auto& d = m.directory[t.node];
-  bool join = q.kind == SequenceKind::join;
-  bool lingers = !join && d.self.role == Role::front && d.state != DaemonState::down;
-  if (join && d.state != DaemonState::down) d.state = DaemonState::up;
-  if (!join && !lingers) d.state = DaemonState::left;
-  d.since = m.epoch;
+  conclude(m, q);
   unlock(m, t.node);
-  std::set<DaemonId> kept;
-  for (auto& s : m.slots) kept.insert(s.stores.begin(), s.stores.end());
   for (auto& [id, x] : m.directory)
-    if (x.self.role == Role::store && x.state == DaemonState::down && !kept.count(id))
+    if (x.self.role == Role::store && x.state == DaemonState::down && m.at(x.self.addr) != &x && !m.holds_places(id))
       x.state = DaemonState::left, x.since = m.epoch;
   return m;
 }
@@ -162,7 +191,8 @@
   if (i == m.sequences.end()) return no(who(t.node), "has no sequence in progress");
   for (auto& x : i->second.moves)
     if (auto& s = m.slots[x.slot.v]; !s.pending.empty()) stores_to(m, s, s.stores);
-  if (auto& d = m.directory[t.node]; d.state == DaemonState::draining) d.state = DaemonState::up;
+  auto& d = m.directory[t.node];
+  if (d.state == DaemonState::draining && d.self.role == Role::front) d.state = DaemonState::up;
   unlock(m, t.node);
   return m;
 }
--- a/src/metadata/transform.hpp
+++ b/src/metadata/transform.hpp
@@ -109,11 +109,22 @@
   bool operator==(const DropCore&) const = default;
 };
 
+/// Gives the unlocked places of a store that is down to other stores; it stays down, and may come back empty-handed.
+struct PrepareRepair {
+  BOOST_HANA_DEFINE_STRUCT(PrepareRepair, (DaemonId, node));
+  bool operator==(const PrepareRepair&) const = default;
+};
+/// A store that is down and holds no places has left for good.
+struct ForgetStore {
+  BOOST_HANA_DEFINE_STRUCT(ForgetStore, (DaemonId, node));
+  bool operator==(const ForgetStore&) const = default;
+};
+
 /// Append only: the index is what the log keeps.
 using Transformation =
     std::variant<std::monostate, Found, Register, AdmitCore, ReplaceCore, MarkDown, MarkUp, PrepareJoin, PrepareDrain,
                  Advance, CancelSequence, ApplyConfiguration, SetReplica, DropReplica, EvacuateZone, RestoreZone,
-                 MoveSlot, MoveRoutes, Refound, Recount, Recounted, ListReplicas, DropCore>;
+                 MoveSlot, MoveRoutes, Refound, Recount, Recounted, ListReplicas, DropCore, PrepareRepair, ForgetStore>;
 
 struct Entry {
   BOOST_HANA_DEFINE_STRUCT(Entry, (Epoch, epoch), (std::string, commit), (Transformation, change));
@@ -136,6 +147,12 @@
 /// Gives a joining node its share; empty findings where there is nothing to refuse.
 std::vector<Move> for_join(const Metadata& m, const Daemon& d);
 Result<std::vector<Move>> for_drain(const Metadata& m, const Daemon& d);
+/// The stores' part of the two above.
+std::vector<Move> for_store_join(const Metadata& m, const Daemon& joining);
+Result<std::vector<Move>> for_store_drain(const Metadata& m, const Daemon& leaving);
+/// New sets for the unlocked partitions of a store that is down, without it and without any other store that is down;
+/// a partition for which no other store could take a place is left out.
+std::vector<Move> for_repair(const Metadata& m, const Daemon& lost);
 /// Fronts that may own slots now, busiest last.
 DaemonId least_owner(const Metadata& m, const std::map<DaemonId, int>& load, DaemonId except);
 std::map<DaemonId, int> owned(const Metadata& m);
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -19,7 +19,8 @@
   return n[static_cast<int>(f)];
 }
 const char* name(SequenceKind k) {
-  return k == SequenceKind::join ? "join" : "drain";
+  static const char* const n[] = {"join", "drain", "repair"};
+  return n[static_cast<int>(k)];
 }
 const char* name(Step s) {
   static const char* const n[] = {"start", "mid", "finish"};
@@ -99,6 +100,27 @@
   return std::nullopt;
 }
 
+size_t Metadata::full_copies() const {
+  return std::max(copies, limits::copies);
+}
+
+/// Never fewer than a majority of the full number, however few stores there are.
+size_t Metadata::write_quorum(size_t set) const {
+  return majority_of(std::max(set, full_copies()));
+}
+
+/// Too few stores for any record to count are all asked.
+size_t Metadata::read_quorum(size_t set) const {
+  auto write = write_quorum(set);
+  return set < write ? set : set + 1 - write;
+}
+
+bool Metadata::holds_places(DaemonId store) const {
+  return std::any_of(slots.begin(), slots.end(), [&](auto& s) {
+    return std::count(s.stores.begin(), s.stores.end(), store) || std::count(s.pending.begin(), s.pending.end(), store);
+  });
+}
+
 uint64_t successor(uint64_t cluster, uint64_t generation) {
   return digest(hex(cluster), generation);
 }
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -9,7 +9,8 @@
 enum class Role : uint8_t { controller, front, store };
 enum class DaemonState : uint8_t { registered, up, draining, down, left };
 enum class Health : uint8_t { cold, ready, leaving };
-enum class SequenceKind : uint8_t { join, drain };
+/// A `repair` gives the places of a store that is down to others; the store itself may come back and join anew.
+enum class SequenceKind : uint8_t { join, drain, repair };
 enum class Step : uint8_t { start, mid, finish };
 
 const char* name(Role r);
@@ -161,6 +162,14 @@
   /// Whether those for whom `has` holds are a majority of everybody who counts, before and after a recount.
   bool quorate(const std::function<bool(const Daemon&)>& has) const;
   std::optional<Epoch> outcome(const std::string& commit) const;
+  /// How many stores are to keep a history log.
+  size_t full_copies() const;
+  /// How many of a partition's `set` stores must have synced a record before it counts; so many less one may be lost.
+  size_t write_quorum(size_t set) const;
+  /// So many of `set` stores hold between them every record that counts.
+  size_t read_quorum(size_t set) const;
+  /// Whether a store is in, or to come into, the set of any partition.
+  bool holds_places(DaemonId store) const;
 };
 using View = std::shared_ptr<const Metadata>;
 
@@ -172,7 +181,7 @@
 /// The slot of a program, by its root's id.
 SlotId slot_of(const std::string& cell, const std::string& program);
 
-/// How many stores keep a line, so that a majority outlives these losses at once.
+/// How many stores keep a history log, so that a write quorum outlives these losses at once.
 uint32_t copies_for(uint32_t machines, uint32_t zones);
 
 /// How many of a set must agree; never fewer than a majority of the full number of copies.
--- a/src/operator/answers.cpp
+++ b/src/operator/answers.cpp
@@ -34,6 +34,7 @@
   return std::visit(
       overload{[&](const MarkDown& x) { return x.node == id; }, [&](const MarkUp& x) { return x.node == id; },
                [&](const PrepareJoin& x) { return x.node == id; }, [&](const PrepareDrain& x) { return x.node == id; },
+               [&](const PrepareRepair& x) { return x.node == id; }, [&](const ForgetStore& x) { return x.node == id; },
                [&](const Advance& x) { return x.node == id; }, [&](const CancelSequence& x) { return x.node == id; },
                [&](const AdmitCore& x) { return x.fresh == id; },
                [&](const ReplaceCore& x) { return x.old == id || x.fresh == id; },
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -44,6 +44,7 @@
 void survivor(Day& d);
 void planned(Day& d);
 void successor(Day& d);
+void pair_wiped(Day& d);
 void deployment(Day& d, bool election);
 
 /// One request from its asking to its end; a session that is lost gives status 0.
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -6,6 +6,7 @@
 
 World::World(uint64_t seed, Size z) : dice_(seed) {
   core_size = static_cast<uint32_t>(z.controllers);
+  copies = copies_for(static_cast<uint32_t>(z.tolerated), 1);
   auto zone = [&](int i) { return std::string(1, static_cast<char>('a' + i % z.zones)); };
   for (int i = 0; i < z.controllers && i < 3; ++i) seeds.push_back("controller" + std::to_string(i + 1));
   for (int i = 0; i < z.controllers; ++i) add("controller" + std::to_string(i + 1), Kind::controller, zone(i));
@@ -24,6 +25,7 @@
   n->beside = beside;
   auto role = k == Kind::controller ? Role::controller : k == Kind::store ? Role::store : Role::front;
   n->id = {{Incarnation{dice_()}, role, zone, name, beside, "http-" + name}, seeds, core_size, dice_()};
+  n->id.copies = copies;
   by_addr_[name] = name;
   nodes_[name] = std::move(n);
   start(name);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -50,8 +50,9 @@
   std::set<std::pair<Address, Address>> cuts;
 };
 
+/// How many machines of each role; `tolerated` is how many of those with a disk may be lost at once.
 struct Size {
-  int controllers = 3, stores = 3, fronts = 3, models = 4, zones = 3, apps = 3;
+  int controllers = 3, stores = 3, fronts = 3, models = 4, zones = 3, apps = 3, tolerated = 1;
 };
 
 class World {
@@ -92,6 +93,8 @@
   void add(const std::string& name, Kind k, const std::string& zone, const Address& beside = "");
   Addresses seeds;
   uint32_t core_size = 3;
+  /// How many stores keep a history log, as the settings of a deployment give it.
+  uint32_t copies = limits::copies;
 
   Net net;
   std::vector<std::string> notes, failures;
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -45,6 +45,7 @@
     {"survivor5", {1, 2, 3}},
     {"kjortala", {1, 7, 29}},
     {"catania", {7, 53}},
+    {"pairwipe", {1, 2, 3}},
 };
 }  // namespace
 
