Repair lost stores at once, beside each other, and move places only on the newcomers' word

Cause: a lost store's places waited for 4.5 s of silence and for every other sequence; an empty store at the same address waited for 2.5 s of silence before it could register; a store that joined before the loss was certain took places of live stores; a sequence whose target was gone waited 15 s for its barrier.

- A store whose address speaks with another incarnation is marked down at once, and the newcomer asks again at once.
- Repairs begin after 3 s of silence, several beside each other on partitions that no other holds, those with the most lost members first; a store that comes and goes waits twice as long each time, up to 48 s.
One that is back ends its own repair.
One whose places are gone stays in the directory and joins anew when it comes back; before, it was out for good.
- Joins wait while a store is in doubt (1.2 s of silence), so that they take its places instead of others'.
- A lost target ends its sequence at once.
A drain that was ordered begins anew.
- The steps after the first need, in `handover`, the late word (heartbeat under 2.5 s old) of all newcomers that they hold what was there at the epoch of the step; the same file tells which partitions have a lost or silent member.

--- a/src/consensus/failure_detector.hpp
+++ b/src/consensus/failure_detector.hpp
@@ -29,6 +29,15 @@
     auto* h = of(d.self.inc);
     return now - (h ? h->last : start_);
   }
+  /// Whether another incarnation speaks at a daemon's address since the daemon itself was last heard: it runs no more.
+  bool superseded(const Daemon& daemon, Millis now) const {
+    auto* own = of(daemon.self.inc);
+    for (auto& [inc, status] : heard_)
+      if (inc != daemon.self.inc && status.self.addr == daemon.self.addr && now - status.last < limits::silence &&
+          (!own || status.last > own->last))
+        return true;
+    return false;
+  }
   Silences silences(const Metadata& m, Millis now) const {
     Silences s;
     for (auto& [id, d] : m.directory)
--- a/src/consensus/sequences.cpp
+++ b/src/consensus/sequences.cpp
@@ -1,79 +1,141 @@
-// The supervisor's joins and drains: when a step may be taken, when one begins, and the repair after a store's loss.
+// The supervisor's joins, drains and repairs: when one begins, when its next step may be taken, when it is given up.
 #include <algorithm>
 
+#include "consensus/handover.hpp"
 #include "consensus/supervisor.hpp"
 
 namespace mosskeel {
 
-bool Supervisor::passed(const Sequence& q, Millis now) const {
-  auto& m = *led_.view();
-  std::set<DaemonId> affected{q.node}, fresh;
-  for (auto& x : q.moves) {
-    auto& s = m.slots[x.slot.v];
-    affected.insert(s.owner);
-    affected.insert(x.owner);
-    affected.insert(s.stores.begin(), s.stores.end());
-    affected.insert(x.stores.begin(), x.stores.end());
-    for (auto r : x.stores)
-      if (std::find(s.stores.begin(), s.stores.end(), r) == s.stores.end()) fresh.insert(r);
-  }
-  size_t all = 0, know = 0;
-  for (auto id : affected) {
-    auto* d = m.find(id);
-    if (!d || d->state == DaemonState::down || d->state == DaemonState::left) continue;
-    ++all;
-    auto* h = detector_.of(d->self.inc);
-    know += h && h->known >= q.last && now - h->last < limits::silence;
-  }
-  if (know < majority_of(all)) return false;
-  if (q.due == Step::mid)
-    for (auto id : fresh) {
-      auto* d = m.find(id);
-      auto* h = d ? detector_.of(d->self.inc) : nullptr;
-      if (!h || h->streamed < q.last) return false;
-    }
-  return true;
+/// Each step waits until those concerned know the one before; the last two also for the newcomers' own word.
+bool Supervisor::passed(const Sequence& sequence, Millis now) const {
+  auto& metadata = *led_.view();
+  if (!handover::known(metadata, sequence, detector_, now)) return false;
+  return sequence.due == Step::start || handover::streamed(metadata, sequence, detector_, now);
 }
 
-std::optional<Transformation> Supervisor::sequences(Millis now) {
-  auto& m = *led_.view();
-  for (auto& [id, q] : m.sequences) {
-    auto& b = barrier_[id];
-    if (b.first != q.last) b = {q.last, now};
-    if (passed(q, now)) {
-      out_.note(Event::sequence_step,
-                std::string(name(q.due)) + " of the " + name(q.kind) + " of daemon " + std::to_string(id.v));
-      return Advance{id, q.due};
-    }
-    auto* d = m.find(id);
-    bool dead = q.kind == SequenceKind::join && d && d->state == DaemonState::down;
-    if (dead || now - b.second > limits::barrier_timeout) {
-      later_[id] = now + limits::barrier_timeout;
-      out_.note(Event::sequence_blocked, "of daemon " + std::to_string(id.v) + " at step " + name(q.due));
-      return CancelSequence{id, dead ? "its node is down" : std::string("barrier blocked before ") + name(q.due)};
+/// Why a sequence can't go on, or nothing.
+std::string Supervisor::hindrance(const Sequence& sequence, Millis now) {
+  auto& metadata = *led_.view();
+  auto& barrier = barrier_[sequence.node];
+  if (barrier.first != sequence.last) barrier = {sequence.last, now};
+  auto* node = metadata.find(sequence.node);
+  if (sequence.kind == SequenceKind::join && node && node->state == DaemonState::down) return "its node is down";
+  if (sequence.kind == SequenceKind::repair && node && node->state == DaemonState::up) return "its node is back";
+  if (handover::target_lost(metadata, sequence)) return "a store that was to take places is lost";
+  if (now - barrier.second > limits::barrier_timeout)
+    return std::string("barrier blocked before ") + name(sequence.due);
+  return "";
+}
+
+std::optional<Transformation> Supervisor::proceed(Millis now) {
+  auto& metadata = *led_.view();
+  std::erase_if(barrier_, [&](auto& barrier) { return !metadata.sequences.count(barrier.first); });
+  for (auto& [id, sequence] : metadata.sequences) {
+    auto daemon = " of daemon " + std::to_string(id.v);
+    auto why = hindrance(sequence, now);
+    if (!why.empty()) {
+      later_[id] = now + limits::sequence_pause;
+      out_.note(Event::sequence_blocked, std::string(name(sequence.kind)) + daemon + " at step " + name(sequence.due));
+      return CancelSequence{id, why};
     }
+    if (!passed(sequence, now)) continue;
+    out_.note(Event::sequence_step, std::string(name(sequence.due)) + " of the " + name(sequence.kind) + daemon);
+    return Advance{id, sequence.due};
+  }
+  return std::nullopt;
+}
+
+bool Supervisor::paused(DaemonId id, Millis now) const {
+  auto i = later_.find(id);
+  return i != later_.end() && now < i->second;
+}
+
+/// A store that is silent and not yet known to be down: whoever joins should take its places, and not those of others.
+bool Supervisor::store_in_doubt(Millis now) const {
+  auto& directory = led_.view()->directory;
+  return std::any_of(directory.begin(), directory.end(), [&](auto& entry) {
+    auto& daemon = entry.second;
+    return daemon.self.role == Role::store && daemon.state == DaemonState::up &&
+           silent(daemon, now, limits::store_doubt);
+  });
+}
+
+/// Joins take their share of all places, so one waits for every other sequence but repairs.
+std::optional<Transformation> Supervisor::begin_join(Millis now) const {
+  auto& metadata = *led_.view();
+  for (auto& [id, sequence] : metadata.sequences)
+    if (sequence.kind != SequenceKind::repair) return std::nullopt;
+  for (auto& [id, daemon] : metadata.directory) {
+    if (daemon.self.role == Role::controller || daemon.state != DaemonState::registered) continue;
+    if (!heard(daemon, now) || paused(id, now)) continue;
+    if (daemon.self.role == Role::store && store_in_doubt(now)) continue;
+    if (metadata.sequences.empty() || !places::for_join(metadata, daemon).empty()) return PrepareJoin{id};
   }
-  std::erase_if(barrier_, [&](auto& b) { return !m.sequences.count(b.first); });
-  if (!m.sequences.empty()) return std::nullopt;
-  for (auto& [id, d] : m.directory) {
-    if (d.self.role == Role::controller || d.state != DaemonState::registered || !heard(d, now)) continue;
-    if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
-    return PrepareJoin{id};
+  return std::nullopt;
+}
+
+/// A store that an order drains stays so when its sequence was given up: it begins anew, with other targets.
+std::optional<Transformation> Supervisor::resume_drain(Millis now) const {
+  auto& metadata = *led_.view();
+  for (auto& [id, daemon] : metadata.directory) {
+    if (daemon.self.role != Role::store || daemon.state != DaemonState::draining) continue;
+    if (metadata.sequences.count(id) || paused(id, now)) continue;
+    auto moves = places::for_drain(metadata, daemon);
+    if (!ok(moves)) continue;
+    auto locked = [&](auto& move) { return metadata.locks.count(move.slot) > 0; };
+    if (std::none_of(value(moves).begin(), value(moves).end(), locked)) return PrepareDrain{id};
   }
-  return repair(now);
+  return std::nullopt;
+}
+
+/// How long a store may be silent before its places go to others; the longer, the more often it came back before.
+Millis Supervisor::repair_patience(DaemonId id) const {
+  auto i = repairs_.find(id);
+  return limits::repair_after << (i == repairs_.end() ? 0 : std::min(i->second, limits::repair_backoff));
 }
 
-/// The places of a store that stays down go to the others, where there are enough of them to hold every copy.
+/// The places of stores that stay down go to others at once, several stores' beside each other; first come those of
+/// the store whose partitions have lost most. Where a successor is registered, its join is the repair.
 std::optional<Transformation> Supervisor::repair(Millis now) {
-  auto& m = *led_.view();
-  for (auto& [id, d] : m.directory) {
-    if (d.self.role != Role::store || d.state != DaemonState::down || !silent(d, now, limits::repair_after)) continue;
-    if (auto i = later_.find(id); i != later_.end() && now < i->second) continue;
-    bool holds = std::any_of(m.slots.begin(), m.slots.end(),
-                             [&](auto& s) { return std::count(s.stores.begin(), s.stores.end(), id) > 0; });
-    if (holds && ok(places::for_drain(m, d))) return PrepareDrain{id};
+  auto& metadata = *led_.view();
+  auto lost_members = [&](const Slot& slot) {
+    return std::count_if(slot.stores.begin(), slot.stores.end(), [&](auto id) {
+      auto* daemon = metadata.find(id);
+      return !daemon || daemon->state == DaemonState::down || daemon->state == DaemonState::left;
+    });
+  };
+  std::optional<DaemonId> worst;
+  long worst_lost = 0;
+  for (auto& [id, daemon] : metadata.directory) {
+    if (daemon.self.role != Role::store || daemon.state != DaemonState::down) continue;
+    if (metadata.sequences.count(id) || paused(id, now) || !silent(daemon, now, repair_patience(id))) continue;
+    for (auto& move : places::for_repair(metadata, daemon)) {
+      auto lost = lost_members(metadata.slots[move.slot.v]);
+      if (lost > worst_lost) worst = id, worst_lost = lost;
+    }
+  }
+  if (!worst) return std::nullopt;
+  ++repairs_[*worst];
+  return PrepareRepair{*worst};
+}
+
+/// A store that stays down without places counts no more, as soon as another daemon has its address or it is long gone.
+std::optional<Transformation> Supervisor::forget(Millis now) const {
+  auto& metadata = *led_.view();
+  for (auto& [id, daemon] : metadata.directory) {
+    if (daemon.self.role != Role::store || daemon.state != DaemonState::down) continue;
+    if (metadata.holds_places(id) || metadata.sequences.count(id)) continue;
+    if (metadata.at(daemon.self.addr) != &daemon || silent(daemon, now, limits::forget_store)) return ForgetStore{id};
   }
   return std::nullopt;
 }
 
+std::optional<Transformation> Supervisor::sequences(Millis now) {
+  if (auto step = proceed(now)) return step;
+  if (auto join = begin_join(now)) return join;
+  if (auto drain = resume_drain(now)) return drain;
+  if (auto repaired = repair(now)) return repaired;
+  return forget(now);
+}
+
 }  // namespace mosskeel
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -86,11 +86,12 @@
   for (auto& [id, d] : m.directory) {
     if (d.state == DaemonState::left || (d.state == DaemonState::registered && d.self.role == Role::controller))
       continue;
-    if (d.state != DaemonState::down && silent(d, now, limit)) {
+    bool superseded = d.self.role == Role::store && detector_.superseded(d, now);
+    if (d.state != DaemonState::down && (superseded || silent(d, now, limit))) {
       out_.note(Event::node_silent, std::string(name(d.self.role)) + " daemon " + std::to_string(id.v));
       return MarkDown{id};
     }
-    if (d.state == DaemonState::down && heard(d, now)) return MarkUp{id};
+    if (d.state == DaemonState::down && !superseded && heard(d, now)) return MarkUp{id};
   }
   if (auto t = core(now)) return t;
   if (auto t = warm(now)) return t;
--- a/src/consensus/supervisor.hpp
+++ b/src/consensus/supervisor.hpp
@@ -17,13 +17,21 @@
   std::optional<Transformation> decide(Millis now);
   std::optional<Transformation> core(Millis now);
   std::optional<Transformation> sequences(Millis now);
+  std::optional<Transformation> proceed(Millis now);
+  std::optional<Transformation> begin_join(Millis now) const;
+  std::optional<Transformation> resume_drain(Millis now) const;
   std::optional<Transformation> repair(Millis now);
+  std::optional<Transformation> forget(Millis now) const;
   std::optional<Transformation> warm(Millis now);
   /// How many members agree that a daemon was silent this long, or heard this lately.
   bool silent(const Daemon& d, Millis now, Millis limit) const;
   std::optional<Transformation> count(Millis now) const;
   bool heard(const Daemon& d, Millis now) const;
-  bool passed(const Sequence& q, Millis now) const;
+  bool passed(const Sequence& sequence, Millis now) const;
+  std::string hindrance(const Sequence& sequence, Millis now);
+  bool paused(DaemonId id, Millis now) const;
+  bool store_in_doubt(Millis now) const;
+  Millis repair_patience(DaemonId id) const;
   Outbox& out_;
   Ledger& led_;
   const FailureDetector& detector_;
@@ -32,6 +40,8 @@
   Millis busy_until_ = 0, next_ = 0;
   std::map<DaemonId, std::pair<Epoch, Millis>> barrier_;
   std::map<DaemonId, Millis> later_;
+  /// How many repairs of a store's places have begun, so that one that comes and goes causes fewer and fewer.
+  std::map<DaemonId, uint32_t> repairs_;
   std::map<std::string, std::pair<Epoch, Millis>> cold_;
 };
 
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -140,6 +140,9 @@
     out_.note(*state == DaemonState::left ? Event::lost_identity : Event::registered,
               c.addr + " is daemon " + std::to_string(d->id.v));
   enrolled_ = state;
+  auto* before = m.at(c.addr);
+  bool vacated = !d && before && before->state == DaemonState::down && before->since != vacated_;
+  if (vacated) vacated_ = before->since, next_enroll_ = now;
   if ((d && d->state != DaemonState::left) || now < next_enroll_ || m.members.empty()) return;
   if (d) return;
   next_enroll_ = now + limits::tcm_rpc / 2;
--- a/src/follow/follower.hpp
+++ b/src/follow/follower.hpp
@@ -47,7 +47,7 @@
   Ledger& led_;
   Millis born_, next_discover_ = 0, next_beat_ = 0, next_peers_ = 0, next_enroll_ = 0;
   CatchupPace pace_;
-  Epoch beaten_{};
+  Epoch beaten_{}, vacated_{};
   size_t turn_ = 0;
   bool confirmed_ = false, durable_ = false;
   std::optional<DaemonState> enrolled_;
