--- /dev/null
+++ b/src/metadata/liveness.hpp
@@ -0,0 +1,19 @@
+#pragma once
+// Whether a daemon may hold places, by its state in the directory.
+#include "metadata/values.hpp"
+
+namespace mosskeel::places {
+
+/// Up, or registered and about to join.
+inline bool alive(const Metadata& metadata, DaemonId id) {
+  auto* daemon = metadata.find(id);
+  return daemon && (daemon->state == DaemonState::up || daemon->state == DaemonState::registered);
+}
+
+/// Unknown, down or gone.
+inline bool lost(const Metadata& metadata, DaemonId id) {
+  auto* daemon = metadata.find(id);
+  return !daemon || daemon->state == DaemonState::down || daemon->state == DaemonState::left;
+}
+
+}  // namespace mosskeel::places
--- a/src/metadata/places.cpp
+++ b/src/metadata/places.cpp
@@ -2,17 +2,13 @@
 #include <algorithm>
 
 #include "kernel/limits.hpp"
+#include "metadata/liveness.hpp"
 #include "metadata/transform.hpp"
 
 namespace mosskeel::places {
 
 namespace {
 
-bool alive(const Metadata& m, DaemonId id) {
-  auto* d = m.find(id);
-  return d && (d->state == DaemonState::up || d->state == DaemonState::registered);
-}
-
 std::vector<Move> join_front(const Metadata& m, const Daemon& d) {
   std::vector<Move> v;
   auto n = owned(m);
--- a/src/metadata/store_places.cpp
+++ b/src/metadata/store_places.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "kernel/limits.hpp"
+#include "metadata/liveness.hpp"
 #include "metadata/transform.hpp"
 
 namespace mosskeel::places {
@@ -10,16 +11,6 @@
 
 using Stores = std::vector<DaemonId>;
 
-bool alive(const Metadata& metadata, DaemonId id) {
-  auto* daemon = metadata.find(id);
-  return daemon && (daemon->state == DaemonState::up || daemon->state == DaemonState::registered);
-}
-
-bool lost(const Metadata& metadata, DaemonId id) {
-  auto* daemon = metadata.find(id);
-  return !daemon || daemon->state == DaemonState::down || daemon->state == DaemonState::left;
-}
-
 std::string zone(const Metadata& metadata, DaemonId id) {
   auto* daemon = metadata.find(id);
   return daemon ? daemon->self.zone : "";
