--- a/src/operator/control.cpp
+++ b/src/operator/control.cpp
@@ -3,7 +3,7 @@
 namespace mosskeel {
 namespace {
 
-std::vector<const ControlDialect*>& registry() {
+std::vector<const ControlDialect*>& control_dialects() {
   static std::vector<const ControlDialect*> v;
   return v;
 }
@@ -11,13 +11,13 @@
 }  // namespace
 
 const ControlDialect* control_dialect(const std::string& name) {
-  for (auto* d : registry())
+  for (auto* d : control_dialects())
     if (name == d->name()) return d;
   return nullptr;
 }
 
 ControlEnrolled::ControlEnrolled(const ControlDialect* d) {
-  registry().push_back(d);
+  control_dialects().push_back(d);
 }
 
 }  // namespace mosskeel
