Simulate leaves with a second fault, and a store that comes and goes; measure repairs

`leaving`: a store is emptied by order; at any step a target's disk, the leaver or the supervisor is lost, then the leaver's disk goes at once and another store's after it. `flapping`: a store freezes 12 times just long enough to be marked down; at most 8 sequences may come of it. The simulator prints, for each loss, how long after the successors' start partitions lay on too few stores.

--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -9,6 +9,8 @@
   Callers c;
   /// The day judged itself: more was lost than histories are promised to survive.
   bool closed = false;
+  /// For each loss of stores: how long after their successors' start partitions still lay on too few stores.
+  std::vector<Millis> exposed;
   Day(uint64_t seed, Size z, uint64_t budget) : w(seed, z), c(w, z.models, z.apps, budget, 10) {}
   std::string any(Kind k) {
     auto v = w.names(k);
@@ -45,6 +47,8 @@
 void planned(Day& d);
 void successor(Day& d);
 void pair_wiped(Day& d);
+void leaving(Day& d);
+void flapping(Day& d);
 void deployment(Day& d, bool election);
 
 /// One request from its asking to its end; a session that is lost gives status 0.
--- a/tests/sim/losses.cpp
+++ b/tests/sim/losses.cpp
@@ -18,12 +18,17 @@
   });
 }
 
+/// Whether this very daemon runs, and not another incarnation at its address.
+bool runs(World& w, const Daemon& daemon) {
+  return w.alive(daemon.self.addr) && w.node(daemon.self.addr).id.self.inc == daemon.self.inc;
+}
+
 /// The stores of a program's partition that run now.
 std::vector<std::string> holders(Day& d, const std::string& program) {
   auto v = latest(d.w);
   std::vector<std::string> names;
   for (auto id : v->slots[slot_of("news", program).v].stores)
-    if (auto* x = v->find(id); x && d.w.alive(x->self.addr)) names.push_back(x->self.addr);
+    if (auto* x = v->find(id); x && runs(d.w, *x)) names.push_back(x->self.addr);
   return names;
 }
 
@@ -34,7 +39,7 @@
   for (auto& s : v->slots) {
     if (s.stores.size() < w.copies) return false;
     for (auto id : s.stores)
-      if (auto* x = v->find(id); !x || x->state != DaemonState::up || !w.alive(x->self.addr)) return false;
+      if (auto* x = v->find(id); !x || x->state != DaemonState::up || !runs(w, *x)) return false;
   }
   return true;
 }
@@ -76,9 +81,86 @@
     });
     w.run(300 + w.below(700));
     for (auto& s : lost) w.start(s);
-    w.run(catch_up);
-    if (!whole(w)) w.fail("a partition lacks copies after the successors' time to catch up");
+    auto started = w.now();
+    if (!w.until(catch_up, [&] { return whole(w); }))
+      w.fail("a partition lacks copies after the successors' time to catch up");
+    d.exposed.push_back(w.now() - started);
+    w.run(started + catch_up - w.now());
+  }
+}
+
+/// A store is emptied by order. In the middle, at any step, a store that is to take places loses its disk, the leaver
+/// freezes for a while, or the supervisor is lost. As soon as the log says that the store has left, its disk goes; and
+/// once the other loss is made good, another store loses its disk. One loss at a time is borne.
+void leaving(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(80, w.now() + 40000);
+  w.run(3000);
+  auto leaver = d.any(Kind::store);
+  auto id = latest(w)->at(leaver)->id;
+  d.c.commit(PrepareDrain{id}, [](const CommitReply&) {});
+  if (!w.until(5000, [&] { return latest(w)->sequences.count(id) > 0; })) return w.fail("the drain did not begin");
+  w.run(w.below(400));
+  std::string other;
+  switch (w.roll() % 3) {
+    case 0:
+      while (other.empty() || other == leaver) other = d.any(Kind::store);
+      w.wipe(other);
+      w.at(w.now() + 500, [&w, other] { w.start(other); });
+      break;
+    case 1:
+      w.freeze(leaver);
+      w.at(w.now() + 500 + w.below(4000), [&w, leaver] { w.wake(leaver); });
+      break;
+    default:
+      for (auto& s : w.names(Kind::controller))
+        if (auto& m = static_cast<ControllerMachine&>(*w.node(s).machine); m.is_supervisor(w.clock(w.node(s)))) {
+          w.power_off(s);
+          w.at(w.now() + 6000, [&w, s] { w.start(s); });
+          break;
+        }
+  }
+  auto gone = [&] {
+    auto v = latest(w);
+    return v && v->find(id)->state == DaemonState::left && !v->holds_places(id);
+  };
+  if (!w.until(20000, gone)) w.fail("the ordered drain did not come to its end");
+  w.wipe(leaver);
+  forget_owners(d);
+  if (!w.until(12000, [&] { return whole(w); })) w.fail("a partition lacks copies long after the drain");
+  auto next = leaver;
+  while (next == leaver) next = d.any(Kind::store);
+  w.wipe(next);
+  forget_owners(d);
+  w.run(500);
+  w.start(next);
+  auto started = w.now();
+  if (!w.until(12000, [&] { return whole(w); })) w.fail("the copies of a lost store were not restored");
+  d.exposed.push_back(w.now() - started);
+}
+
+/// A store freezes and wakes again and again, each time just long enough to be marked down. It must not set off a
+/// repair each time.
+void flapping(Day& d) {
+  constexpr int most_sequences = 8;
+  auto& w = d.w;
+  d.c.traffic(80, w.now() + 60000);
+  w.run(2000);
+  auto store = d.any(Kind::store);
+  std::set<Epoch> begun;
+  for (int i = 0; i < 12; ++i) {
+    w.freeze(store);
+    auto until = w.now() + 3200 + w.below(1500);
+    auto look = [&] {
+      for (auto& [id, sequence] : latest(w)->sequences) begun.insert(sequence.started);
+      return false;
+    };
+    w.until(until - w.now(), look);
+    w.wake(store);
+    w.until(1000 + w.below(1000), look);
   }
+  if (begun.size() > most_sequences)
+    w.fail(std::to_string(begun.size()) + " sequences for a store that comes and goes");
 }
 
 }  // namespace mosskeel::sim
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -224,6 +224,8 @@
       {"catania", {3, 3, 6, 9, 3, 3}, 400, [](Day& d) { deployment(d, false); }},
       {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
       {"pairwipe", {5, 7, 4, 4, 3, 3, 2}, 400, pair_wiped},
+      {"leaving", {3, 5, 3, 4, 3}, 400, leaving},
+      {"flapping", {3, 5, 3, 4, 3}, 400, flapping},
   };
   return v;
 }
@@ -249,7 +251,7 @@
     d.w.local = nullptr;
     d.w.died = nullptr;
     return {d.w.failures, d.w.notes,    d.c.successes, d.c.refusals, d.c.unknowns,
-            d.c.resumed,  d.w.messages, d.w.syncs,     d.c.reasons};
+            d.c.resumed,  d.w.messages, d.w.syncs,     d.c.reasons,  d.exposed};
   }
   v.failures.push_back("no scenario " + scenario);
   return v;
--- a/tests/sim/scenarios.hpp
+++ b/tests/sim/scenarios.hpp
@@ -9,6 +9,8 @@
   uint64_t successes = 0, refusals = 0, unknowns = 0, resumed = 0, messages = 0, syncs = 0;
   /// Why answers were not known, by reason.
   std::map<std::string, uint64_t> reasons;
+  /// As in `Day`.
+  std::vector<Millis> exposed;
 };
 
 /// The names of all scenarios.
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -46,6 +46,8 @@
     {"kjortala", {1, 7, 29}},
     {"catania", {7, 53}},
     {"pairwipe", {1, 2, 3}},
+    {"leaving", {1, 2, 3, 4, 5, 6}},
+    {"flapping", {1, 2}},
 };
 }  // namespace
 
--- a/tools/simulate/main.cpp
+++ b/tools/simulate/main.cpp
@@ -1,6 +1,7 @@
 // Plays many seeds of the simulated days; prints those that fail and how to replay them.
 #include <popt.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <mutex>
@@ -43,6 +44,7 @@
       auto& t = sum[s];
       t.successes += v.successes, t.refusals += v.refusals, t.unknowns += v.unknowns, t.resumed += v.resumed;
       for (auto& [r, n] : v.reasons) t.reasons[r] += n;
+      t.exposed.insert(t.exposed.end(), v.exposed.begin(), v.exposed.end());
       t.messages += v.messages, t.syncs += v.syncs;
       if (v.failures.empty()) continue;
       ++failed;
@@ -58,6 +60,13 @@
     printf("%-10s successes %llu refusals %llu unknown %llu read back %llu messages %llu syncs %llu\n", s.c_str(),
            (unsigned long long)t.successes, (unsigned long long)t.refusals, (unsigned long long)t.unknowns,
            (unsigned long long)t.resumed, (unsigned long long)t.messages, (unsigned long long)t.syncs);
+  for (auto& [s, t] : sum) {
+    if (t.exposed.empty()) continue;
+    std::sort(t.exposed.begin(), t.exposed.end());
+    auto at = [&](size_t percent) { return static_cast<long long>(t.exposed[(t.exposed.size() - 1) * percent / 100]); };
+    printf("%-10s ms on too few copies: %zu losses, half %lld, nine tenths %lld, 99 of 100 %lld, most %lld\n",
+           s.c_str(), t.exposed.size(), at(50), at(90), at(99), at(100));
+  }
   if (reasons)
     for (auto& [s, t] : sum)
       for (auto& [r, n] : t.reasons) printf("%-10s %6llu %s\n", s.c_str(), (unsigned long long)n, r.c_str());
