--- a/src/kernel/disk.cpp
+++ b/src/kernel/disk.cpp
@@ -31,6 +31,12 @@
           [](const std::string& folder) {
             struct statvfs s {};
             return ::statvfs(folder.c_str(), &s) == 0 ? s.f_bavail * s.f_frsize : uint64_t{0};
+          },
+          [](const char* from, const char* to) { return ::rename(from, to); },
+          [](const char* p) { return ::unlink(p); },
+          [](const char* folder) {
+            Fd d(::open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+            return d ? ::fsync(d.get()) : -1;
           }};
 }
 
@@ -39,8 +45,7 @@
 }
 
 int Disk::sync_folder() {
-  Fd d(::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-  return d ? ::fsync(d.get()) : -1;
+  return calls_.sync_folder(folder_.c_str());
 }
 
 DiskResult Disk::write_all(int fd, std::string_view s) {
@@ -138,10 +143,10 @@
 bool Disk::write_whole(const std::string& name, const std::string& bytes) {
   auto tmp = folder_ + "/unfinished";
   {
-    Fd f(::open(tmp.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
-    if (!f || !write_all(f.get(), bytes) || ::fsync(f.get()) != 0) return false;
+    Fd f(calls_.open(tmp.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC));
+    if (!f || !write_all(f.get(), bytes) || calls_.sync(f.get()) != 0) return false;
   }
-  return ::rename(tmp.c_str(), name.c_str()) == 0 && sync_folder() == 0;
+  return calls_.rename(tmp.c_str(), name.c_str()) == 0 && sync_folder() == 0;
 }
 
 void Disk::reserve() {
@@ -151,7 +156,7 @@
   if (::stat(p.c_str(), &st) == 0 && static_cast<size_t>(st.st_size) >= want) return;
   if (calls_.room(folder_) < limits::reserve_share * want) return;
   Fd f(calls_.open(p.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC));
-  if (f && calls_.allocate(f.get(), want) != 0) ::unlink(p.c_str());
+  if (f && calls_.allocate(f.get(), want) != 0) calls_.remove(p.c_str());
 }
 
 /// Into the room of the reserve, which nobody else can take; the file gets its name when all of it is on disk.
@@ -164,10 +169,10 @@
   auto r = write_all(f.get(), bytes);
   if (r && calls_.truncate(f.get(), static_cast<off_t>(bytes.size())) != 0) r = {DiskResult::failed};
   if (r && calls_.sync(f.get()) != 0) r = refused();
-  if (r && ::rename(p.c_str(), path("checkpoint", seq_).c_str()) != 0) r = refused();
+  if (r && calls_.rename(p.c_str(), path("checkpoint", seq_).c_str()) != 0) r = refused();
   if (r) return sync_folder() == 0 ? r : DiskResult{DiskResult::failed};
   if (!st.st_size)
-    ::unlink(p.c_str());
+    calls_.remove(p.c_str());
   else if (calls_.truncate(f.get(), st.st_size) != 0)
     return {DiskResult::failed};
   return r;
@@ -185,7 +190,7 @@
     auto n = f.path().filename().string();
     auto dash = n.find('-');
     if (dash == std::string::npos) continue;
-    if (auto x = unhex(n.substr(dash + 1)); x && *x < seq_) fs::remove(f.path(), ec);
+    if (auto x = unhex(n.substr(dash + 1)); x && *x < seq_) calls_.remove(f.path().c_str());
   }
   kept_ = point_ = bytes.size();
   reserve();
--- a/src/kernel/disk.hpp
+++ b/src/kernel/disk.hpp
@@ -14,7 +14,7 @@
   bool operator==(const DiskResult&) const = default;
 };
 
-/// The calls that a full or broken disk refuses, so that tests can refuse them.
+/// Every call that changes what is on disk, so that tests can refuse it or play a crash after it.
 struct DiskCalls {
   std::function<int(const char*, int)> open;
   std::function<ssize_t(int, const void*, size_t)> write;
@@ -24,6 +24,10 @@
   std::function<int(int, size_t)> allocate;
   /// Bytes free in a folder.
   std::function<uint64_t(const std::string&)> room;
+  std::function<int(const char*, const char*)> rename;
+  std::function<int(const char*)> remove;
+  /// Makes the names in a folder durable.
+  std::function<int(const char*)> sync_folder;
   static DiskCalls real();
 };
 
--- a/src/kernel/disk_load.cpp
+++ b/src/kernel/disk_load.cpp
@@ -32,7 +32,7 @@
     codec::get(probe, n);
     probe = r;
     if (!marked || n == SyncMark::bytes)
-      if (auto x = unframe(probe); x && !x->empty()) {
+      if (auto x = unframe(probe)) {
         auto m = mark_of(*x, inc, seq);
         if (!marked || (m && m->synced > at && m->synced <= p)) return true;
       }
@@ -126,8 +126,8 @@
 Findings Disk::cut_tail(uint64_t seq, size_t at, size_t bytes) {
   cut_ = bytes;
   kept_ -= bytes;
-  Fd f(::open(path("log", seq).c_str(), O_WRONLY | O_CLOEXEC));
-  if (!f || ::ftruncate(f.get(), static_cast<off_t>(at)) != 0 || ::fsync(f.get()) != 0)
+  Fd f(calls_.open(path("log", seq).c_str(), O_WRONLY | O_CLOEXEC));
+  if (!f || calls_.truncate(f.get(), static_cast<off_t>(at)) != 0 || calls_.sync(f.get()) != 0)
     return {{path("log", seq), "its torn tail cannot be cut"}};
   return {};
 }
--- a/src/kernel/log_frame.hpp
+++ b/src/kernel/log_frame.hpp
@@ -11,12 +11,13 @@
   return o + r;
 }
 
-/// The record at the reader's place, or nothing, leaving the reader where it was.
+/// The record at the reader's place, or nothing, leaving the reader where it was. No record is empty: zeros where a
+/// write was lost have the digest of one.
 inline std::optional<std::string> unframe(codec::Reader& r) {
   auto at = r;
   uint32_t n;
   uint64_t sum;
-  if (!codec::get(at, n) || !codec::get(at, sum) || at.s.size() < n) return std::nullopt;
+  if (!codec::get(at, n) || !codec::get(at, sum) || n == 0 || at.s.size() < n) return std::nullopt;
   std::string x(at.s.substr(0, n));
   if (digest(x, n) != sum) return std::nullopt;
   at.s.remove_prefix(n);
