--- a/src/consensus/supervisor_lease.cpp
+++ b/src/consensus/supervisor_lease.cpp
@@ -20,7 +20,8 @@
   if (g.number != number_ || !m.member(e.from_inc)) return;
   seen_[e.from_inc] = {now, g.silences};
   denied_ = denied_ || !g.granted;
-  if (!g.granted) return;
+  // Who knows a later epoch than we do shows that our log is old: nothing may be decided on it.
+  if (!g.granted || e.epoch > led_.epoch()) return;
   grants_.insert(e.from_inc);
   if (grants_.size() >= majority_of(m.members.size()))
     until_ = asked_ + limits::supervisor_lease - limits::supervisor_lease_margin;
--- a/src/follow/follower.cpp
+++ b/src/follow/follower.cpp
@@ -40,7 +40,7 @@
 }
 
 void Follower::learn(const Entries& v, const std::optional<Metadata>& c) {
-  if (c && (out_.cluster == 0 || c->cluster == out_.cluster || succeeds(*led_.view(), c->cluster)) && led_.jump(*c)) {
+  if (c && led_.jump(*c)) {
     out_.note(Event::caught_up, "checkpoint at " + std::to_string(c->epoch.v));
     if (on_jump) on_jump(*c);
   }
@@ -49,6 +49,24 @@
       if (on_entry) on_entry(x);
   out_.cluster = led_.view()->cluster;
   out_.epoch = led_.epoch();
+  hear_early();
+}
+
+void Follower::hear(const Address& from, const Voice& v) {
+  if (auto& x = heard_[from]; x.sent < v.sent) x = v;
+  if (!confirmed_ && led_.view()->cluster)
+    confirmed_ = majority_time(*led_.view(), led_.view()->members, heard_, out_.id().self) >= born_;
+}
+
+void Follower::hear_early() {
+  for (auto i = early_.begin(); i != early_.end();) {
+    if (i->second.epoch > led_.epoch()) {
+      ++i;
+      continue;
+    }
+    hear(i->first, i->second.voice);
+    i = early_.erase(i);
+  }
 }
 
 bool Follower::handle(const Envelope& e, Millis now) {
@@ -67,7 +85,7 @@
                              },
                              [&](const Decided& d) {
                                learn({d.entry}, std::nullopt);
-                               if (led_.gap()) out_.send(e.from, Catchup{led_.epoch()});
+                               if (led_.gap() && pace_.due(led_.epoch(), now)) out_.send(e.from, Catchup{led_.epoch()});
                                return true;
                              },
                              [&](const Catchup& c) {
@@ -88,12 +106,12 @@
                                learn(h.entries, h.checkpoint);
                                if (h.epoch > led_.epoch() && pace_.due(led_.epoch(), now))
                                  out_.send(e.from, Catchup{led_.epoch()});
-                               if (!h.confirmed || h.epoch > led_.epoch()) return true;
-                               if (auto& x = heard_[e.from]; x.inc != e.from_inc || x.sent < h.sent)
-                                 x = {h.sent, e.from_inc};
-                               if (!confirmed_ && led_.view()->cluster)
-                                 confirmed_ =
-                                     majority_time(*led_.view(), led_.view()->members, heard_, out_.id().self) >= born_;
+                               if (!h.confirmed) return true;
+                               if (h.epoch <= led_.epoch())
+                                 hear(e.from, {h.sent, e.from_inc});
+                               else
+                                 // The first one stays: later ones, of ever later epochs, might never come true.
+                                 early_.try_emplace(e.from, EarlyVoice{{h.sent, e.from_inc}, h.epoch});
                                return true;
                              },
                              [&](const auto&) { return false; }},
@@ -109,10 +127,10 @@
   return std::max(at(m.members), fleet);
 }
 
-bool Follower::park(const Envelope& e) {
+bool Follower::park(const Envelope& e, Millis now) {
   if (e.epoch <= led_.epoch() || !out_.cluster) return false;
   if (parked_.size() < limits::log_keep) parked_.push_back(e);
-  out_.send(e.from, Catchup{led_.epoch()});
+  if (pace_.due(led_.epoch(), now)) out_.send(e.from, Catchup{led_.epoch()});
   return true;
 }
 
--- a/src/follow/follower.hpp
+++ b/src/follow/follower.hpp
@@ -22,8 +22,8 @@
   bool steady() const { return durable_ ? out_.cluster != 0 : confirmed_; }
   /// A daemon with a disk speaks of its epoch only once that is synced.
   void durable() { durable_ = true; }
-  /// Parks a message stamped with an epoch we do not know yet; asks its sender for the entries.
-  bool park(const Envelope& e);
+  /// Parks a message stamped with an epoch we do not know yet; asks its sender for the entries, not too often.
+  bool park(const Envelope& e, Millis now);
   std::vector<Envelope> unpark();
   bool foreign(const Envelope& e) const;
   /// Entries and values newly taken, for those who keep copies.
@@ -38,6 +38,13 @@
     Incarnation inc{};
   };
   using Voices = std::map<Address, Voice>;
+  /// An answer that named an epoch which we did not have yet: it counts once we have it.
+  struct EarlyVoice {
+    Voice voice;
+    Epoch epoch;
+  };
+  void hear(const Address& from, const Voice& v);
+  void hear_early();
   static Millis majority_time(const Metadata& m, const std::vector<DaemonId>& v, const Voices& heard,
                               const Candidate& but);
   void tell(const Address& to, Message m);
@@ -52,6 +59,7 @@
   bool confirmed_ = false, durable_ = false;
   std::optional<DaemonState> enrolled_;
   Voices heard_;
+  std::map<Address, EarlyVoice> early_;
   std::vector<Envelope> parked_;
 };
 
--- a/src/follow/ledger.cpp
+++ b/src/follow/ledger.cpp
@@ -12,7 +12,7 @@
     if (x.epoch != next(epoch())) continue;
     auto r = apply(*view_, x);
     if (!ok(r)) break;
-    view_ = std::make_shared<Metadata>(value(r));
+    view_ = std::make_shared<Metadata>(std::get<Metadata>(std::move(r)));
     recent_.push_back(x);
     weights_.push_back(codec::pack(x).size());
     weight_ += weights_.back();
@@ -27,6 +27,8 @@
 
 bool Ledger::jump(const Metadata& m) {
   if (m.epoch <= epoch()) return false;
+  bool ours = !view_->cluster || m.cluster == view_->cluster || succeeds(*view_, m.cluster);
+  if (!ours) return false;
   view_ = std::make_shared<Metadata>(m);
   recent_.clear(), weights_.clear();
   weight_ = 0;
--- a/src/follow/ledger.hpp
+++ b/src/follow/ledger.hpp
@@ -12,7 +12,7 @@
   Epoch epoch() const { return view_->epoch; }
   /// Adds one entry; applies it and all that wait behind it once they are consecutive.
   std::vector<Entry> add(const Entry& e);
-  /// Takes a whole value if it is newer than ours. True if it was.
+  /// Takes a whole value if it is newer than ours and of our generation or one that follows. True if it was.
   bool jump(const Metadata& m);
   /// What someone at `known` lacks: entries, or a checkpoint where the entries are gone or many.
   std::pair<std::optional<Metadata>, Entries> since(Epoch known) const;
--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -200,7 +200,7 @@
 
 void StoreMachine::handle(const Envelope& e, Millis now) {
   if (fol_.handle(e, now)) return;
-  if (fol_.park(e)) return;
+  if (fol_.park(e, now)) return;
   if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
                       [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); },
--- a/src/request/gateway_machine.cpp
+++ b/src/request/gateway_machine.cpp
@@ -11,19 +11,36 @@
   return static_cast<size_t>(std::count_if(works_.begin(), works_.end(), [&](auto& w) { return w.second.stage == s; }));
 }
 
-void GatewayMachine::on(const Envelope& e, const HeartbeatReply& h) {
+void GatewayMachine::on(const Envelope& e, const HeartbeatReply& h, Millis now) {
   if (e.from != out_.id().self.agent) return;
   fol_.learn(h.entries, h.checkpoint);
   if (h.epoch > led_.epoch()) out_.send(e.from, Catchup{led_.epoch()});
-  ahead_ = std::max(ahead_, h.epoch);
-  if (h.epoch <= led_.epoch()) touched_ = std::max(touched_, h.sent - h.touched_ms);
+  hear_of(h.epoch, now);
+  if (h.epoch <= led_.epoch())
+    touched_ = std::max(touched_, h.sent - h.touched_ms);
+  else if (!early_touch_)
+    early_touch_ = {h.epoch, h.sent - h.touched_ms};
   confirmed_ = confirmed_ || (h.confirmed && h.epoch <= led_.epoch());
 }
 
+void GatewayMachine::hear_of(Epoch epoch, Millis now) {
+  ahead_ = std::max(ahead_, epoch);
+  if (!behind_ && ahead_ > led_.epoch()) behind_ = {ahead_, now};
+}
+
+void GatewayMachine::caught_up(Millis now) {
+  if (early_touch_ && early_touch_->first <= led_.epoch()) {
+    touched_ = std::max(touched_, early_touch_->second);
+    early_touch_.reset();
+  }
+  if (behind_ && behind_->epoch <= led_.epoch()) behind_.reset();
+  hear_of(led_.epoch(), now);
+}
+
 void GatewayMachine::handle(const Envelope& e, Millis now) {
-  if (auto* h = std::get_if<HeartbeatReply>(&e.body)) return on(e, *h);
-  ahead_ = std::max(ahead_, e.epoch);
-  if (fol_.handle(e, now) || fol_.park(e)) return;
+  if (auto* h = std::get_if<HeartbeatReply>(&e.body)) return on(e, *h, now);
+  hear_of(e.epoch, now);
+  if (fol_.handle(e, now) || fol_.park(e, now)) return;
   if (keep_.on(e, now) || turn_client_.on(e, now) || reg_.on(e, now)) return;
   std::visit(overload{[&](const Request& x) { on(e, x, now); },
                       [&](const RequestSeen& x) {
@@ -72,6 +89,7 @@
   auto before = led_.epoch();
   handle(e, now);
   if (led_.epoch() != before) {
+    caught_up(now);
     for (auto& p : fol_.unpark()) handle(p, now);
     keep_.tick(now);
     turn_client_.tick(now);
--- a/src/request/gateway_machine.hpp
+++ b/src/request/gateway_machine.hpp
@@ -20,7 +20,7 @@
   /// Begins an orderly leave: hands slots over, lets running turns end, then stops.
   void leave() { stopping_ = true; }
   bool ready(Millis now) const;
-  /// PeerStatus a majority lately, and knows every epoch that it has heard of.
+  /// In touch with a majority lately, and not for long without an epoch that it has heard of.
   bool in_touch(Millis now) const;
   const std::map<std::string, uint64_t>& metrics() const { return metrics_; }
   size_t requests() const { return works_.size(); }
@@ -50,6 +50,11 @@
     RequestEnd end{};
     Record settled{};
   };
+  /// The first epoch heard of that this gateway does not have, and since when it lacks it.
+  struct Behind {
+    Epoch epoch;
+    Millis since;
+  };
   struct Late {
     Envelope from{};
     uint64_t mark = 0;
@@ -71,7 +76,10 @@
 
   void handle(const Envelope& e, Millis now);
   void on(const Envelope& e, const Request& x, Millis now);
-  void on(const Envelope& e, const HeartbeatReply& h);
+  void on(const Envelope& e, const HeartbeatReply& h, Millis now);
+  void hear_of(Epoch epoch, Millis now);
+  void caught_up(Millis now);
+  Millis in_touch_until() const;
   void on(const Envelope& e, const RequestEnd& x, Millis now);
   void on(const Envelope& e, const RequestPiece& x, Millis now);
   void on(const Envelope& e, const LateSettle& x, Millis now);
@@ -127,6 +135,9 @@
   std::map<std::string, uint64_t> metrics_;
   Millis touched_ = INT64_MIN / 2, next_beat_ = 0, next_sweep_ = 0, last_work_ = 0;
   Epoch beaten_{}, ahead_{};
+  std::optional<Behind> behind_;
+  /// What an answer of the agent said of touch at an epoch that this gateway does not have yet.
+  std::optional<std::pair<Epoch, Millis>> early_touch_;
   uint64_t seq_ = 0;
   size_t carried_ = 0;
   /// How fast requests of a kind leave the queue while somebody waits in it.
--- a/src/request/standing.cpp
+++ b/src/request/standing.cpp
@@ -2,15 +2,26 @@
 #include "request/gateway_machine.hpp"
 
 namespace mosskeel {
+namespace {
+
+/// ms; a gateway goes on without an epoch that it has heard of: shorter than the touch that an acknowledgement rests on
+constexpr Millis behind_patience = limits::isolation / 2;
+
+}  // namespace
 
 RoutingSnapshot GatewayMachine::routing_snapshot(Millis now) const {
   auto* d = me();
-  bool whole = confirmed_ && d && led_.epoch() >= ahead_;
-  return {led_.view(), d ? d->id : DaemonId{}, whole ? touched_ + limits::isolation : 0, ready(now), stopping_};
+  bool whole = confirmed_ && d;
+  return {led_.view(), d ? d->id : DaemonId{}, whole ? in_touch_until() : 0, ready(now), stopping_};
+}
+
+Millis GatewayMachine::in_touch_until() const {
+  auto touch = touched_ + limits::isolation;
+  return behind_ ? std::min(touch, behind_->since + behind_patience) : touch;
 }
 
 bool GatewayMachine::in_touch(Millis now) const {
-  return now - touched_ <= limits::isolation && led_.epoch() >= ahead_;
+  return now < in_touch_until();
 }
 
 bool GatewayMachine::ready(Millis now) const {
--- /dev/null
+++ b/tests/gateway_touch_test.cpp
@@ -0,0 +1,85 @@
+// How long a gateway dispatches while the log moves on ahead of it.
+#include <catch2/catch.hpp>
+
+#include "request/gateway_machine.hpp"
+
+using namespace mosskeel;
+
+namespace {
+
+constexpr Millis start = limits::process_start;
+
+Candidate candidate(uint64_t incarnation, Role role, const std::string& address, const std::string& agent = "") {
+  return {Incarnation{incarnation}, role, "zone", address, agent, "http-" + address, address};
+}
+
+/// A gateway that its agent has just told the newest metadata.
+struct Touch {
+  Metadata metadata{};
+  Candidate self = candidate(21, Role::front, "gateway", "agent");
+  GatewayMachine gateway{Identity{self, {}}, start};
+
+  void commit(const Transformation& t) {
+    auto r = apply(metadata, {next(metadata.epoch), "", t});
+    REQUIRE(ok(r));
+    metadata = value(r);
+  }
+  Touch() {
+    commit(Found{7, 1, {candidate(1, Role::controller, "controller")}});
+    commit(Register{self});
+    answer(start, metadata.epoch, metadata);
+  }
+  Envelope envelope(Epoch epoch, Message body) const {
+    return {limits::protocol, metadata.cluster, epoch, 1, "agent", Incarnation{}, "gateway", self.inc, std::move(body)};
+  }
+  Actions answer(Millis sent, Epoch epoch, std::optional<Metadata> checkpoint = std::nullopt, Millis now = 0) {
+    HeartbeatReply r{epoch, std::move(checkpoint), {}, 0, true, sent};
+    return gateway.step(envelope(epoch, std::move(r)), std::max(now, sent));
+  }
+  /// A message that is stamped with an epoch which the gateway does not have.
+  Actions hear_of(Epoch epoch, Millis now) { return gateway.step(envelope(epoch, RequestSeen{"nobody's"}), now); }
+  Entry next_entry() const { return {next(metadata.epoch), "", Register{candidate(31, Role::store, "store")}}; }
+};
+
+size_t catchups(const Actions& a) {
+  return static_cast<size_t>(
+      std::count_if(a.now.begin(), a.now.end(), [](auto& e) { return std::holds_alternative<Catchup>(e.body); }));
+}
+
+}  // namespace
+
+TEST_CASE("a gateway that hears of a later epoch dispatches on for a while, and not beyond") {
+  Touch t;
+  CHECK(t.gateway.in_touch(start));
+  t.hear_of(next(t.metadata.epoch), start + 10);
+  CHECK(t.gateway.in_touch(start + 11));
+  CHECK(t.gateway.routing_snapshot(start + 11).until > start + 11);
+  CHECK_FALSE(t.gateway.in_touch(start + 10 + limits::isolation / 2));
+  CHECK(t.gateway.routing_snapshot(start + 11).until <= start + 10 + limits::isolation / 2);
+}
+
+TEST_CASE("hearing of ever later epochs does not lengthen the time that a gateway may lack one") {
+  Touch t;
+  auto epoch = t.metadata.epoch.v;
+  for (Millis k = 0; k < 20; ++k) t.hear_of(Epoch{epoch + 1 + static_cast<uint64_t>(k)}, start + 10 + k * 50);
+  CHECK_FALSE(t.gateway.in_touch(start + 10 + limits::isolation / 2));
+}
+
+TEST_CASE("touch at an epoch that came ahead of its entry counts once the entry is there, and not before") {
+  Touch t;
+  auto e = t.next_entry();
+  t.answer(start + 1500, e.epoch);
+  CHECK(t.gateway.in_touch(start + limits::isolation - 1));
+  CHECK_FALSE(t.gateway.in_touch(start + limits::isolation));
+  t.gateway.step(t.envelope(e.epoch, Decided{e}), start + 1600);
+  CHECK(t.gateway.in_touch(start + limits::isolation + 1));
+  CHECK_FALSE(t.gateway.in_touch(start + 1500 + limits::isolation));
+}
+
+TEST_CASE("many messages of one later epoch ask once for what is lacking, and again where nothing comes") {
+  Touch t;
+  size_t asked = 0;
+  for (Millis k = 0; k < 100; ++k) asked += catchups(t.hear_of(next(t.metadata.epoch), start + 10 + k));
+  CHECK(asked == 1);
+  CHECK(catchups(t.hear_of(next(t.metadata.epoch), start + 10 + limits::catchup_pace)) == 1);
+}
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -266,7 +266,9 @@
 
 void World::deliver(const Address& to, const Envelope& e) {
   auto i = by_addr_.find(to);
-  if (i != by_addr_.end()) post(i->second, e);
+  if (i == by_addr_.end()) return;
+  if (arriving && alive(i->second)) arriving(e);
+  post(i->second, e);
 }
 
 }  // namespace mosskeel::sim
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -100,6 +100,8 @@
   /// What leaves a process by another door: "local:", "replica:".
   std::function<void(Node&, const Envelope&)> local, replica;
   std::function<void(Node&)> died;
+  /// Sees each message that reaches a running process, before it does.
+  std::function<void(const Envelope&)> arriving;
   void fail(const std::string& what);
 
  private:
