--- a/tests/catchup_test.cpp
+++ b/tests/catchup_test.cpp
@@ -34,7 +34,7 @@
     for (size_t i = 0; i < paths; ++i)
       configuration_.paths.push_back({"path " + std::to_string(i),
                                       "host",
-                                      "/prefix/" + std::to_string(i),
+                                      "/prefix/" + std::to_string(i) + "/",
                                       "safe",
                                       1000,
                                       500,
