A turn's attempt belongs to the front that it was granted to

Cause: the owner told attempts apart by their id alone. A second front that asked with the id of a granted turn was granted it too, and could settle it as not run while the first front's replica was at work (a freed reservation, and a second run).

Test: "an attempt that one front was granted is neither granted nor settled for another" (failed before: granted twice).

--- a/src/traffic/turn_coordinator.cpp
+++ b/src/traffic/turn_coordinator.cpp
@@ -3,6 +3,15 @@
 #include <algorithm>
 
 namespace mosskeel {
+namespace {
+
+/// Whether a reservation is this front's own: an attempt's id alone does not tell two fronts apart.
+bool granted_to(const Metadata& m, const Record& reservation, Incarnation front) {
+  auto* d = m.find(front);
+  return reservation.runner == DaemonId{} || !d || d->id == reservation.runner;
+}
+
+}  // namespace
 
 LineName turn_line(const std::string& program) {
   return {"=", program};
@@ -88,6 +97,8 @@
   auto& t = tab(p.line);
   if (auto i = t.turns.find(a.attempt); i != t.turns.end() && i->second.intent != none) {
     if (i->second.settled != none) return refuse(p, 409, "this attempt has an outcome already", 0);
+    if (!granted_to(*led_.view(), keep_.records(p.line)[i->second.intent], p.inc))
+      return refuse(p, 409, "this attempt was granted to another front", 0);
     p.mark = i->second.intent + 1;
   }
   if (p.mark == 0) {
@@ -169,6 +180,7 @@
   auto& t = tab(x.line);
   auto i = t.turns.find(s.attempt);
   if (i == t.turns.end() || i->second.intent == none) return say(false);
+  if (!granted_to(*led_.view(), keep_.records(x.line)[i->second.intent], x.inc)) return say(false);
   if (i->second.settled != none) {
     x.mark = i->second.settled + 1;
     if (i->second.status != s.status) return say(false);
--- a/tests/traffic/fixture.hpp
+++ b/tests/traffic/fixture.hpp
@@ -8,13 +8,13 @@
   return {Incarnation{inc}, r, zone, "10.0.0." + std::to_string(inc) + ":1", "", "", "machine-" + std::to_string(inc)};
 }
 
-/// Front 1 owns all slots; stores 11, 12, 13 keep them.
+/// Front 1 owns all slots, 2 and 3 carry callers; stores 11, 12, 13 keep them.
 inline Metadata small_fleet() {
   Metadata m{};
   m.epoch = Epoch{5};
   m.cluster = 7;
   m.copies = 3;
-  for (uint64_t i : {1, 2, 11, 12, 13}) {
+  for (uint64_t i : {1, 2, 3, 11, 12, 13}) {
     auto r = i < 10 ? Role::front : Role::store;
     m.directory[DaemonId{i}] = {DaemonId{i}, candidate(i, r, "z" + std::to_string(i)), DaemonState::up, Epoch{2}};
   }
--- a/tests/traffic/turn_coordinator_test.cpp
+++ b/tests/traffic/turn_coordinator_test.cpp
@@ -98,3 +98,25 @@
   o.hear(2, TurnSettle{"never", "p", 200, 40, true, "x\n"});
   CHECK_FALSE(o.sent<TurnSettled>()[0].second.kept);
 }
+
+TEST_CASE("an attempt that one front was granted is neither granted nor settled for another") {
+  Owner o;
+  o.hear(2, turn("a"));
+  o.settle_writes();
+  CHECK(o.sent<TurnGrant>().size() == 1);
+  o.hear(3, turn("a"));
+  CHECK(o.settle_writes().empty());
+  auto refused = o.sent<TurnGrant>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].second.status == 409);
+  o.hear(3, TurnSettle{"a", "p", 0, 0, false, ""});
+  CHECK(o.settle_writes().empty());
+  auto ignored = o.sent<TurnSettled>();
+  REQUIRE(ignored.size() == 1);
+  CHECK_FALSE(ignored[0].second.kept);
+  o.hear(2, turn("a"));
+  CHECK(o.sent<TurnGrant>().at(0).second.status == 200);
+  o.hear(2, TurnSettle{"a", "p", 200, 40, true, "out"});
+  CHECK(o.settle_writes().size() == 1);
+  CHECK(o.sent<TurnSettled>().at(0).second.kept);
+}
