A leaving agent ends once its gateway was started anew

A beat of another gateway than the one that the agent waits for now ends it.

Test: "an agent that leaves ends as soon as its gateway was started anew".

--- a/src/follow/agent_machine.cpp
+++ b/src/follow/agent_machine.cpp
@@ -15,6 +15,7 @@
   }
   auto before = led_.epoch();
   if (auto* h = std::get_if<Heartbeat>(&e.body); h && e.from == out_.id().self.agent) {
+    gateway_replaced_ = gateway_replaced_ || (leaving_ && mine_ && mine_->self.inc != h->self.inc);
     mine_ = *h;
     heard_ = now;
   }
@@ -28,7 +29,7 @@
 }
 
 Actions AgentMachine::tick(Millis now) {
-  if (leaving_ && now - heard_ > limits::agent_farewell) out_.act.stop = true;
+  if (leaving_ && (gateway_replaced_ || now - heard_ > limits::agent_farewell)) out_.act.stop = true;
   bool fresh = mine_ && now - heard_ < limits::heartbeat * 3;
   fol_.tick(now, fresh ? &*mine_ : nullptr);
   auto& m = *led_.view();
--- a/src/follow/agent_machine.hpp
+++ b/src/follow/agent_machine.hpp
@@ -19,7 +19,8 @@
   Follower fol_;
   std::optional<Heartbeat> mine_;
   Millis heard_ = 0, next_leave_ = 0;
-  bool leaving_ = false;
+  /// Told to leave; and since then a newer gateway has taken the place of the one that this agent waits for.
+  bool leaving_ = false, gateway_replaced_ = false;
 };
 
 }  // namespace mosskeel
--- a/tests/gateway_leave_test.cpp
+++ b/tests/gateway_leave_test.cpp
@@ -47,3 +47,21 @@
   CHECK_FALSE(stops(agent, now, 1500));
   CHECK(stops(agent, now, limits::agent_farewell));
 }
+
+TEST_CASE("an agent that leaves ends as soon as its gateway was started anew") {
+  Millis now = limits::process_start;
+  auto id = gateway_identity();
+  std::swap(id.self.addr, id.self.agent);
+  AgentMachine agent(id, now);
+  Envelope beat{};
+  beat.from = id.self.agent;
+  beat.body = Heartbeat{gateway_identity().self, Epoch{}, 0, {}, 0, now, true, 0};
+  agent.step(beat, now);
+  agent.leave();
+  CHECK_FALSE(stops(agent, now, 3 * limits::tick));
+  auto newer = gateway_identity().self;
+  newer.inc = Incarnation{2};
+  beat.body = Heartbeat{newer, Epoch{}, 0, {}, 0, now, false, 0};
+  agent.step(beat, now);
+  CHECK(stops(agent, now, 2 * limits::tick));
+}
