--- a/src/traffic/paths.hpp
+++ b/src/traffic/paths.hpp
@@ -22,7 +22,7 @@
 /// Whether a request of this path may run more than once.
 bool repeatable(const Path& p);
 
-/// The service that takes an request of this path: by weight, the same one for the same dice.
+/// The service that takes a request of this path: by weight, the same one for the same dice.
 const std::string* service_of(const Path& p, uint64_t dice);
 
 }  // namespace mosskeel
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -15,7 +15,7 @@
     {"lossy", {1, 2}},
     {"budget", {1, 2}},
     {"fronts", {1, 2, 6, 32}},
-    {"stores", {1, 2, 11}},
+    {"store-havoc", {1, 2, 11}},
     {"controllers", {1, 2}},
     {"havoc", {1, 2, 3}},
     {"faults", {1, 2}},
@@ -45,6 +45,9 @@
     {"survivor5", {1, 2, 3}},
     {"kjortala", {1, 7, 29}},
     {"catania", {7, 53}},
+    {"pairwipe", {1, 2, 3}},
+    {"leaving", {1, 2, 3, 4, 5, 6}},
+    {"flapping", {1, 2}},
 };
 }  // namespace
 
