--- a/tests/http/upstream_client_test.cpp
+++ b/tests/http/upstream_client_test.cpp
@@ -23,7 +23,7 @@
   }
 };
 
-struct AdminApi {
+struct ClientFixture {
   struct Told {
     std::vector<UpstreamClient::Answer> heads;
     std::string body, reason;
@@ -77,7 +77,7 @@
 }  // namespace
 
 TEST_CASE("an answer is read and its connection used again") {
-  AdminApi d;
+  ClientFixture d;
   auto id = d.exchange(
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 201 Made\r\n"
       "A: b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nT: u\r\n\r\n");
@@ -98,7 +98,7 @@
 }
 
 TEST_CASE("answers without a body by their kind end with their head") {
-  AdminApi d;
+  ClientFixture d;
   CHECK(d.over(d.exchange("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "HEAD")).ended == 1);
   CHECK(d.over(d.exchange("HTTP/1.1 204 No\r\n\r\n", "GET")).ended == 1);
   CHECK(d.over(d.exchange("HTTP/1.1 304 Same\r\nContent-Length: 7\r\n\r\n", "GET")).ended == 1);
@@ -108,7 +108,7 @@
 }
 
 TEST_CASE("connections that can't be trusted are not used again") {
-  AdminApi d;
+  ClientFixture d;
   auto answer =
       GENERATE(as<std::string>{}, good + "HTTP", good + good, "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
                "HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 2\r\n\r\nok",
@@ -125,7 +125,7 @@
 }
 
 TEST_CASE("a byte or a close on an idle connection discards it, also right before its use") {
-  AdminApi d;
+  ClientFixture d;
   bool seen = GENERATE(true, false), byte = GENERATE(true, false);
   d.over(d.exchange(good));
   REQUIRE(d.out.idle() == 1);
@@ -141,7 +141,7 @@
 }
 
 TEST_CASE("idle connections expire, are forgotten, and the last one kept is used first") {
-  AdminApi d;
+  ClientFixture d;
   d.over(d.exchange("HTTP/1.1 200 OK\r\nKeep-Alive: max=5, timeout=2\r\nContent-Length: 2\r\n\r\nok"));
   CHECK(d.out.idle() == 1);
   CHECK(until(d.loop, [&] { return d.out.idle() == 0; }));
@@ -161,7 +161,7 @@
 }
 
 TEST_CASE("what is lost before a byte was handed over is unsent") {
-  AdminApi d;
+  ClientFixture d;
   auto at = d.replica.at();
   d.replica.fd = Fd();
   auto way = GENERATE(0, 1, 2);
@@ -176,7 +176,7 @@
 }
 
 TEST_CASE("a connect without an answer in time is unsent") {
-  AdminApi d;
+  ClientFixture d;
   REQUIRE(::listen(d.replica.fd.get(), 0) == 0);
   Peer fills(d.replica.at());
   auto id = d.out.ask({d.replica.at(), "GET", "/", {}, "", false, 30});
@@ -185,7 +185,7 @@
 }
 
 TEST_CASE("what is lost after that is sent, ends once, and is never asked twice") {
-  AdminApi d;
+  ClientFixture d;
   bool warm = GENERATE(true, false);
   if (warm) d.over(d.exchange(good));
   auto before = d.replica.requests();
@@ -214,7 +214,7 @@
 }
 
 TEST_CASE("a paused answer is not read on, a dropped one says nothing more") {
-  AdminApi d;
+  ClientFixture d;
   auto id = d.exchange("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nabc");
   REQUIRE(until(d.loop, [&] { return d.told[id].body == "abc"; }));
   d.out.pause(id, true);
@@ -232,7 +232,7 @@
 }
 
 TEST_CASE("an answer that comes before the whole request was taken is read, its connection not kept") {
-  AdminApi d;
+  ClientFixture d;
   auto id = d.out.ask({d.replica.at(), "POST", "/", {{"Host", "r"}}, std::string(64 << 20, 'x')});
   REQUIRE(until(d.loop, [&] {
     for (Fd c; (c = Fd(::accept(d.replica.fd.get(), nullptr, nullptr)));) d.replica.peers.emplace_back(std::move(c));
@@ -245,7 +245,7 @@
 }
 
 TEST_CASE("a connection that has rested too long for an ask is left alone, and a new one is opened") {
-  AdminApi d;
+  ClientFixture d;
   auto request = [&](Millis max_rest_ms) {
     UpstreamClient::Ask a{d.replica.at(), "POST", "/run", {{"Host", "r"}}, "ask"};
     a.max_rest_ms = max_rest_ms;
@@ -266,7 +266,7 @@
 }
 
 TEST_CASE("a skipped answer is read to its end unseen, and the own one behind it is told") {
-  AdminApi d;
+  ClientFixture d;
   d.over(d.exchange(good));
   auto before = d.replica.requests();
   UpstreamClient::Ask a{d.replica.at(), "POST", "/run", {{"Host", "r"}}, "ask"};
@@ -288,7 +288,7 @@
 }
 
 TEST_CASE("a head tells the tag of the ask that had its connection before") {
-  AdminApi d;
+  ClientFixture d;
   auto request = [&](const std::string& tag) {
     UpstreamClient::Ask a{d.replica.at(), "GET", "/", {{"Host", "r"}}, ""};
     a.tag = tag;
