Core by agreement: fixed founders, one change of members a step, no waits where there is proof

Cause: founding asked whoever each controller had seen, with a quorum of core_size; later_start was stored and never read; the core never grew above core_size; a replacement swapped one member for another after 2.5 + 6 s, without asking whether the newcomer held the log. Of {A,B,C} and {x,B,C} the majorities {A,B} and {x,C} do not meet.

Now: candidates and quorum come from the first start's seeds, kept on disk; an empty disk at a later start has no vote. The supervisor admits a controller that is heard and holds the log synced, then drops the lost member (AdmitCore, then DropCore); ReplaceCore is left for operators. Growth up to core_most, one member each 2.8 s, only while all are heard. A new controller at a member's address marks that one down; SIGTERM gives the lease back and marks itself down. One that was taken out may register again. Late words of an earlier controller at an address are no proof for a re-founding, and old members that come back get the whole value of the new generation.

--- a/src/consensus/acceptor.hpp
+++ b/src/consensus/acceptor.hpp
@@ -17,7 +17,12 @@
 struct JumpRecord {
   BOOST_HANA_DEFINE_STRUCT(JumpRecord, (Metadata, metadata));
 };
-using ControllerRecord = std::variant<PromiseRecord, AcceptRecord, DecidedRecord, JumpRecord>;
+/// The addresses whose controllers may found the cluster, as the first start's seeds named them.
+struct FoundersRecord {
+  BOOST_HANA_DEFINE_STRUCT(FoundersRecord, (Addresses, addresses));
+};
+/// Append only: the index is what the disk keeps.
+using ControllerRecord = std::variant<PromiseRecord, AcceptRecord, DecidedRecord, JumpRecord, FoundersRecord>;
 
 struct ControllerCheckpoint {
   BOOST_HANA_DEFINE_STRUCT(ControllerCheckpoint, (Metadata, metadata), (Entries, recent), (Epoch, open),
--- a/src/consensus/controller_machine.cpp
+++ b/src/consensus/controller_machine.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "metadata/membership.hpp"
+
 namespace mosskeel {
 
 ControllerMachine::ControllerMachine(const Identity& id, const Recovered& r, Millis now)
@@ -17,6 +19,7 @@
       led_.jump(c->metadata);
       acc_.recover(*c);
     }
+  init_founders(r);
   for (auto& s : r.journal) {
     auto x = codec::unpack<ControllerRecord>(s);
     if (!x) continue;
@@ -27,7 +30,8 @@
                  },
                  [&](const JumpRecord& j) {
                    if (led_.jump(j.metadata)) acc_.moved_on();
-                 }},
+                 },
+                 [&](const FoundersRecord& f) { founders_ = f.addresses; }},
         *x);
   }
   out_.cluster = led_.view()->cluster;
@@ -75,10 +79,16 @@
       acc_.moved_on();
       out_.write(codec::pack(ControllerRecord{DecidedRecord{x}}));
     }
+  if (out_.cluster != led_.view()->cluster) outdated_ = false;
   out_.cluster = led_.view()->cluster;
   out_.epoch = led_.epoch();
 }
 
+/// One that the core was founded anew without has no vote until it has caught up with the new generation.
+bool ControllerMachine::may_vote(Millis now) const {
+  return out_.cluster ? !outdated_ : may_found(now);
+}
+
 bool ControllerMachine::known_sender(const Envelope& e) const {
   if (e.to_inc.v && e.to_inc != out_.id().self.inc) return false;
   if (e.cluster == 0 || out_.cluster == 0 || e.cluster == out_.cluster || succeeds(*led_.view(), e.cluster))
@@ -90,6 +100,17 @@
                  std::holds_alternative<Discover>(e.body));
 }
 
+/// Somebody of an earlier generation learns of the new one. A controller gets the whole value, never entries: those
+/// may not fit the log that it holds.
+void ControllerMachine::answer_outsider(const Envelope& e) {
+  auto& m = *led_.view();
+  if (std::count(m.former.begin(), m.former.end(), e.cluster) == 0) return out_.note(Event::foreign, "from " + e.from);
+  out_.send(e.from, DiscoverReply{out_.id().self, out_.cluster, led_.epoch(), {}, {}});
+  auto* known = m.find(e.from_inc);
+  bool catches_up = std::holds_alternative<Heartbeat>(e.body) || std::holds_alternative<Catchup>(e.body);
+  if (known && known->self.role == Role::controller && catches_up) out_.send(e.from, CatchupReply{led_.epoch(), m, {}});
+}
+
 HeartbeatReply ControllerMachine::reply_to(const Heartbeat& h) const {
   auto [c, v] = led_.little_since(h.known);
   return {led_.epoch(), c, v, 0, led_.view()->cluster != 0, h.sent};
@@ -97,11 +118,7 @@
 
 Actions ControllerMachine::step(const Envelope& e, Millis now) {
   if (!known_sender(e)) {
-    auto& f = led_.view()->former;
-    if (std::count(f.begin(), f.end(), e.cluster))
-      out_.send(e.from, DiscoverReply{out_.id().self, out_.cluster, led_.epoch(), {}, {}});
-    else
-      out_.note(Event::foreign, "from " + e.from);
+    answer_outsider(e);
     return done();
   }
   if (!out_.cluster && e.cluster) {
@@ -154,10 +171,10 @@
                           if (c.inc != self.inc && !fellows_.count(c.inc)) out_.send(c.addr, Discover{self});
                       },
                       [&](const Prepare& p) {
-                        if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, p);
+                        if (may_vote(now)) acc_.on(e, p);
                       },
                       [&](const Accept& a) {
-                        if (out_.cluster || now - evidence_ > limits::evidence) acc_.on(e, a);
+                        if (may_vote(now)) acc_.on(e, a);
                       },
                       [&](const Rebuild& r) { on(e, r, now); }, [&](const Promise& p) { prop_.on(e, p, now); },
                       [&](const Accepted& a) { prop_.on(e, a, now); },
@@ -191,6 +208,7 @@
                       },
                       [&](const Heartbeat& h) {
                         detector_.hear(h, now);
+                        if (h.leaving) lease_.on_resigned(h.self.inc, now);
                         prop_.heard(now);
                         if (e.from_inc != self.inc) out_.send_synced(e.from, reply_to(h));
                       },
@@ -204,22 +222,31 @@
   next_beat_ = now + limits::heartbeat;
   beaten_ = led_.epoch();
   auto& self = out_.id().self;
-  Heartbeat h{self, led_.epoch(), 0, {}, 0, now, false, 0};
+  Heartbeat h{self, led_.epoch(), 0, {}, 0, now, leaving_since_.has_value(), 0};
   detector_.hear(h, now);
   for (auto id : led_.view()->members)
     if (auto* d = led_.view()->find(id); d->self.inc != self.inc) out_.send_synced(d->self.addr, h);
   auto* me = led_.view()->find(self.inc);
-  if ((!me || me->state == DaemonState::left) && now >= next_register_) {
-    next_register_ = now + limits::tcm_rpc;
-    for (auto id : led_.view()->members)
-      if (auto* d = led_.view()->find(id); d->state != DaemonState::down)
-        return out_.send(d->self.addr, Commit{"register-" + hex(self.inc.v), Register{self}, led_.epoch()});
+  if ((!me || me->state == DaemonState::left) && now >= next_register_ && !leaving_since_) register_self(now);
+}
+
+/// Asks one member after the other to put this controller into the directory, again if it was taken out of it.
+void ControllerMachine::register_self(Millis now) {
+  next_register_ = now + limits::register_retry;
+  auto& m = *led_.view();
+  auto& self = out_.id().self;
+  auto* me = m.find(self.inc);
+  auto commit = "register-" + hex(self.inc.v) + (me ? "-" + std::to_string(me->since.v) : "");
+  for (size_t i = 0; i < m.members.size(); ++i) {
+    auto* d = m.find(m.members[register_tries_++ % m.members.size()]);
+    if (d->state != DaemonState::down) return out_.send(d->self.addr, Commit{commit, Register{self}, led_.epoch()});
   }
 }
 
 Actions ControllerMachine::tick(Millis now) {
   auto before = led_.epoch();
   if (!out_.cluster && now >= next_discover_) discover(now);
+  if (leaving_since_) end_in_order(now);
   if (out_.cluster && now >= next_beat_) beat(now);
   if (out_.cluster && now >= next_survey_) survey(now);
   lease_.tick(now);
--- a/src/consensus/controller_machine.hpp
+++ b/src/consensus/controller_machine.hpp
@@ -21,20 +21,33 @@
   /// What still hinders that an epoch is in force; empty if nothing.
   std::string lacking(Epoch at, Millis now) const;
   std::string checkpoint() const override;
+  /// Begins to stop in order: hands the lease over, lets the core go on without this member, then asks to be stopped.
+  /// What it sends goes out with the next tick.
+  void leave(Millis now);
 
  private:
   void handle(const Envelope& e, Millis now);
   void enact(const Entry& e);
   void learn(const Entries& v, const std::optional<Metadata>& c);
+  void init_founders(const Recovered& r);
+  bool founder(const Address& a) const;
+  bool may_found(Millis now) const;
+  bool may_vote(Millis now) const;
+  Candidates candidates() const;
   void discover(Millis now);
+  void found(Millis now);
+  void register_self(Millis now);
+  void end_in_order(Millis now);
   void beat(Millis now);
   /// Looks whether a majority of the core is provably lost, and then founds it anew.
   void survey(Millis now);
   void on(const Envelope& e, const Rebuild& r, Millis now);
   bool core_lives(Millis now) const;
+  std::optional<Incarnation> successor_at(const Daemon& d) const;
   void refound(const std::vector<DaemonId>& lost, Millis now);
   void moved(Epoch before, Millis now);
   bool known_sender(const Envelope& e) const;
+  void answer_outsider(const Envelope& e);
   HeartbeatReply reply_to(const Heartbeat& h) const;
   Actions done();
 
@@ -49,6 +62,10 @@
   std::map<Incarnation, std::pair<Candidate, Millis>> fellows_;
   Millis born_, evidence_ = INT64_MIN / 2, survey_since_ = 0, next_survey_ = 0, open_since_ = 0, next_discover_ = 0,
                 next_beat_ = 0, next_register_ = 0;
+  /// Whose controllers may found the cluster; empty for one that has no say in it.
+  Addresses founders_;
+  std::optional<Millis> leaving_since_;
+  size_t register_tries_ = 0;
   Epoch beaten_{}, open_at_{};
   size_t grown_ = 0;
   bool outdated_ = false;
--- a/src/consensus/discovery.cpp
+++ b/src/consensus/discovery.cpp
@@ -1,10 +1,46 @@
-// How controllers without a log find each other and propose a founding.
+// How controllers without a log find each other and found the cluster.
 #include <algorithm>
 
 #include "consensus/controller_machine.hpp"
 
 namespace mosskeel {
 
+/// The candidates are fixed by the first start's seeds and kept on disk, so that every founding asks a majority of one
+/// and the same set, whatever each controller has seen. An empty disk at a later start is no candidate: what it may
+/// have promised before is lost.
+void ControllerMachine::init_founders(const Recovered& r) {
+  bool empty_disk = !r.checkpoint && r.journal.empty();
+  if (out_.id().later_start || !empty_disk) return;
+  founders_ = out_.id().seeds;
+  if (founders_.empty()) founders_ = {out_.id().self.addr};
+  out_.write(codec::pack(ControllerRecord{FoundersRecord{founders_}}));
+}
+
+bool ControllerMachine::founder(const Address& a) const {
+  return std::find(founders_.begin(), founders_.end(), a) != founders_.end();
+}
+
+/// Whether this controller may vote for or propose a founding now.
+bool ControllerMachine::may_found(Millis now) const {
+  return founder(out_.id().self.addr) && now - evidence_ > limits::evidence;
+}
+
+/// The candidates heard lately, one for each address, lowest incarnation first.
+Candidates ControllerMachine::candidates() const {
+  auto& self = out_.id().self;
+  std::map<Address, std::pair<Candidate, Millis>> latest;
+  for (auto& [inc, f] : fellows_) {
+    auto& [fellow, heard] = f;
+    if (!founder(fellow.addr) || fellow.addr == self.addr) continue;
+    auto& known = latest[fellow.addr];
+    if (heard > known.second) known = f;
+  }
+  Candidates v{self};
+  for (auto& [addr, f] : latest) v.push_back(f.first);
+  std::sort(v.begin(), v.end(), [](auto& a, auto& b) { return a.inc < b.inc; });
+  return v;
+}
+
 void ControllerMachine::discover(Millis now) {
   next_discover_ = now + limits::discover;
   std::erase_if(fellows_, [&](auto& f) { return now - f.second.second > limits::discover * 8; });
@@ -12,18 +48,26 @@
   for (auto& a : out_.id().seeds)
     if (a != self.addr) out_.send(a, Discover{self});
   for (auto& [inc, f] : fellows_) out_.send(f.first.addr, Discover{self});
-  size_t n = fellows_.size() + 1, core = out_.id().core_size;
-  bool lowest = fellows_.empty() || self.inc < fellows_.begin()->first;
+  if (may_found(now) && prop_.idle()) found(now);
+}
+
+/// The lowest candidate proposes once it sees all others, or a majority after a while; anybody if that one fails.
+void ControllerMachine::found(Millis now) {
+  auto& id = out_.id();
+  auto electors = candidates();
+  size_t votes = majority_of(founders_.size());
+  if (electors.size() < votes) return;
   Millis age = now - born_;
-  bool all = n >= core && age > limits::found_pause, some = n >= majority_of(core) && age > limits::found_patience;
-  if (!(lowest && (all || some)) && !(some && age > limits::found_patience * 3)) return;
-  Candidates v{self};
-  for (auto& [inc, f] : fellows_) v.push_back(f.first);
-  std::sort(v.begin(), v.end(), [](auto& a, auto& b) { return a.inc < b.inc; });
-  if (v.size() > core) v.resize(core);
-  if (!prop_.idle() || now - evidence_ <= limits::evidence) return;
-  out_.note(Event::founding, std::to_string(v.size()) + " of " + std::to_string(core) + " controllers");
-  prop_.found({digest(hex(self.inc.v)), static_cast<uint32_t>(core), v}, v, now);
+  bool complete = electors.size() == founders_.size();
+  bool lowest = electors.front().inc == id.self.inc;
+  auto patience = lowest ? (complete ? limits::found_pause : limits::found_patience) : limits::found_patience * 3;
+  if (age <= patience) return;
+  auto members = electors;
+  if (members.size() > id.core_size) members.resize(id.core_size);
+  out_.note(Event::founding,
+            std::to_string(electors.size()) + " of " + std::to_string(founders_.size()) + " candidates");
+  Found f{digest(hex(id.self.inc.v)), id.core_size, members, id.core_most, id.copies};
+  prop_.found(f, electors, votes, now);
 }
 
 }  // namespace mosskeel
--- a/src/consensus/failure_detector.hpp
+++ b/src/consensus/failure_detector.hpp
@@ -12,6 +12,8 @@
   uint32_t running = 0;
   Candidate self{};
   uint32_t lacking = 0;
+  /// It announced that its process ends in order.
+  bool leaving = false;
 };
 
 class FailureDetector {
@@ -19,7 +21,7 @@
   explicit FailureDetector(Millis start) : start_(start) {}
   void hear(const Heartbeat& h, Millis now) {
     auto& x = heard_[h.self.inc];
-    x = {now, std::max(x.known, h.known), h.load, h.streamed, h.running, h.self, h.lacking};
+    x = {now, std::max(x.known, h.known), h.load, h.streamed, h.running, h.self, h.lacking, h.leaving};
   }
   const PeerStatus* of(Incarnation inc) const {
     auto i = heard_.find(inc);
--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -10,7 +10,7 @@
   for (auto id : m.members)
     if (auto* d = m.find(id)) v[d->self.inc] = d->self.addr;
   if (m.cluster == 0 && founding_)
-    for (auto& c : founding_->second) v[c.inc] = c.addr;
+    for (auto& c : founding_->electors) v[c.inc] = c.addr;
   return v;
 }
 
@@ -40,7 +40,7 @@
 
 void Proposer::run(Millis now) {
   while (!round_ && now >= pause_) {
-    if (founding_ && led_.view()->cluster == 0) return start(founding_->first, now, false);
+    if (founding_ && led_.view()->cluster == 0) return start(founding_->entry, now, false);
     founding_.reset();
     if (refound_) {
       Entry e{next(led_.epoch()), "", refound_->first};
@@ -70,6 +70,13 @@
   }
 }
 
+/// Re-founding needs every survivor, founding a majority of its fixed candidates, all else a majority of the core.
+size_t Proposer::votes_needed(size_t peers) const {
+  if (refound_) return peers;
+  if (led_.view()->cluster == 0 && founding_) return founding_->votes;
+  return majority_of(peers);
+}
+
 void Proposer::start(Entry e, Millis now, bool finish_only) {
   Round r{};
   r.stage = Stage::preparing;
@@ -79,7 +86,7 @@
   r.entry = std::move(e);
   if (finish_only) r.entry.epoch = Epoch{0};
   r.peers = refound_ ? refound_->second : members();
-  r.need = refound_ ? r.peers.size() : majority_of(led_.view()->cluster ? r.peers.size() : out_.id().core_size);
+  r.need = votes_needed(r.peers.size());
   r.until = now + limits::paxos_round + out_.jitter(limits::paxos_jitter);
   for (auto& [inc, a] : r.peers) out_.send(a, Prepare{r.epoch, r.ballot}, inc);
   round_ = std::move(r);
@@ -175,8 +182,8 @@
   return true;
 }
 
-void Proposer::found(const Found& f, const Candidates& electors, Millis now) {
-  founding_ = {Entry{Epoch{1}, "found", f}, electors};
+void Proposer::found(const Found& f, const Candidates& electors, size_t votes, Millis now) {
+  founding_ = {Entry{Epoch{1}, "found", f}, electors, votes};
   run(now);
 }
 
--- a/src/consensus/proposer.hpp
+++ b/src/consensus/proposer.hpp
@@ -20,8 +20,8 @@
   void heard(Millis now) {
     std::erase_if(held_, [&](auto& h) { return release(h, now); });
   }
-  /// Proposes the founding entry to these candidates.
-  void found(const Found& f, const Candidates& electors, Millis now);
+  /// Proposes the founding entry to these candidates, of whom `votes` must agree.
+  void found(const Found& f, const Candidates& electors, size_t votes, Millis now);
   /// Proposes to found the core anew; every survivor must agree, the lost cannot.
   void refound(const Refound& t, std::map<Incarnation, Address> survivors, Millis now);
   bool refounding() const { return refound_.has_value(); }
@@ -56,6 +56,12 @@
     std::string reason;
     size_t need = 0;
   };
+  /// The founding under way: who is asked, and how many must agree.
+  struct Founding {
+    Entry entry;
+    Candidates electors;
+    size_t votes;
+  };
   /// In the log, and not yet acknowledged.
   struct Held {
     Waiting w;
@@ -70,6 +76,7 @@
   void decided(Millis now);
   void again(Millis now, Ballot seen);
   std::map<Incarnation, Address> members() const;
+  size_t votes_needed(size_t peers) const;
 
   Outbox& out_;
   Ledger& led_;
@@ -77,7 +84,7 @@
   Enact enact_;
   std::vector<Waiting> queue_;
   std::optional<Round> round_;
-  std::optional<std::pair<Entry, Candidates>> founding_;
+  std::optional<Founding> founding_;
   std::optional<std::pair<Refound, std::map<Incarnation, Address>>> refound_;
   std::vector<Held> held_;
   uint64_t top_ = 0;
--- a/src/consensus/refounding.cpp
+++ b/src/consensus/refounding.cpp
@@ -12,6 +12,20 @@
   return static_cast<size_t>(n) >= majority_of(m.members.size());
 }
 
+/// Another controller that answers at this one's address and came after it. One that the directory knows from before
+/// proves nothing: its words were late.
+std::optional<Incarnation> ControllerMachine::successor_at(const Daemon& d) const {
+  auto& self = out_.id().self;
+  auto later = [&](const Candidate& c) {
+    auto* known = led_.view()->find(c.inc);
+    return c.addr == d.self.addr && c.inc != d.self.inc && (!known || known->id > d.id);
+  };
+  if (later(self)) return self.inc;
+  for (auto& [inc, f] : fellows_)
+    if (later(f.first)) return inc;
+  return std::nullopt;
+}
+
 void ControllerMachine::survey(Millis now) {
   next_survey_ = now + limits::discover;
   auto& m = *led_.view();
@@ -32,13 +46,12 @@
       continue;
     }
     out_.send(d->self.addr, Discover{self});
-    bool replaced = d->self.addr == self.addr && d->self.inc != self.inc;
-    for (auto& [inc, f] : fellows_)
-      if (f.first.addr == d->self.addr && inc != d->self.inc) replaced = true, heir = std::min(heir, inc);
-    if (replaced)
+    if (auto successor = successor_at(*d)) {
       lost.push_back(id);
-    else
+      heir = std::min(heir, *successor);
+    } else {
       accounted = false;
+    }
   }
   bool mine = first ? first->self.inc == self.inc : heir == self.inc;
   if (!accounted || !mine || lost.size() <= m.members.size() - majority_of(m.members.size())) {
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -41,20 +41,6 @@
   return n >= majority_of(led_.view()->members.size());
 }
 
-std::optional<Transformation> Supervisor::core(Millis now) {
-  auto& m = *led_.view();
-  const Daemon* spare = nullptr;
-  for (auto& [id, d] : m.directory)
-    if (d.self.role == Role::controller && d.state == DaemonState::up && !m.member(d.self.inc) && heard(d, now))
-      spare = &d;
-  if (!spare) return std::nullopt;
-  if (m.members.size() < m.core_size) return AdmitCore{spare->id};
-  for (auto id : m.members)
-    if (auto* d = m.find(id); d->state == DaemonState::down && detector_.silence(*d, now) > limits::replace_after)
-      return ReplaceCore{id, spare->id};
-  return std::nullopt;
-}
-
 std::optional<Transformation> Supervisor::warm(Millis now) {
   for (auto& [n, r] : led_.view()->replicas) {
     if (r.health != Health::cold || !r.service.empty()) continue;
@@ -90,7 +76,7 @@
       out_.note(Event::node_silent, std::string(name(d.self.role)) + " daemon " + std::to_string(id.v));
       return MarkDown{id};
     }
-    if (d.state == DaemonState::down && heard(d, now)) return MarkUp{id};
+    if (d.state == DaemonState::down && returned(d, now)) return MarkUp{id};
   }
   if (auto t = core(now)) return t;
   if (auto t = warm(now)) return t;
--- a/src/consensus/supervisor.hpp
+++ b/src/consensus/supervisor.hpp
@@ -16,6 +16,12 @@
  private:
   std::optional<Transformation> decide(Millis now);
   std::optional<Transformation> core(Millis now);
+  const Daemon* newcomer(Millis now) const;
+  const Daemon* lost_member(Millis now) const;
+  bool holds_log(const Daemon& d) const;
+  bool gone(const Daemon& d, Millis now) const;
+  bool all_members_heard(Millis now) const;
+  bool returned(const Daemon& d, Millis now) const;
   std::optional<Transformation> sequences(Millis now);
   std::optional<Transformation> repair(Millis now);
   std::optional<Transformation> warm(Millis now);
--- a/src/consensus/supervisor_lease.cpp
+++ b/src/consensus/supervisor_lease.cpp
@@ -26,6 +26,22 @@
     until_ = asked_ + limits::supervisor_lease - limits::supervisor_lease_margin;
 }
 
+void SupervisorLease::resign() {
+  resigned_ = true;
+  until_ = 0;
+  number_ = 0;
+}
+
+void SupervisorLease::on_resigned(Incarnation holder, Millis now) {
+  if (granted_to_ != holder) return;
+  granted_to_ = {};
+  granted_until_ = now;
+  auto& m = *led_.view();
+  auto rank = std::find_if(m.members.begin(), m.members.end(),
+                           [&](auto id) { return m.find(id)->self.inc == out_.id().self.inc; });
+  next_ask_ = now + 1 + (rank - m.members.begin()) * limits::supervisor_lease_margin / 2;
+}
+
 void SupervisorLease::tick(Millis now) {
   auto& m = *led_.view();
   auto me = out_.id().self.inc;
@@ -33,7 +49,7 @@
     was_ = !was_;
     out_.note(was_ ? Event::lease_taken : Event::lease_lost, "number " + std::to_string(number_));
   }
-  if (!m.member(me) || now < next_ask_) return;
+  if (resigned_ || !m.member(me) || now < next_ask_) return;
   if (now < granted_until_ && granted_to_ != me) {
     auto rank = std::find_if(m.members.begin(), m.members.end(), [&](auto id) { return m.find(id)->self.inc == me; });
     next_ask_ = granted_until_ + 1 + (rank - m.members.begin()) * limits::supervisor_lease_margin / 2;
--- a/src/consensus/supervisor_lease.hpp
+++ b/src/consensus/supervisor_lease.hpp
@@ -11,6 +11,10 @@
   void on(const Envelope& e, const LeaseRequest& a, Millis now);
   void on(const Envelope& e, const LeaseGrant& g, Millis now);
   void tick(Millis now);
+  /// Gives the lease back for good: its holder is about to stop.
+  void resign();
+  /// The holder announced that it stops: the lease may go to another at once.
+  void on_resigned(Incarnation holder, Millis now);
   bool held(Millis now) const { return now < until_; }
   Incarnation holder() const { return granted_to_; }
   /// Each observer's silences, as told within the lease.
@@ -26,7 +30,7 @@
   Millis asked_ = 0, next_ask_ = 0, until_ = 0;
   std::set<Incarnation> grants_;
   std::map<Incarnation, std::pair<Millis, Silences>> seen_;
-  bool was_ = false, denied_ = false;
+  bool was_ = false, denied_ = false, resigned_ = false;
 };
 
 }  // namespace mosskeel
--- a/src/controller/main.cpp
+++ b/src/controller/main.cpp
@@ -38,7 +38,10 @@
   if (!ok(web)) return cannot_start("controller", findings(web));
   std::unique_ptr<ReplicaPoller> poller;
   if (dialect && !p.list.empty()) poller = std::make_unique<ReplicaPoller>(host, admin_api, *dialect, p.list);
-  auto rc = run_until_stopped(host, "controller", [] { return true; });
+  auto rc = run_until_stopped(host, "controller", [&] {
+    host.ask([](Machine& m, Millis now) { static_cast<ControllerMachine&>(m).leave(now); });
+    return false;
+  });
   poller.reset();
   std::get<0>(web).reset();
   return rc;
--- a/src/metadata/core_steps.cpp
+++ b/src/metadata/core_steps.cpp
@@ -1,6 +1,7 @@
 // Transformations of the core and of what operators and platform say.
 #include <algorithm>
 
+#include "metadata/membership.hpp"
 #include "metadata/steps.hpp"
 
 namespace mosskeel::steps {
@@ -26,11 +27,14 @@
 R go(Metadata m, const AdmitCore& a) {
   auto* d = m.find(a.fresh);
   if (!d || d->self.role != Role::controller) return no(who(a.fresh), "is not a registered controller");
+  if (d->state != DaemonState::up) return no(who(a.fresh), std::string("is ") + name(d->state));
   if (m.member(d->self.inc)) return no(who(a.fresh), "is a core member already");
-  if (m.members.size() >= std::max(m.core_size, m.core_most))
+  auto down = members_down(m);
+  auto most = std::max<size_t>(m.core_size, m.core_most);
+  if (m.members.size() - down >= most || m.members.size() > most)
     return no(who(a.fresh), "the core has its full number of members");
   m.members.push_back(a.fresh);
-  m.core_size = std::max(m.core_size, static_cast<uint32_t>(m.members.size()));
+  m.core_size = std::max(m.core_size, static_cast<uint32_t>(m.members.size() - down));
   return m;
 }
 
@@ -38,11 +42,13 @@
   auto *o = m.find(r.old), *f = m.find(r.fresh);
   if (!f || f->self.role != Role::controller || m.member(f->self.inc))
     return no(who(r.fresh), "is not a spare controller");
+  if (f->state != DaemonState::up) return no(who(r.fresh), std::string("is ") + name(f->state));
   auto i = std::find(m.members.begin(), m.members.end(), r.old);
   if (i == m.members.end() || !o) return no(who(r.old), "is not a core member");
   if (o->state != DaemonState::down) return no(who(r.old), std::string("is a live member (") + name(o->state) + ")");
   *i = r.fresh;
   m.directory[r.old].state = DaemonState::left;
+  m.directory[r.old].since = m.epoch;
   return m;
 }
 
@@ -99,9 +105,10 @@
   auto* o = m.find(t.old);
   if (i == m.members.end() || !o) return no(who(t.old), "is not a core member");
   if (o->state != DaemonState::down) return no(who(t.old), std::string("is a live member (") + name(o->state) + ")");
-  if (m.members.size() <= 3) return no(who(t.old), "the core would be too small without it");
+  if (m.members.size() <= limits::core_least) return no(who(t.old), "the core would be too small without it");
   m.members.erase(i);
   m.directory[t.old].state = DaemonState::left;
+  m.directory[t.old].since = m.epoch;
   return m;
 }
 
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -45,14 +45,39 @@
     if (s.owner == old) owner_to(m, s, fresh);
 }
 
+/// A controller that starts for the first time at another's address proves that the other runs no more.
+void supersede(Metadata& m, const Address& addr, DaemonId fresh) {
+  for (auto& [id, d] : m.directory) {
+    if (d.self.addr != addr || d.self.role != Role::controller || d.state == DaemonState::left) continue;
+    d.state = m.member(d.self.inc) ? DaemonState::down : DaemonState::left;
+    d.since = m.epoch;
+    m.succeed(id, fresh);
+  }
+}
+
+/// A controller that was taken out of the core while it was silent may come back as a spare.
+R register_again(Metadata m, const Daemon& known, const Candidate& self) {
+  if (known.state != DaemonState::left || self.role != Role::controller || known.self != self)
+    return no("register", "incarnation " + hex(self.inc.v) + " is registered already");
+  auto* other = m.at(self.addr);
+  if (other && other->state != DaemonState::down) return no("register", self.addr + " belongs to " + who(other->id));
+  auto& d = m.directory[known.id];
+  d.state = DaemonState::up;
+  d.since = m.epoch;
+  return m;
+}
+
 R go(Metadata m, const Register& r) {
-  if (m.find(r.self.inc)) return no("register", "incarnation " + hex(r.self.inc.v) + " is registered already");
+  if (auto* known = m.find(r.self.inc)) return register_again(m, *known, r.self);
+  bool proves_end = r.self.role == Role::controller;
   for (auto& [id, d] : m.directory)
     if (d.self.addr == r.self.addr && d.state != DaemonState::left) {
-      if (d.state != DaemonState::down && d.self.role != Role::front)
-        return no("register", r.self.addr + " belongs to " + who(id) + ", which is not known to be down");
+      bool ended =
+          d.state == DaemonState::down || d.self.role == Role::front || (proves_end && d.self.role == Role::controller);
+      if (!ended) return no("register", r.self.addr + " belongs to " + who(id) + ", which is not known to be down");
     }
   DaemonId fresh{m.next_id++};
+  if (proves_end) supersede(m, r.self.addr, fresh);
   for (auto& [id, d] : m.directory)
     if (d.self.addr == r.self.addr && (d.state == DaemonState::down || d.self.role == Role::front))
       m.succeed(id, fresh);
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -269,3 +269,116 @@
   CHECK(f.m.outcome("once") == e);
   CHECK_FALSE(f.m.outcome("twice"));
 }
+
+namespace {
+
+std::vector<uint64_t> ids(const std::vector<DaemonId>& v) {
+  std::vector<uint64_t> ids;
+  for (auto id : v) ids.push_back(id.v);
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+/// Whether each majority of one set shares a member with each majority of the other, by trying all of them.
+bool majorities_meet(const std::vector<DaemonId>& a, const std::vector<DaemonId>& b) {
+  auto one = ids(a), other = ids(b);
+  auto mask_of = [&](const std::vector<uint64_t>& v, size_t chosen) {
+    uint64_t mask = 0;
+    for (size_t i = 0; i < v.size(); ++i)
+      if (chosen >> i & 1) mask |= uint64_t{1} << v[i] % 64;
+    return mask;
+  };
+  auto majorities = [&](const std::vector<uint64_t>& v) {
+    std::vector<uint64_t> masks;
+    for (size_t chosen = 0; chosen < size_t{1} << v.size(); ++chosen)
+      if (static_cast<size_t>(__builtin_popcountll(chosen)) >= majority_of(v.size()))
+        masks.push_back(mask_of(v, chosen));
+    return masks;
+  };
+  for (auto p : majorities(one))
+    for (auto q : majorities(other))
+      if ((p & q) == 0) return false;
+  return true;
+}
+
+}  // namespace
+
+TEST_CASE("two replacements in a row: the majorities of each epoch and the next one meet") {
+  Fleet f;
+  auto step = [&](const Transformation& t) {
+    auto before = f.m.members;
+    f.must(t);
+    INFO(describe(t));
+    CHECK(majorities_meet(before, f.m.members));
+  };
+  for (uint64_t n : {1, 2}) {
+    auto old = f.id("controller" + std::to_string(n));
+    f.must(Register{who(n + 3, Role::controller, "a")});
+    auto fresh = f.id("controller" + std::to_string(n + 3));
+    CHECK(f.refused(AdmitCore{fresh}).find("full number") != std::string::npos);
+    step(MarkDown{old});
+    step(AdmitCore{fresh});
+    CHECK(f.m.members.size() == 4);
+    CHECK(f.refused(DropCore{fresh}).find("is a live member") != std::string::npos);
+    step(DropCore{old});
+    CHECK(f.m.members.size() == 3);
+    CHECK(f.m.core_size == 3);
+    CHECK(f.m.find(old)->state == DaemonState::left);
+  }
+  CHECK(f.refused(DropCore{f.m.members[0]}).find("is a live member") != std::string::npos);
+  step(MarkDown{f.m.members[0]});
+  CHECK(f.refused(DropCore{f.m.members[0]}).find("too small") != std::string::npos);
+}
+
+TEST_CASE("no admission or removal that the log takes parts the majorities of the two cores") {
+  uint64_t dice = 7;
+  auto roll = [&](size_t n) { return (dice = digest("roll", dice)) % n; };
+  Fleet f;
+  f.m.core_most = 7;
+  uint64_t next_controller = 4;
+  size_t changes = 0;
+  for (int i = 0; i < 300; ++i) {
+    auto before = f.m.members;
+    auto one = f.m.members[roll(f.m.members.size())];
+    auto spare = before.front();
+    for (auto& [id, d] : f.m.directory)
+      if (d.self.role == Role::controller && !f.m.member(d.self.inc)) spare = id;
+    switch (roll(6)) {
+      case 0:
+        f.go(Register{who(next_controller++, Role::controller, "b")});
+        break;
+      case 1:
+        f.go(MarkDown{one});
+        break;
+      case 2:
+        f.go(MarkUp{one});
+        break;
+      case 3:
+        f.go(DropCore{one});
+        break;
+      default:
+        f.go(AdmitCore{spare});
+    }
+    changes += before != f.m.members;
+    if (before != f.m.members) CHECK(majorities_meet(before, f.m.members));
+  }
+  CHECK(changes > 30);
+}
+
+TEST_CASE("a controller that starts at a member's address replaces it, and one taken out may come back") {
+  Fleet f;
+  auto old = f.id("controller1");
+  auto again = who(1, Role::controller, "a");
+  CHECK(f.refused(Register{again}).find("is registered already") != std::string::npos);
+  auto fresh = again;
+  fresh.inc = Incarnation{91};
+  f.must(Register{fresh});
+  CHECK(f.m.find(old)->state == DaemonState::down);
+  f.must(AdmitCore{f.id("controller1")});
+  f.must(DropCore{old});
+  CHECK(f.refused(Register{again}).find("belongs to") != std::string::npos);
+  f.must(MarkDown{f.m.find(fresh.inc)->id});
+  f.must(Register{again});
+  CHECK(f.m.find(old)->state == DaemonState::up);
+  CHECK_FALSE(f.m.member(again.inc));
+}
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -55,6 +55,7 @@
   if (diskless && n.life) n.id.self.inc = Incarnation{dice_()};
   n.id.dice = dice_();
   n.id.seeds = seeds;
+  if (configure) configure(n.id);
   n.life = ++seq_;
   n.seen = {};
   n.revision = {};
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -92,6 +92,8 @@
   void add(const std::string& name, Kind k, const std::string& zone, const Address& beside = "");
   Addresses seeds;
   uint32_t core_size = 3;
+  /// Last word on the settings of whoever starts.
+  std::function<void(Identity&)> configure;
 
   Net net;
   std::vector<std::string> notes, failures;
