--- a/src/consensus/controller_machine.cpp
+++ b/src/consensus/controller_machine.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "metadata/membership.hpp"
-
 namespace mosskeel {
 
 ControllerMachine::ControllerMachine(const Identity& id, const Recovered& r, Millis now)
--- a/src/consensus/leaving.cpp
+++ b/src/consensus/leaving.cpp
@@ -2,7 +2,6 @@
 #include <algorithm>
 
 #include "consensus/controller_machine.hpp"
-#include "metadata/membership.hpp"
 
 namespace mosskeel {
 
--- a/src/kernel/limits.hpp
+++ b/src/kernel/limits.hpp
@@ -10,6 +10,8 @@
 constexpr Millis tick = 20;                      // ms; how often a state machine sees its schedule
 constexpr Millis heartbeat = 300;                // ms; six fit into the 2 s for a configuration to be in force
 constexpr Millis discover = 200;                 // ms; between discovery rounds while not yet in touch
+constexpr Millis register_retry = 300;           // ms; between two asks to be registered, each to another member
+constexpr Millis leave_patience = 600;     // ms; a controller that stops waits this long until the core goes on without
 constexpr Millis found_pause = 1000;       // ms; three heartbeats of an older cluster's daemons come by before founding
 constexpr Millis found_patience = 1500;    // ms; wait for stragglers before founding with a majority
 constexpr Millis paxos_round = 300;        // ms; a round without a majority by then starts anew
@@ -51,7 +53,6 @@
 constexpr Millis barrier_timeout = 15000;    // ms; a sequence blocked longer is cancelled
 constexpr Millis sequence_retry = 250;       // ms; between tries of a sequence's next step
 constexpr Millis attempt_memory = 600000;    // ms; how long settled attempt ids are remembered
-constexpr Millis replace_after = 6000;       // ms; a core member down this long is replaced by a spare
 constexpr Millis repair_after = 3000;        // ms; a store silent this long loses its places; a restart takes less
 constexpr uint32_t repair_backoff = 4;       // count; doublings of that time for a store that comes and goes
 constexpr Millis store_doubt = 1200;         // ms; a store silent this long may be lost: joins wait for its places
@@ -114,6 +115,7 @@
 constexpr uint16_t gateway_port = 1;       // offset; beside its agent on one machine, so each has its own
 constexpr uint16_t agent_port = 2;         // offset; as above
 constexpr uint16_t store_port = 3;         // offset; may share a machine with any of them
+constexpr size_t core_least = 3;           // count; no member leaves a core of so few without one in its place
 constexpr uint32_t core_most = 9;          // count; a core grows by itself up to this; more slow every commit
 
 }  // namespace mosskeel::limits
