--- /dev/null
+++ b/src/metadata/membership.hpp
@@ -0,0 +1,10 @@
+#pragma once
+// What the log's steps and the supervisor both ask of the core's membership.
+#include "metadata/values.hpp"
+
+namespace mosskeel {
+
+/// How many core members are marked down.
+size_t members_down(const Metadata& m);
+
+}  // namespace mosskeel
