--- /dev/null
+++ b/tests/model/cluster.hpp
@@ -0,0 +1,166 @@
+#pragma once
+// A few real controller machines with their disks and the messages between them, as one state that can be copied,
+// stepped by one action and hashed. Machines can't be copied: a copy rebuilds each one from its inputs when needed.
+#include <deque>
+
+#include "consensus/controller_machine.hpp"
+#include "model/observer.hpp"
+
+namespace mosskeel::model {
+
+/// What one action does to the cluster.
+enum class Kind {
+  deliver,            ///< a message reaches its receiver
+  duplicate,          ///< a message reaches its receiver and stays in flight
+  lose,               ///< a message is lost
+  deliver_and_crash,  ///< a message is handled, the process ends before its journal is synced, and starts again
+  tick,               ///< the clock of one node moves on
+  tick_all,           ///< all clocks move on alike
+  restart,            ///< a process ends and starts again with what was synced
+  wipe,               ///< a process starts again with an empty disk, so as another incarnation
+  hold_disk,          ///< a disk becomes so slow that nothing is synced until `sync`
+  sync,               ///< all that a held disk lacks is synced
+  cut,                ///< a node is cut off from all others
+  heal,               ///< the cut ends
+  order,              ///< an operator sends its order to a controller
+};
+
+struct Action {
+  Kind kind = Kind::deliver;
+  size_t node = 0, index = 0;
+  Millis ms = 0;
+  bool operator==(const Action&) const = default;
+};
+using Trace = std::vector<Action>;
+std::string describe(const Action& a);
+std::string describe(const Trace& t);
+
+/// A fault planted between the machines; the machines themselves stay as they are.
+enum class Fault {
+  none,
+  votes_of_absent,      ///< a member that is cut off seems to grant everything: a quorum of one member less
+  sends_before_sync,    ///< messages that wait for the journal leave at once
+  votes_forgotten,      ///< an acceptor's journal records are dropped
+  clusters_not_compared ///< messages of any generation pass for one of the receiver's own
+};
+
+/// An operator's change, sent again as it was to any controller.
+struct Order {
+  std::string id;
+  Transformation change;
+};
+
+/// How much the environment may do besides delivering and ticking, over the whole trace.
+struct Budget {
+  int crashes = 2, wipes = 0, cuts = 1, holds = 1, resends = 2, duplicates = 2;
+};
+
+struct Options {
+  Fault fault = Fault::none;
+  /// How far the clocks move when nothing is in flight.
+  Millis quiet_step = 400;
+  /// How far a single clock may run ahead.
+  Millis lone_step = 450;
+  /// Whether the supervisor's lease is asked for; without it members don't change by themselves.
+  bool leases = false;
+  /// Whether a restart is compared with what the node told; off, only what follows from a lapse is noticed.
+  bool watch_restarts = true;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(Options o) : options_(o) {}
+  /// Starts a controller on an empty disk; returns its index.
+  size_t add(const Address& address, const Addresses& seeds, uint32_t core_size);
+  /// All that may happen now; the first is what happens in a world without trouble.
+  std::vector<Action> enabled() const;
+  bool possible(const Action& a) const;
+  void apply(const Action& a);
+  /// Two states with one fingerprint go on alike, but for the order in which messages without effect came.
+  uint64_t fingerprint() const;
+
+  void submit(Order o) { orders_.push_back(std::move(o)); }
+  /// Puts a message of somebody outside the model before a node.
+  void inject(size_t node, Envelope e);
+  View view(size_t node) const { return nodes_[node].view; }
+  size_t size() const { return nodes_.size(); }
+  Millis clock(size_t node) const { return nodes_[node].clock; }
+  size_t in_flight() const { return network_.size(); }
+  const Envelope& message(size_t index) const { return *network_[index].envelope; }
+  Incarnation incarnation(size_t node) const { return nodes_[node].identity.self.inc; }
+  const Candidate& candidate(size_t node) const { return nodes_[node].identity.self; }
+  const Observer& observer() const { return observer_; }
+  Budget budget;
+  Options& options() { return options_; }
+
+ private:
+  struct Input {
+    std::shared_ptr<const Envelope> envelope;  ///< null for a tick
+    Millis now;
+    std::shared_ptr<const Input> before;
+  };
+  /// Holds the machine; a copy holds none and is rebuilt.
+  struct Running {
+    Running() = default;
+    Running(const Running&) {}
+    Running& operator=(const Running&) { return machine.reset(), *this; }
+    Running(Running&&) = default;
+    Running& operator=(Running&&) = default;
+    std::unique_ptr<ControllerMachine> machine;
+  };
+  struct Batch {
+    std::vector<std::string> journal;
+    std::optional<std::string> checkpoint;
+    std::vector<Envelope> sends;
+  };
+  struct Node {
+    Identity identity;
+    Recovered found;
+    Millis started = 0, clock = 0;
+    std::shared_ptr<const Input> inputs;
+    Running running;
+    View view;
+    std::optional<std::string> checkpoint;
+    std::vector<std::string> journal;
+    std::vector<Batch> unsynced;
+    Durable durable;  ///< what the synced part of that says
+    bool held = false;
+    uint64_t history = 0, unordered = 0;
+  };
+  struct Flying {
+    std::shared_ptr<const Envelope> envelope;
+    size_t to;
+    uint64_t hash;
+  };
+
+  ControllerMachine& machine(Node& n) const;
+  std::optional<size_t> at(const Address& a) const;
+  void start(size_t node);
+  void crash(size_t node);
+  void wipe(size_t node);
+  void receive(size_t node, std::shared_ptr<const Envelope> e);
+  void tick(size_t node, Millis ms);
+  void carry_out(const Action& a);
+  void carry_out(size_t node, Actions a, const std::shared_ptr<const Envelope>& cause);
+  void remember(Node& n, const Actions& a, const std::shared_ptr<const Envelope>& cause, bool moved);
+  void sync(size_t node);
+  void send(size_t node, Envelope e);
+  bool forged(size_t node, const Envelope& e);
+  void look(size_t node);
+  void drain();
+  void submit_to(size_t node, size_t order);
+  std::map<Incarnation, Durable> disks() const;
+  std::shared_ptr<const Envelope> take(size_t index);
+
+  Options options_;
+  std::vector<Node> nodes_;
+  std::vector<Flying> network_;
+  /// What a node has sent to itself in the action under way: its process hands it over in order, never losing it.
+  std::deque<std::pair<size_t, std::shared_ptr<const Envelope>>> local_;
+  std::vector<Order> orders_;
+  std::optional<size_t> cut_;
+  uint64_t next_incarnation_ = 1;
+  Observer observer_;
+};
+
+}  // namespace mosskeel::model
--- /dev/null
+++ b/tests/model/model_test.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
