--- a/tests/model/actions.cpp
+++ b/tests/model/actions.cpp
@@ -6,8 +6,8 @@
 namespace mosskeel::model {
 
 std::string describe(const Action& a) {
-  static const char* const names[] = {"deliver", "duplicate", "lose",      "deliver_and_crash", "tick", "tick_all", "restart",
-                                      "wipe",    "hold_disk", "sync",      "cut",               "heal", "order"};
+  static const char* const names[] = {"deliver", "duplicate", "lose", "deliver_and_crash", "tick", "tick_all", "restart",
+                                      "wipe", "hold_disk", "sync", "disk_back", "cut", "heal", "order"};
   auto s = std::string(names[static_cast<int>(a.kind)]);
   return s + " node " + std::to_string(a.node) + " index " + std::to_string(a.index) +
          (a.ms ? " ms " + std::to_string(a.ms) : "");
@@ -32,6 +32,8 @@
       return budget.crashes > 0;
     case Kind::wipe:
       return budget.wipes > 0;
+    case Kind::disk_back:
+      return budget.returns > 0 && nodes_[a.node].lost;
     case Kind::hold_disk:
       return budget.holds > 0 && !nodes_[a.node].held;
     case Kind::sync:
@@ -39,7 +41,7 @@
     case Kind::cut:
       return budget.cuts > 0 && !cut_;
     case Kind::heal:
-      return cut_.has_value();
+      return cut_ != 0;
     case Kind::order:
       return budget.resends > 0 && a.index < orders_.size();
     case Kind::tick:
@@ -68,7 +70,9 @@
     offer({Kind::sync, n, 0, 0});
     offer({Kind::restart, n, 0, 0});
     offer({Kind::wipe, n, 0, 0});
-    offer({Kind::cut, n, 0, 0});
+    offer({Kind::disk_back, n, 0, 0});
+    offer({Kind::cut, n, size_t{1} << n, 0});
+    if (nodes_.size() > 3 && n > 0) offer({Kind::cut, n, (size_t{1} << n) | 1, 0});
     offer({Kind::hold_disk, n, 0, 0});
     offer({Kind::tick, n, 0, options_.lone_step});
     for (size_t k = 0; k < orders_.size(); ++k) offer({Kind::order, n, k, 0});
@@ -108,6 +112,9 @@
     case Kind::wipe:
       --budget.wipes;
       return wipe(a.node);
+    case Kind::disk_back:
+      --budget.returns;
+      return return_disk(a.node);
     case Kind::hold_disk:
       --budget.holds;
       nodes_[a.node].held = true;
@@ -117,13 +124,14 @@
       return sync(a.node);
     case Kind::cut:
       --budget.cuts;
-      cut_ = a.node;
+      cut_ = a.index;
       std::erase_if(network_, [&](auto& f) {
-        return f.to == a.node || f.envelope->from_inc == nodes_[a.node].identity.self.inc;
+        auto from = at(f.envelope->from);
+        return from && severed(*from, f.to);
       });
       return;
     case Kind::heal:
-      cut_.reset();
+      cut_ = 0;
       return;
     case Kind::order:
       --budget.resends;
--- a/tests/model/cluster.cpp
+++ b/tests/model/cluster.cpp
@@ -76,6 +76,7 @@
   n.view = machine(n).view();
   n.durable = model::durable(machine(n));
   observer_.restarted(n.identity.self.inc, n.durable);
+  observer_.disks(disks());
   look(node);
 }
 
@@ -87,6 +88,7 @@
 
 void Cluster::wipe(size_t node) {
   auto& n = nodes_[node];
+  n.lost = Disk{n.identity.self.inc, n.checkpoint, n.journal};
   n.checkpoint.reset();
   n.journal.clear();
   n.identity.self.inc = Incarnation{next_incarnation_++};
@@ -94,6 +96,15 @@
   crash(node);
 }
 
+void Cluster::return_disk(size_t node) {
+  auto& n = nodes_[node];
+  n.identity.self.inc = n.lost->inc;
+  n.checkpoint = n.lost->checkpoint;
+  n.journal = n.lost->journal;
+  n.lost.reset();
+  crash(node);
+}
+
 /// Tells the observer what a node shows and what all disks hold.
 void Cluster::look(size_t node) {
   observer_.saw(nodes_[node].identity.self.inc, nodes_[node].view);
@@ -172,7 +183,7 @@
 /// With the planted fault, a member that is cut off grants whatever it is asked.
 bool Cluster::forged(size_t node, const Envelope& e) {
   auto to = at(e.to);
-  if (options_.fault != Fault::votes_of_absent || !cut_ || to != cut_ || node == *cut_) return false;
+  if (options_.fault != Fault::votes_of_absent || !to || !severed(node, *to)) return false;
   Envelope answer{};
   answer.cluster = e.cluster;
   answer.epoch = e.epoch;
@@ -194,14 +205,14 @@
   if (forged(node, e)) return;
   if (auto* r = std::get_if<CommitReply>(&e.body); r && e.to.starts_with("local:")) {
     for (auto& o : orders_)
-      if (o.id == r->id) observer_.answered(o.change, *r, disks());
+      if (o.id == r->id) observer_.answered(o.change, *r);
     return;
   }
   auto to = at(e.to);
   if (!to || (!options_.leases && about_leases(e.body))) return;
   if (options_.watch_restarts) observer_.sent(e);
   if (to == node) return local_.emplace_back(node, std::make_shared<Envelope>(std::move(e))), void();
-  if (cut_ && (*cut_ == node || *cut_ == *to)) return;
+  if (severed(node, *to)) return;
   if (options_.fault == Fault::clusters_not_compared) e.cluster = nodes_[*to].view->cluster;
   std::erase_if(network_, [&](auto& f) {
     return f.to == *to && f.envelope->from_inc == e.from_inc && supersedes(f.envelope->body, e.body);
@@ -231,7 +242,7 @@
 }
 
 uint64_t Cluster::fingerprint() const {
-  uint64_t h = cut_ ? *cut_ + 1 : 0;
+  uint64_t h = cut_;
   for (auto& n : nodes_) {
     h = mix(mix(h, n.history), n.unordered);
     h = mix(mix(h, static_cast<uint64_t>(n.clock)), n.held ? n.unsynced.size() + 1 : 0);
@@ -242,7 +253,7 @@
     link = mix(link, f.hash);
   }
   for (auto& [link, hash] : links) h = mix(h, mix(hash, link.first.v * 16 + link.second));
-  for (int x : {budget.crashes, budget.wipes, budget.cuts, budget.holds, budget.resends, budget.duplicates})
+  for (int x : {budget.crashes, budget.wipes, budget.returns, budget.cuts, budget.holds, budget.resends, budget.duplicates})
     h = mix(h, static_cast<uint64_t>(x));
   return h;
 }
--- a/tests/model/cluster.hpp
+++ b/tests/model/cluster.hpp
@@ -20,7 +20,8 @@
   wipe,               ///< a process starts again with an empty disk, so as another incarnation
   hold_disk,          ///< a disk becomes so slow that nothing is synced until `sync`
   sync,               ///< all that a held disk lacks is synced
-  cut,                ///< a node is cut off from all others
+  disk_back,          ///< the disk that a node had lost is put in again, with its incarnation
+  cut,                ///< the nodes of the bits of `index` are cut off from all others
   heal,               ///< the cut ends
   order,              ///< an operator sends its order to a controller
 };
@@ -52,7 +53,7 @@
 
 /// How much the environment may do besides delivering and ticking, over the whole trace.
 struct Budget {
-  int crashes = 2, wipes = 0, cuts = 1, holds = 1, resends = 2, duplicates = 2;
+  int crashes = 2, wipes = 0, returns = 0, cuts = 1, holds = 1, resends = 2, duplicates = 2;
 };
 
 struct Options {
@@ -113,8 +114,14 @@
     std::optional<std::string> checkpoint;
     std::vector<Envelope> sends;
   };
+  struct Disk {
+    Incarnation inc{};
+    std::optional<std::string> checkpoint;
+    std::vector<std::string> journal;
+  };
   struct Node {
     Identity identity;
+    std::optional<Disk> lost;
     Recovered found;
     Millis started = 0, clock = 0;
     std::shared_ptr<const Input> inputs;
@@ -138,6 +145,8 @@
   void start(size_t node);
   void crash(size_t node);
   void wipe(size_t node);
+  void return_disk(size_t node);
+  bool severed(size_t a, size_t b) const { return ((cut_ >> a) & 1) != ((cut_ >> b) & 1); }
   void receive(size_t node, std::shared_ptr<const Envelope> e);
   void tick(size_t node, Millis ms);
   void carry_out(const Action& a);
@@ -158,7 +167,8 @@
   /// What a node has sent to itself in the action under way: its process hands it over in order, never losing it.
   std::deque<std::pair<size_t, std::shared_ptr<const Envelope>>> local_;
   std::vector<Order> orders_;
-  std::optional<size_t> cut_;
+  /// A bit for each node that is cut off from those without.
+  size_t cut_ = 0;
   uint64_t next_incarnation_ = 1;
   Observer observer_;
 };
--- /dev/null
+++ b/tests/model/fault_test.cpp
@@ -0,0 +1,124 @@
+// Planted faults: the model must notice each, or its silence elsewhere says nothing.
+#include <catch2/catch.hpp>
+
+#include "model/explorer.hpp"
+#include "model/starts.hpp"
+
+using namespace mosskeel;
+using namespace mosskeel::model;
+
+namespace {
+
+constexpr uint64_t most_seeds = 3000;
+constexpr int steps = 120;
+
+Report noticed(const Cluster& from) {
+  auto r = walk(from, 1, most_seeds, steps);
+  WARN("noticed after " << r.steps << " steps in " << r.runs << " walks: " << r.broken);
+  return r;
+}
+
+bool says(const Report& r, const std::string& what) {
+  return r.broken.find(what) != std::string::npos;
+}
+
+Options with(Fault f, bool watch_restarts = true) {
+  Options o;
+  o.fault = f;
+  o.watch_restarts = watch_restarts;
+  return o;
+}
+
+Envelope from_outside(uint64_t cluster, Message m) {
+  Envelope e{};
+  e.from = "local:test";
+  e.cluster = cluster;
+  e.body = std::move(m);
+  return e;
+}
+
+/// Lets node 0 commit a change without asking whether it is wise.
+void force(Cluster& c, const Transformation& change, const std::string& id) {
+  auto before = c.view(0)->epoch;
+  c.inject(0, from_outside(c.view(0)->cluster, Commit{id, change, before}));
+  REQUIRE(settle(c, 400, [&](auto& x) { return x.view(0)->outcome(id) || !x.observer().broken().empty(); }));
+}
+
+}  // namespace
+
+TEST_CASE("a quorum of one member less is noticed", "[model]") {
+  auto from = after_founding(with(Fault::votes_of_absent));
+  from.apply({Kind::cut, 2, 4, 0});
+  auto r = noticed(from);
+  CHECK((says(r, "two values") || says(r, "two changes on one base") || says(r, "lacks the acknowledged")));
+}
+
+TEST_CASE("a promise that leaves before it is synced is noticed", "[model]") {
+  CHECK(says(noticed(after_founding(with(Fault::sends_before_sync))), "by a restart"));
+}
+
+TEST_CASE("a promise that leaves before it is synced lets two values be decided", "[model]") {
+  auto from = open_proposal(with(Fault::sends_before_sync, false));
+  from.budget.crashes = 6;
+  from.budget.resends = 4;
+  CHECK(!noticed(from).broken.empty());
+}
+
+TEST_CASE("a journal without promises and votes is noticed", "[model]") {
+  CHECK(says(noticed(after_founding(with(Fault::votes_forgotten))), "by a restart"));
+}
+
+TEST_CASE("a member that counts before it holds the log is noticed", "[model]") {
+  auto c = after_founding();
+  REQUIRE(settle(c, 400, [](auto& x) { return x.observer().acknowledged() == 1; }));
+  c.apply({Kind::cut, 3, 8, 0});
+  c.budget.wipes = 1;
+  c.apply({Kind::wipe, 3, 0, 0});
+  force(c, Register{c.candidate(3)}, "register");
+  REQUIRE(c.observer().broken().empty());
+  force(c, AdmitCore{c.view(0)->find(c.incarnation(3))->id}, "admit");
+  CHECK(c.observer().broken().find("before it held the log") != std::string::npos);
+}
+
+TEST_CASE("two candidate sets at founding are noticed", "[model]") {
+  Options o;
+  o.quiet_step = 100;
+  Cluster c(o);
+  const Addresses one{"c1", "c2"}, other{"c3", "c4"};
+  for (auto& a : one) c.add(a, one, 2);
+  for (auto& a : other) c.add(a, other, 2);
+  settle(c, 2000, [](auto& x) { return !x.observer().broken().empty(); });
+  CHECK(c.observer().broken() == "two clusters were founded");
+}
+
+TEST_CASE("a snapshot of an old generation is noticed where it is taken, and isn't taken", "[model]") {
+  auto c = before_refounding();
+  auto old = *c.view(0);
+  REQUIRE(settle(c, 3000, [](auto& x) { return x.view(0)->generation == 2; }));
+  REQUIRE(c.observer().broken().empty());
+  auto former = old.cluster;
+  old.epoch = Epoch{c.view(0)->epoch.v + 5};
+  SECTION("the envelope names the old generation: refused") {
+    c.inject(0, from_outside(former, CatchupReply{old.epoch, old, {}}));
+    CHECK(c.view(0)->generation == 2);
+    CHECK(c.observer().broken().empty());
+  }
+  SECTION("the envelope was forged: noticed") {
+    c.inject(0, from_outside(c.view(0)->cluster, CatchupReply{old.epoch, old, {}}));
+    CHECK((c.view(0)->generation == 2 || !c.observer().broken().empty()));
+    if (c.view(0)->generation == 1) CHECK(c.observer().broken().find("earlier generation") != std::string::npos);
+  }
+}
+
+TEST_CASE("a member replaced by another in one step leaves two majorities that need not meet", "[model]") {
+  auto c = after_founding();
+  REQUIRE(settle(c, 400, [](auto& x) { return x.view(3)->cluster && x.observer().acknowledged() == 1; }));
+  auto* spare = c.view(0)->find(c.incarnation(3));
+  if (!spare) force(c, Register{c.candidate(3)}, "register");
+  REQUIRE(settle(c, 400, [](auto& x) { return x.in_flight() == 0; }));
+  auto fresh = c.view(0)->find(c.incarnation(3))->id, lost = c.view(0)->find(c.incarnation(2))->id;
+  c.apply({Kind::cut, 2, 4, 0});
+  force(c, MarkDown{lost}, "down");
+  force(c, ReplaceCore{lost, fresh}, "replace");
+  CHECK(c.observer().broken().find("need not meet") != std::string::npos);
+}
--- a/tests/model/observer.cpp
+++ b/tests/model/observer.cpp
@@ -39,7 +39,21 @@
     return;
   }
   auto before = decided_.find({v->cluster, Epoch{v->epoch.v - 1}});
-  if (before != decided_.end()) majorities_meet(*before->second, *v);
+  if (before == decided_.end()) return;
+  majorities_meet(*before->second, *v);
+  newcomers_hold_log(*before->second, *v);
+}
+
+/// A newcomer's disk must hold the log up to its own entry in the directory before it counts as a member.
+void Observer::newcomers_hold_log(const Metadata& before, const Metadata& after) {
+  for (auto id : after.members) {
+    auto* d = after.find(id);
+    auto disk = disks_.find(d->self.inc);
+    if (before.member(d->self.inc) || disk == disks_.end()) continue;
+    if (disk->second.generation < after.generation || disk->second.epoch < d->since)
+      fail("daemon " + std::to_string(id.v) + " became a member at epoch " + std::to_string(after.epoch.v) +
+           " before it held the log");
+  }
 }
 
 void Observer::majorities_meet(const Metadata& before, const Metadata& after) {
@@ -90,14 +104,14 @@
   if (!fresh && i->second != id) fail("two changes on one base were acknowledged: " + i->second + ", " + id);
 }
 
-void Observer::answered(const Transformation& t, const CommitReply& r, const std::map<Incarnation, Durable>& d) {
+void Observer::answered(const Transformation& t, const CommitReply& r) {
   if (r.outcome == Outcome::unknown) return;
   if (r.outcome == Outcome::yes) {
     one_for_each_base(r.id, t);
     if (rejected_.count(r.id)) fail("change " + r.id + " was refused and then acknowledged");
     auto known = [&](auto& a) { return a.commit == r.id; };
     if (std::none_of(acknowledged_.begin(), acknowledged_.end(), known)) acknowledged_.push_back({r.id, r.epoch, t});
-    return disks(d);
+    return majority_holds_acknowledged();
   }
   rejected_.insert(r.id);
   if (newest_->outcome(r.id)) return fail("change " + r.id + " was decided and then refused");
@@ -105,14 +119,19 @@
     fail("change " + r.id + " was refused though the newest epoch takes it");
 }
 
-void Observer::disks(const std::map<Incarnation, Durable>& disks) {
+void Observer::disks(std::map<Incarnation, Durable> disks) {
+  disks_ = std::move(disks);
+  majority_holds_acknowledged();
+}
+
+void Observer::majority_holds_acknowledged() {
   auto& m = *newest_;
   if (m.generation != 1) return;  // the members that a re-founding names come empty; `contains_acknowledged` holds on
   for (auto& a : acknowledged_) {
     size_t lacking = 0;
     for (auto id : m.members) {
-      auto i = disks.find(m.find(id)->self.inc);
-      lacking += i != disks.end() && !holds(i->second, m.generation, a.epoch, a.commit);
+      auto i = disks_.find(m.find(id)->self.inc);
+      lacking += i != disks_.end() && !holds(i->second, m.generation, a.epoch, a.commit);
     }
     if (lacking >= majority_of(m.members.size()))
       fail("a majority of the members at epoch " + std::to_string(m.epoch.v) + " lacks the acknowledged change " +
--- a/tests/model/observer.hpp
+++ b/tests/model/observer.hpp
@@ -22,9 +22,9 @@
   /// A node has started with this on its disk.
   void restarted(Incarnation inc, const Durable& d);
   /// The operator's order was answered, with these disks.
-  void answered(const Transformation& t, const CommitReply& r, const std::map<Incarnation, Durable>& disks);
+  void answered(const Transformation& t, const CommitReply& r);
   /// Disks changed: whatever was acknowledged must still be found by any later majority.
-  void disks(const std::map<Incarnation, Durable>& disks);
+  void disks(std::map<Incarnation, Durable> disks);
   /// The first broken invariant, empty while all hold.
   const std::string& broken() const { return broken_; }
   /// The newest value of the newest generation.
@@ -46,7 +46,9 @@
     Ballot promised{}, accepted{};
   };
   void fail(std::string what);
+  void majority_holds_acknowledged();
   void agreement(const View& v);
+  void newcomers_hold_log(const Metadata& before, const Metadata& after);
   void majorities_meet(const Metadata& before, const Metadata& after);
   void contains_acknowledged(const Metadata& m);
   void one_for_each_base(const std::string& id, const Transformation& t);
@@ -58,6 +60,7 @@
   std::vector<Acknowledged> acknowledged_;
   std::set<std::string> rejected_;
   std::map<Incarnation, Told> told_;
+  std::map<Incarnation, Durable> disks_;
   View newest_ = std::make_shared<Metadata>();
 };
 
--- a/tests/model/starts.cpp
+++ b/tests/model/starts.cpp
@@ -8,7 +8,7 @@
 const Addresses seeds{"c1", "c2", "c3"};
 
 Order order(const std::string& id, const std::string& cell) {
-  return {id, ApplyConfiguration{Revision{0}, {{Cell{cell, 1, 1, 1, {}}}}}};
+  return {id, ApplyConfiguration{Revision{0}, {{Cell{cell, 1000, 100, 60000, {{"chat", "model", {}}}}}}}};
 }
 
 bool same_epoch(const Cluster& c, size_t nodes) {
@@ -52,6 +52,7 @@
 }
 
 Cluster before_founding(Options o) {
+  o.quiet_step = 100;
   Cluster c(o);
   Script s(c, 100, false);
   for (auto& a : seeds) c.add(a, seeds, 3);
@@ -99,6 +100,8 @@
 }
 
 Cluster member_replaced(Options o) {
+  o.leases = true;
+  o.quiet_step = 150;
   Cluster c(o);
   Script s(c, 150, true);
   for (auto& a : seeds) c.add(a, seeds, 3);
@@ -119,6 +122,7 @@
 }
 
 Cluster before_refounding(Options o) {
+  o.quiet_step = 150;
   auto c = founded(o);
   Script s(c, 150, true);
   c.submit(order("first", "a"));
@@ -131,6 +135,7 @@
   auto began = c.clock(0);
   need(settle(c, patience, [&](auto& x) { return x.clock(0) - began >= limits::core_loss; }), "silence");
   c.budget = {};
+  c.budget.returns = 1;
   return c;
 }
 
