--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -157,7 +157,7 @@
   }
   x.done.insert(d->id);
   auto& s = led_.view()->slots[r.slot.v];
-  x.complete = x.done.size() >= majority_of(s.stores.size());
+  x.complete = x.done.size() >= led_.view()->read_quorum(s.stores.size());
   if (x.complete && streamed() >= r.sequence) {
     out_.note(Event::streamed, "sequence of epoch " + std::to_string(r.sequence.v));
     fol_.hurry();
@@ -200,7 +200,7 @@
 
 void StoreMachine::handle(const Envelope& e, Millis now) {
   if (fol_.handle(e, now)) return;
-  if (fol_.park(e)) return;
+  if (fol_.park(e, now)) return;
   if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
                       [&](const LineBury& b) { on(e, b); }, [&](const SlotStream& q) { on(e, q); },
