--- a/src/kernel/disk.cpp
+++ b/src/kernel/disk.cpp
@@ -161,8 +161,10 @@
   struct stat st {};
   if (!f) return refused();
   if (::fstat(f.get(), &st) != 0) return {DiskResult::failed};
-  auto r = write_all(f.get(), bytes);
-  if (r && calls_.truncate(f.get(), static_cast<off_t>(bytes.size())) != 0) r = {DiskResult::failed};
+  auto header = frame_header(bytes);
+  auto r = write_all(f.get(), header);
+  if (r) r = write_all(f.get(), bytes);
+  if (r && calls_.truncate(f.get(), static_cast<off_t>(header.size() + bytes.size())) != 0) r = {DiskResult::failed};
   if (r && calls_.sync(f.get()) != 0) r = refused();
   if (r && ::rename(p.c_str(), path("checkpoint", seq_).c_str()) != 0) r = refused();
   if (r) return sync_folder() == 0 ? r : DiskResult{DiskResult::failed};
@@ -179,7 +181,7 @@
     if (auto r = open_segment(seq_ + 1); !r) return r;
     if (auto r = settle(); !r) return r;
   }
-  if (auto r = write_checkpoint(frame(bytes)); !r) return r;
+  if (auto r = write_checkpoint(bytes); !r) return r;
   std::error_code ec;
   for (auto& f : fs::directory_iterator(folder_, ec)) {
     auto n = f.path().filename().string();
--- a/src/kernel/disk.hpp
+++ b/src/kernel/disk.hpp
@@ -33,7 +33,10 @@
   static Result<std::shared_ptr<Disk>> open(const std::string& folder, uint64_t dice,
                                             DiskCalls calls = DiskCalls::real());
   const Recovered& recovered() const { return found_; }
-  void forget_recovered() { found_.journal.clear(), found_.checkpoint.reset(); }
+  /// Hands over what was found, so that its reader can free it piece by piece; only the incarnation stays.
+  Recovered take_recovered() {
+    return {found_.inc, std::exchange(found_.checkpoint, {}), std::exchange(found_.journal, {})};
+  }
   /// How many bytes of torn tail were cut at the start.
   size_t cut() const { return cut_; }
   /// Appends all of these or, on a full disk, none.
--- a/src/kernel/disk_load.cpp
+++ b/src/kernel/disk_load.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include "kernel/disk.hpp"
 #include "kernel/log_frame.hpp"
@@ -16,11 +15,15 @@
 
 namespace {
 
+/// The whole file, in memory once.
 std::string slurp(const std::string& p) {
+  std::error_code ec;
+  auto size = fs::file_size(p, ec);
+  std::string s(ec ? 0 : size, '\0');
   std::ifstream f(p, std::ios::binary);
-  std::stringstream s;
-  s << f.rdbuf();
-  return s.str();
+  f.read(s.data(), static_cast<std::streamsize>(s.size()));
+  s.resize(static_cast<size_t>(f.gcount()));
+  return s;
 }
 
 /// Whether something behind the first damaged byte `at` shows that the damage is not an unsynced tail: a mark which
--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -19,9 +19,7 @@
       self_(std::move(self)) {}
 
 Findings Host::start(const Make& make) {
-  Recovered none{};
-  machine_ = make(disk_ ? disk_->recovered() : none, process_now());
-  if (disk_) disk_->forget_recovered();
+  machine_ = make(disk_ ? disk_->take_recovered() : Recovered{}, process_now());
   std::atomic_store(&view_, machine_->view());
   auto p = Post::open(self_, [this](Envelope e) { in_.push(std::move(e)); });
   if (!ok(p)) return findings(p);
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -13,7 +13,7 @@
 
 class Host {
  public:
-  using Make = std::function<std::unique_ptr<Machine>(const Recovered&, Millis)>;
+  using Make = std::function<std::unique_ptr<Machine>(Recovered, Millis)>;
   /// Where a message goes that is not for another daemon ("local:7", "replica:m1").
   using Deliver = std::function<void(const Envelope&)>;
 
--- a/src/kernel/log_frame.hpp
+++ b/src/kernel/log_frame.hpp
@@ -4,11 +4,16 @@
 
 namespace mosskeel {
 
-inline std::string frame(const std::string& r) {
+/// What stands before a record: its size and digest.
+inline std::string frame_header(const std::string& r) {
   std::string o;
   codec::put(o, static_cast<uint32_t>(r.size()));
   codec::put(o, digest(r, r.size()));
-  return o + r;
+  return o;
+}
+
+inline std::string frame(const std::string& r) {
+  return frame_header(r) + r;
 }
 
 /// The record at the reader's place, or nothing, leaving the reader where it was.
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -16,7 +16,8 @@
   Identity id{
       {disk->recovered().inc, Role::store, p.zone, p.listen, "", p.http, p.machine}, p.seeds, 0, dice(), p.tcm_rpc_ms};
   Host host(disk, p.listen);
-  if (auto f = host.start([&](const Recovered& r, Millis now) { return std::make_unique<StoreMachine>(id, r, now); });
+  if (auto f =
+          host.start([&](Recovered r, Millis now) { return std::make_unique<StoreMachine>(id, std::move(r), now); });
       !f.empty())
     return cannot_start("store", f);
   auto answer = [&](const HttpAsk& a) {
