--- /dev/null
+++ b/src/history/history_limits.hpp
@@ -0,0 +1,13 @@
+#pragma once
+// Constants of the stores' histories alone, with unit and reason.
+#include "kernel/limits.hpp"
+
+namespace mosskeel::limits {
+
+constexpr size_t stream_pages = 8;                // count; pages asked for and not yet answered; 2 MB with their copies
+constexpr size_t stream_page_bytes = 128 << 10;   // bytes; a page ends after the history that exceeds this
+constexpr Millis stream_patience = 1000;          // ms; an unanswered page is asked for again, of another store first
+constexpr size_t store_journal_least = 4u << 20;  // bytes; a shorter journal calls for no checkpoint, however small
+constexpr size_t record_overhead = 128;           // bytes; a record beside its text, encoded or in memory
+
+}  // namespace mosskeel::limits
--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -2,30 +2,22 @@
 
 #include <algorithm>
 
+#include "history/history_limits.hpp"
+
 namespace mosskeel {
 
-StoreMachine::StoreMachine(const Identity& id, const Recovered& r, Millis now)
-    : out_(id), fol_(out_, led_, now), rep_(out_, led_, slots_), born_(now), now_(now) {
-  rep_.take = [this](const StreamRecord& q) {
-    merge(slots_[q.slot], q);
-    journal(q);
+StoreMachine::StoreMachine(const Identity& id, Recovered r, Millis now)
+    : out_(id), fol_(out_, led_, now), rep_(out_, led_, slots_), streams_(out_, led_), born_(now), now_(now) {
+  rep_.take = streams_.take = [this](const StreamRecord& q) {
+    auto news = merge(slots_[q.slot], q);
+    if (news.fence != Epoch{} || !news.lines.empty() || !news.tombstones.empty()) journal(news);
   };
   rep_.uptime = [this] { return uptime(); };
-  if (r.checkpoint)
-    if (auto c = codec::unpack<StoreCheckpoint>(*r.checkpoint)) {
-      led_.jump(c->metadata);
-      slots_ = std::move(c->slots);
-      before_ = c->uptime;
-    }
+  if (r.checkpoint) recover(std::move(*r.checkpoint));
   for (auto& s : r.journal) {
-    auto x = codec::unpack<StoreRecord>(s);
-    if (!x) continue;
-    std::visit(overload{[&](const Fence& f) { slots_[f.slot].fence = std::max(slots_[f.slot].fence, f.term); },
-                        [&](const LineWrite& w) { write(slots_[w.slot], w); },
-                        [&](const StreamRecord& q) { merge(slots_[q.slot], q); },
-                        [&](const BuryRecord& b) { bury(slots_[b.slot], b.line); },
-                        [&](const Entry& e) { led_.add(e); }, [&](const Metadata& m) { led_.jump(m); }},
-               *x);
+    grown_ += s.size();
+    if (auto x = codec::unpack<StoreRecord>(s)) replay(*x);
+    s = {};
   }
   out_.cluster = led_.view()->cluster;
   out_.epoch = led_.epoch();
@@ -34,13 +26,59 @@
   fol_.on_jump = [this](const Metadata& m) { journal(m); };
 }
 
+/// Reads the form of `StoreCheckpoint` slot by slot, so that no more than one slot is in memory twice.
+void StoreMachine::recover(std::string checkpoint) {
+  codec::Reader r{checkpoint};
+  Metadata metadata;
+  SlotStores slots;
+  uint32_t count = 0;
+  bool whole = codec::get(r, metadata) && codec::get(r, count);
+  for (; whole && count; --count) {
+    SlotId id;
+    whole = codec::get(r, id) && codec::get(r, slots[id]);
+  }
+  Millis uptime = 0;
+  if (!whole || !codec::get(r, uptime) || !r.s.empty()) return;
+  led_.jump(metadata);
+  slots_ = std::move(slots);
+  before_ = uptime;
+  checkpoint_size_ = checkpoint.size();
+}
+
+void StoreMachine::replay(const StoreRecord& r) {
+  std::visit(overload{[&](const Fence& f) { slots_[f.slot].fence = std::max(slots_[f.slot].fence, f.term); },
+                      [&](const LineWrite& w) { write(slots_[w.slot], w); },
+                      [&](const StreamRecord& q) { merge(slots_[q.slot], q); },
+                      [&](const BuryRecord& b) { bury(slots_[b.slot], b.line); }, [&](const Entry& e) { led_.add(e); },
+                      [&](const Metadata& m) { led_.jump(m); },
+                      [&](const AdoptRecord& a) {
+                        auto& s = slots_[a.slot];
+                        auto& l = s.lines[a.line];
+                        s.fence = std::max(s.fence, a.term);
+                        l.term = std::max(l.term, a.term);
+                      }},
+             r);
+}
+
 std::string StoreMachine::checkpoint() const {
-  return codec::pack(StoreCheckpoint{*led_.view(), slots_, uptime()});
+  std::string s;
+  s.reserve(checkpoint_size_ + grown_ + limits::segment_bytes / 16);
+  codec::put(s, *led_.view());
+  codec::put(s, slots_);
+  codec::put(s, uptime());
+  checkpoint_size_ = s.size();
+  return s;
+}
+
+/// As long as the last checkpoint, so that a checkpoint is written for as many bytes of journal, and a start reads
+/// no more than twice the state.
+size_t StoreMachine::journal_limit() const {
+  return std::clamp(checkpoint_size_, limits::store_journal_least, limits::checkpoint_bytes);
 }
 
 Actions StoreMachine::done() {
   for (auto& s : out_.act.journal) grown_ += s.size();
-  if (grown_ > limits::checkpoint_bytes) {
+  if (grown_ > journal_limit()) {
     out_.act.checkpoint = checkpoint();
     grown_ = 0;
   }
@@ -76,34 +114,52 @@
   out_.send_synced(e.from, a, e.from_inc);
 }
 
-LineWriteReply StoreMachine::write(SlotStore& s, const LineWrite& w) {
+StoreMachine::Written StoreMachine::adopt(SlotStore& s, const LineWrite& w) {
+  auto& l = s.lines[w.line];
+  if (l.term > w.term) return {{w.line, w.term, false, false, 0}};
+  auto change = Change::nothing;
+  if (l.records == w.records) {
+    if (l.term < w.term) change = Change::term;
+    l.term = w.term;
+  } else if (l.term < w.term || w.records.size() >= l.records.size()) {
+    change = Change::records;
+    l = {w.term, w.records, l.records.size() == w.records.size() ? l.touched : uptime()};
+  }
+  return {{w.line, w.term, true, false, l.records.size()}, change};
+}
+
+StoreMachine::Written StoreMachine::write(SlotStore& s, const LineWrite& w) {
   s.fence = std::max(s.fence, w.term);
-  if (s.tombstones.has(tombstone_of(w.line))) return {w.line, w.term, false, false, 0};
+  if (s.tombstones.has(tombstone_of(w.line))) return {{w.line, w.term, false, false, 0}};
+  if (w.adopt) return adopt(s, w);
   auto i = s.lines.find(w.line);
-  if (w.adopt) {
-    auto& l = s.lines[w.line];
-    if (l.term > w.term) return {w.line, w.term, false, false, 0};
-    if (l.term < w.term || w.records.size() >= l.records.size())
-      l = {w.term, w.records, l.records.size() == w.records.size() ? l.touched : uptime()};
-    return {w.line, w.term, true, false, l.records.size()};
-  }
   if (i == s.lines.end() || i->second.term != w.term || i->second.records.size() < w.from)
-    return {w.line, w.term, true, true, 0};
+    return {{w.line, w.term, true, true, 0}};
   auto& v = i->second.records;
   size_t have = v.size() - w.from;
+  auto change = have < w.records.size() ? Change::records : Change::nothing;
   for (size_t k = have; k < w.records.size(); ++k) v.push_back(w.records[k]);
   i->second.touched = uptime();
-  return {w.line, w.term, true, false, v.size()};
+  return {{w.line, w.term, true, false, v.size()}, change};
+}
+
+/// The whole write where it brought records; what is here already is not written twice.
+void StoreMachine::journal_write(const LineWrite& w, Change change, bool fenced) {
+  if (change == Change::records) return journal(w);
+  if (change == Change::term) return journal(AdoptRecord{w.slot, w.line, w.term});
+  if (fenced) journal(Fence{w.slot, w.term});
 }
 
 void StoreMachine::on(const Envelope& e, const LineWrite& w) {
-  if (!placed(e, w.slot) || slots_[w.slot].fence > w.term) {
+  auto& s = slots_[w.slot];
+  if (!placed(e, w.slot) || s.fence > w.term) {
     out_.send(e.from, LineWriteReply{w.line, w.term, false, false, 0}, e.from_inc);
     return;
   }
-  auto r = write(slots_[w.slot], w);
-  if (r.granted && !r.gap) journal(w);
-  out_.send_synced(e.from, r, e.from_inc);
+  bool fenced = s.fence < w.term;
+  auto r = write(s, w);
+  journal_write(w, r.change, fenced);
+  out_.send_synced(e.from, r.reply, e.from_inc);
 }
 
 void StoreMachine::on(const Envelope& e, const SlotStream& q) {
@@ -113,11 +169,11 @@
     size_t bytes = 0;
     auto j = q.after.program.empty() ? i->second.lines.begin() : i->second.lines.upper_bound(q.after);
     for (; j != i->second.lines.end(); ++j) {
-      if (bytes > limits::body_bytes / 4) {
+      if (bytes > limits::stream_page_bytes) {
         r.more = true;
         break;
       }
-      for (auto& x : j->second.records) bytes += x.input.size() + x.output.size() + 128;
+      for (auto& x : j->second.records) bytes += x.input.size() + x.output.size() + limits::record_overhead;
       r.lines.push_back({j->first, j->second.term, j->second.records});
     }
     r.tombstones = i->second.tombstones.above(q.tombstone, limits::tombstones_page);
@@ -126,76 +182,30 @@
   out_.send(e.from, r, e.from_inc);
 }
 
-void StoreMachine::merge(SlotStore& s, const StreamRecord& r) {
-  s.fence = std::max(s.fence, r.fence);
-  for (auto g : r.tombstones) s.tombstones.add(g);
-  if (!r.tombstones.empty()) std::erase_if(s.lines, [&](auto& l) { return s.tombstones.has(tombstone_of(l.first)); });
+StreamRecord StoreMachine::merge(SlotStore& s, const StreamRecord& r) {
+  StreamRecord news{r.slot, {}, {}, {}};
+  if (s.fence < r.fence) s.fence = news.fence = r.fence;
+  for (auto g : r.tombstones) {
+    if (s.tombstones.has(g)) continue;
+    s.tombstones.add(g);
+    news.tombstones.push_back(g);
+  }
+  if (!news.tombstones.empty())
+    std::erase_if(s.lines, [&](auto& l) { return s.tombstones.has(tombstone_of(l.first)); });
   for (auto& l : r.lines) {
     if (s.tombstones.has(tombstone_of(l.line))) continue;
     auto& mine = s.lines[l.line];
-    if (std::make_pair(mine.term, mine.records.size()) < std::make_pair(l.line_term, l.records.size()))
-      mine = {l.line_term, l.records, uptime()};
+    if (std::make_pair(mine.term, mine.records.size()) >= std::make_pair(l.line_term, l.records.size())) continue;
+    mine = {l.line_term, l.records, uptime()};
+    news.lines.push_back(l);
   }
+  return news;
 }
 
 void StoreMachine::on(const Envelope& e, const SlotStreamReply& r, Millis now) {
-  auto i = streams_.find(r.slot);
-  auto* d = led_.view()->find(e.from_inc);
-  if (i == streams_.end() || i->second.sequence != r.sequence || !d || i->second.complete) return;
-  auto& x = i->second;
-  auto at = x.at.find(d->id);
-  if (at == x.at.end() || at->second.line != r.after || at->second.tombstone != r.tombstone || x.done.count(d->id))
-    return;
-  StreamRecord q{r.slot, r.fence, r.lines, r.tombstones};
-  merge(slots_[r.slot], q);
-  journal(q);
-  if (r.more) {
-    if (!r.lines.empty()) at->second.line = r.lines.back().line;
-    if (!r.tombstones.empty()) at->second.tombstone = r.tombstones.back();
-    out_.send(e.from, SlotStream{r.slot, r.sequence, at->second.line, at->second.tombstone});
-    return;
-  }
-  x.done.insert(d->id);
-  auto& s = led_.view()->slots[r.slot.v];
-  x.complete = x.done.size() >= majority_of(s.stores.size());
-  if (x.complete && streamed() >= r.sequence) {
-    out_.note(Event::streamed, "sequence of epoch " + std::to_string(r.sequence.v));
-    fol_.hurry();
-  }
-  x.last = now;
-}
-
-void StoreMachine::stream(Millis now) {
-  auto& m = *led_.view();
-  auto* me = m.find(out_.id().self.inc);
-  if (!me) return;
-  for (uint32_t i = 0; i < m.slots.size(); ++i) {
-    auto& s = m.slots[i];
-    SlotId id{i};
-    bool in = std::count(s.pending.begin(), s.pending.end(), me->id),
-         old = std::count(s.stores.begin(), s.stores.end(), me->id);
-    if (!in || old) {
-      streams_.erase(id);
-      continue;
-    }
-    auto& x = streams_[id];
-    if (x.sequence != s.changed) x = {s.changed, {}, {}, 0, false};
-    if (s.stores.empty()) x.complete = true;
-    if (x.complete || now - x.last < limits::line_retry) continue;
-    x.last = now;
-    for (auto r : s.stores)
-      if (auto* d = m.find(r); d && !x.done.count(r))
-        out_.send(d->self.addr, SlotStream{id, x.sequence, x.at[r].line, x.at[r].tombstone}, d->self.inc);
-  }
-}
-
-Epoch StoreMachine::streamed() const {
-  Epoch e{0};
-  for (auto& [id, x] : streams_) {
-    if (!x.complete) return {};
-    e = std::max(e, x.sequence);
-  }
-  return e;
+  if (!streams_.on(e, r, now) || streams_.complete() < r.sequence) return;
+  out_.note(Event::streamed, "sequence of epoch " + std::to_string(r.sequence.v));
+  fol_.hurry();
 }
 
 void StoreMachine::handle(const Envelope& e, Millis now) {
@@ -231,10 +241,10 @@
 }
 
 void StoreMachine::turn(Millis now) {
-  stream(now);
+  streams_.tick(now);
   if (now >= next_expire_) expire(now);
   rep_.tick(now);
-  Heartbeat h{out_.id().self, {}, 0, streamed(), 0, 0, false, rep_.lacking()};
+  Heartbeat h{out_.id().self, {}, 0, streams_.complete(), 0, 0, false, rep_.lacking()};
   fol_.tick(now, &h);
 }
 
--- a/src/history/store_machine.hpp
+++ b/src/history/store_machine.hpp
@@ -2,6 +2,7 @@
 // A store: fenced append logs, one a line; it syncs before it answers.
 #include "follow/follower.hpp"
 #include "history/repair.hpp"
+#include "history/slot_streams.hpp"
 
 namespace mosskeel {
 
@@ -14,11 +15,16 @@
 struct BuryRecord {
   BOOST_HANA_DEFINE_STRUCT(BuryRecord, (SlotId, slot), (LineName, line));
 };
-using StoreRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata>;
+/// The line's records, as they are here, hold under a newer term.
+struct AdoptRecord {
+  BOOST_HANA_DEFINE_STRUCT(AdoptRecord, (SlotId, slot), (LineName, line), (Epoch, term));
+};
+using StoreRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata, AdoptRecord>;
 
 class StoreMachine : public Machine {
  public:
-  StoreMachine(const Identity& id, const Recovered& r, Millis now);
+  /// Takes what was recovered, and frees it piece by piece as the state grows.
+  StoreMachine(const Identity& id, Recovered r, Millis now);
   Actions step(const Envelope& e, Millis now) override;
   Actions tick(Millis now) override;
   View view() const override { return led_.view(); }
@@ -27,20 +33,17 @@
   size_t kept_lines() const;
   size_t kept_tombstones() const;
   const Repair& repair() const { return rep_; }
+  const SlotStreams& streams() const { return streams_; }
 
  private:
-  /// How far a stream has come.
-  struct Place {
-    LineName line;
-    uint64_t tombstone = 0;
-  };
-  struct Streaming {
-    Epoch sequence;
-    std::map<DaemonId, Place> at;
-    std::set<DaemonId> done;
-    Millis last = 0;
-    bool complete = false;
+  /// What a write changed here, and so what the journal must say.
+  enum class Change { nothing, term, records };
+  struct Written {
+    LineWriteReply reply;
+    Change change = Change::nothing;
   };
+  void recover(std::string checkpoint);
+  void replay(const StoreRecord& r);
   void handle(const Envelope& e, Millis now);
   bool placed(const Envelope& e, SlotId s) const;
   bool fence(SlotId s, Epoch term);
@@ -50,16 +53,18 @@
   void on(const Envelope& e, const SlotStreamReply& r, Millis now);
   void on(const Envelope& e, const LineBury& b);
   void on(const Envelope& e, const ChainFind& f);
-  LineWriteReply write(SlotStore& s, const LineWrite& w);
-  void merge(SlotStore& s, const StreamRecord& r);
+  Written write(SlotStore& s, const LineWrite& w);
+  Written adopt(SlotStore& s, const LineWrite& w);
+  void journal_write(const LineWrite& w, Change change, bool fenced);
+  /// Takes what is newer than what is here; the part that was.
+  StreamRecord merge(SlotStore& s, const StreamRecord& r);
   static void bury(SlotStore& s, const LineName& n);
   /// Tells the owner of lines that have outlived their retention by this store's own clock.
   void expire(Millis now);
   bool aged(const Line& l) const;
   Millis uptime() const { return before_ + (now_ - born_); }
-  void stream(Millis now);
   void turn(Millis now);
-  Epoch streamed() const;
+  size_t journal_limit() const;
   void journal(const StoreRecord& r) { out_.write(codec::pack(r)); }
   Actions done();
 
@@ -68,8 +73,10 @@
   Follower fol_;
   SlotStores slots_;
   Repair rep_;
-  std::map<SlotId, Streaming> streams_;
+  SlotStreams streams_;
+  /// Bytes of the journal since the last checkpoint, and of that checkpoint.
   size_t grown_ = 0;
+  mutable size_t checkpoint_size_ = 0;
   Millis born_, now_, before_ = 0, next_expire_ = 0;
   SlotId expiring_{};
 };
