Let a store refuse work before its memory or its disk is used up

Cause: nothing bounded what waits in a store's process. Messages that its one thread had not read yet, records and answers behind a slow disk, and new text were taken until the process was ended for its memory, and what had been refused by nobody was lost to all at once. Ends of histories are always taken. Large blocks go back to the system when they are freed: the allocator's own threshold grew to the size of a checkpoint. Tests: three new cases.

--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -208,8 +208,29 @@
   fol_.hurry();
 }
 
+/// A refused write is tried again by its owner, who answers 503 if no majority takes it in time. Pages and reads are
+/// asked for again. Ends of histories are always taken, since they set memory free.
+bool StoreMachine::refuse(const Envelope& e) {
+  bool refused = std::visit(
+      overload{[&](const LineWrite& w) {
+                 if (!load_.memory_short) return false;
+                 out_.send(e.from, LineWriteReply{w.line, w.term, false, false, 0}, e.from_inc);
+                 return true;
+               },
+               [&](const SlotStreamReply&) { return load_.memory_short; },
+               [&](const LinesFetched&) { return load_.memory_short; },
+               [&](const LineRead&) { return load_.disk_behind; }, [&](const ChainFind&) { return load_.disk_behind; },
+               [&](const SlotStream&) { return load_.disk_behind || load_.memory_short; },
+               [&](const LinesFetch&) { return load_.disk_behind || load_.memory_short; },
+               [](const auto&) { return false; }},
+      e.body);
+  refused_ += refused;
+  return refused;
+}
+
 void StoreMachine::handle(const Envelope& e, Millis now) {
   if (fol_.handle(e, now)) return;
+  if (refuse(e)) return;
   if (fol_.park(e)) return;
   if (rep_.on(e, now)) return;
   std::visit(overload{[&](const LineRead& r) { on(e, r); }, [&](const LineWrite& w) { on(e, w); },
--- a/src/history/store_machine.hpp
+++ b/src/history/store_machine.hpp
@@ -21,6 +21,11 @@
 };
 using StoreRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata, AdoptRecord>;
 
+/// What a store's process says of itself, for the store to refuse work before its limits.
+struct StoreLoad {
+  bool memory_short = false, disk_behind = false;
+};
+
 class StoreMachine : public Machine {
  public:
   /// Takes what was recovered, and frees it piece by piece as the state grows.
@@ -34,6 +39,9 @@
   size_t kept_tombstones() const;
   const Repair& repair() const { return rep_; }
   const SlotStreams& streams() const { return streams_; }
+  void set_load(const StoreLoad& l) { load_ = l; }
+  /// Writes and reads refused because of the load.
+  uint64_t refused() const { return refused_; }
 
  private:
   /// What a write changed here, and so what the journal must say.
@@ -45,6 +53,8 @@
   void recover(std::string checkpoint);
   void replay(const StoreRecord& r);
   void handle(const Envelope& e, Millis now);
+  /// Refuses or leaves unanswered what the load forbids.
+  bool refuse(const Envelope& e);
   bool placed(const Envelope& e, SlotId s) const;
   bool fence(SlotId s, Epoch term);
   void on(const Envelope& e, const LineRead& r);
@@ -74,6 +84,8 @@
   SlotStores slots_;
   Repair rep_;
   SlotStreams streams_;
+  StoreLoad load_;
+  uint64_t refused_ = 0;
   /// Bytes of the journal since the last checkpoint, and of that checkpoint.
   size_t grown_ = 0;
   mutable size_t checkpoint_size_ = 0;
--- a/src/kernel/host.cpp
+++ b/src/kernel/host.cpp
@@ -4,6 +4,7 @@
 #include <future>
 
 #include "kernel/log.hpp"
+#include "kernel/message_weight.hpp"
 
 namespace mosskeel {
 
@@ -13,15 +14,27 @@
   return limits::process_start + duration_cast<milliseconds>(steady_clock::now() - base).count();
 }
 
-Host::Host(std::shared_ptr<Disk> disk, Address self)
+namespace {
+
+size_t weight(const Batch& b) {
+  size_t n = b.checkpoint ? b.checkpoint->size() : 0;
+  for (auto& s : b.journal) n += s.size();
+  for (auto& e : b.sends) n += sizeof e + text_bytes(e.body);
+  return n;
+}
+
+}  // namespace
+
+Host::Host(std::shared_ptr<Disk> disk, Address self, size_t inbox_most)
     : disk_(std::move(disk)),
       journal_(disk_ ? std::make_unique<JournalWriter>(*disk_) : nullptr),
-      self_(std::move(self)) {}
+      self_(std::move(self)),
+      in_(inbox_most) {}
 
 Findings Host::start(const Make& make) {
   machine_ = make(disk_ ? disk_->take_recovered() : Recovered{}, process_now());
   std::atomic_store(&view_, machine_->view());
-  auto p = Post::open(self_, [this](Envelope e) { in_.push(std::move(e)); });
+  auto p = Post::open(self_, [this](Envelope e, size_t bytes) { in_.hear(std::move(e), bytes); });
   if (!ok(p)) return findings(p);
   post_ = std::move(std::get<0>(p));
   thinker_ = std::thread([this] { think(); });
@@ -41,18 +54,15 @@
 void Host::ask(const std::function<void(Machine&, Millis)>& f) {
   auto done = std::make_shared<std::promise<void>>();
   auto wait = done->get_future();
-  in_.push(Call{[f, done](Machine& m, Millis now) {
+  in_.call([f, done](Machine& m, Millis now) {
     f(m, now);
     done->set_value();
-  }});
+  });
   while (!halt_ && wait.wait_for(std::chrono::milliseconds(50)) != std::future_status::ready) {}
 }
 
 void Host::send(Envelope e) {
-  if (e.to == self_) {
-    in_.push(std::move(e));
-    return;
-  }
+  if (e.to == self_) return post(std::move(e));
   auto i = routes_.find(e.to);
   if (i == routes_.end()) i = routes_.find(e.to.substr(0, e.to.find(':')));
   if (i != routes_.end())
@@ -61,13 +71,19 @@
     post_->send(e);
 }
 
+void Host::push(Batch b) {
+  b.bytes = weight(b);
+  waiting_ += b.bytes;
+  out_.push(std::move(b));
+}
+
 void Host::act(Actions a) {
   for (auto& n : a.notes) note(n.event, n.text);
   for (auto& e : a.now) send(std::move(e));
   if (!disk_) {
     for (auto& e : a.synced) send(std::move(e));
   } else if (!a.journal.empty() || !a.synced.empty() || a.checkpoint) {
-    out_.push({std::move(a.journal), std::move(a.checkpoint), std::move(a.synced)});
+    push({std::move(a.journal), std::move(a.checkpoint), std::move(a.synced)});
   }
   if (a.stop) stop_ = true;
 }
@@ -81,10 +97,11 @@
       next = now + limits::tick;
     }
     for (auto& x : in_.take(std::max<Millis>(1, next - process_now()))) {
-      if (auto* e = std::get_if<Envelope>(&x))
+      if (auto* e = std::get_if<Envelope>(&x.what))
         act(machine_->step(*e, process_now()));
       else
-        std::get<Call>(x)(*machine_, process_now());
+        std::get<Inbox::Call>(x.what)(*machine_, process_now());
+      in_.done(x);
     }
     {
       std::lock_guard l(watch_lock_);
@@ -97,15 +114,17 @@
 
 /// Made in the machine's thread, so that it stands for all that was pushed before it.
 void Host::ask_checkpoint() {
-  in_.push(Call{[this](Machine& m, Millis) {
-    if (auto s = m.checkpoint(); !s.empty()) out_.push({{}, std::move(s), {}});
-  }});
+  in_.call([this](Machine& m, Millis) {
+    if (auto s = m.checkpoint(); !s.empty()) push({{}, std::move(s), {}});
+  });
 }
 
 void Host::write() {
   while (true) {
     auto v = out_.take(journal_->full() ? limits::full_retry : 200);
     bool last = v.empty() && out_.closed();
+    size_t bytes = 0;
+    for (auto& b : v) bytes += b.bytes;
     auto w = journal_->write(std::move(v));
     for (auto& n : w.notes) note(n.event, n.text);
     if (w.result.kind == DiskResult::failed) {
@@ -114,6 +133,7 @@
       return;
     }
     for (auto& e : w.sends) send(std::move(e));
+    waiting_ -= bytes;
     if (last) return;
     if (journal_->wants_checkpoint(process_now())) ask_checkpoint();
   }
--- a/src/kernel/host.hpp
+++ b/src/kernel/host.hpp
@@ -2,6 +2,7 @@
 // Runs a machine: one thread for its state, one for its disk, the post's for hearing.
 #include <thread>
 
+#include "kernel/inbox.hpp"
 #include "kernel/journal_writer.hpp"
 #include "kernel/transport.hpp"
 #include "kernel/queue.hpp"
@@ -17,7 +18,8 @@
   /// Where a message goes that is not for another daemon ("local:7", "replica:m1").
   using Deliver = std::function<void(const Envelope&)>;
 
-  Host(std::shared_ptr<Disk> disk, Address self);
+  /// Beyond `inbox_most` bytes of messages that wait for the machine, larger ones are dropped as if lost on the way.
+  Host(std::shared_ptr<Disk> disk, Address self, size_t inbox_most = SIZE_MAX);
   ~Host() { stop(); }
   Findings start(const Make& make);
   void route(const std::string& prefix, Deliver d) { routes_[prefix] = std::move(d); }
@@ -27,7 +29,7 @@
     watch_ = std::move(f);
   }
   /// Puts a message from inside the process before the machine.
-  void post(Envelope e) { in_.push(std::move(e)); }
+  void post(Envelope e) { in_.post(std::move(e)); }
   /// Runs in the machine's own thread and waits for the result.
   void ask(const std::function<void(Machine&, Millis)>& f);
   View view() const { return std::atomic_load(&view_); }
@@ -38,14 +40,18 @@
   const JournalWriter* journal() const { return journal_.get(); }
   uint64_t sent() const { return post_ ? post_->sent() : 0; }
   uint64_t dropped() const { return post_ ? post_->dropped() : 0; }
+  /// Bytes that wait for the disk: records, checkpoints, and the messages behind them.
+  size_t waiting() const { return waiting_; }
+  /// Messages dropped because too many waited for the machine.
+  uint64_t refused() const { return in_.refused(); }
   uint64_t foreign() const { return post_ ? post_->foreign() : 0; }
 
  private:
-  using Call = std::function<void(Machine&, Millis)>;
   void think();
   void write();
   void ask_checkpoint();
   void act(Actions a);
+  void push(Batch b);
   void send(Envelope e);
   std::shared_ptr<Disk> disk_;
   std::unique_ptr<JournalWriter> journal_;
@@ -53,11 +59,12 @@
   std::unique_ptr<Machine> machine_;
   std::unique_ptr<Post> post_;
   std::map<std::string, Deliver> routes_;
-  Queue<std::variant<Envelope, Call>> in_;
+  Inbox in_;
   Queue<Batch> out_;
   View view_ = std::make_shared<Metadata>();
   std::thread thinker_, writer_;
   std::atomic<bool> stop_{false}, halt_{false};
+  std::atomic<size_t> waiting_{0};
   std::mutex watch_lock_;
   std::function<void(Machine&, Millis)> watch_;
 };
--- a/src/kernel/journal_writer.hpp
+++ b/src/kernel/journal_writer.hpp
@@ -11,6 +11,8 @@
   std::vector<std::string> journal;
   std::optional<std::string> checkpoint;
   std::vector<Envelope> sends;
+  /// What it holds in memory, roughly.
+  size_t bytes = 0;
 };
 
 class JournalWriter {
--- /dev/null
+++ b/src/kernel/message_weight.hpp
@@ -0,0 +1,10 @@
+#pragma once
+// How much text a message carries, to bound what waits in memory.
+#include "kernel/messages.hpp"
+
+namespace mosskeel {
+
+/// The bytes of the histories and chains in a message; 0 for kinds that carry none.
+size_t text_bytes(const Message& m);
+
+}  // namespace mosskeel
--- a/src/kernel/transport.cpp
+++ b/src/kernel/transport.cpp
@@ -43,7 +43,7 @@
     auto e = decode({static_cast<char*>(b), n});
     nng_free(b, n);
     if (e) {
-      hear_(std::move(*e));
+      hear_(std::move(*e), n);
     } else {
       ++foreign_;
       note(Event::foreign, std::to_string(n) + " bytes that are no message of ours");
--- a/src/kernel/transport.hpp
+++ b/src/kernel/transport.hpp
@@ -23,7 +23,8 @@
 
 class Post {
  public:
-  using Hear = std::function<void(Envelope)>;
+  /// A message and its size as it came.
+  using Hear = std::function<void(Envelope, size_t bytes)>;
   /// Findings if the address cannot be listened on.
   static Result<std::unique_ptr<Post>> open(const Address& at, Hear hear);
   ~Post();
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -1,5 +1,7 @@
 #include "kernel/daemon.hpp"
+#include "history/history_limits.hpp"
 #include "history/store_machine.hpp"
+#include "kernel/memory.hpp"
 
 using namespace mosskeel;
 
@@ -15,7 +17,15 @@
   auto disk = std::get<0>(d);
   Identity id{
       {disk->recovered().inc, Role::store, p.zone, p.listen, "", p.http, p.machine}, p.seeds, 0, dice(), p.tcm_rpc_ms};
-  Host host(disk, p.listen);
+  return_large_blocks();
+  Host host(disk, p.listen, limits::store_inbox_bytes);
+  Millis next_look = 0;
+  host.watch([&host, next_look](Machine& m, Millis now) mutable {
+    if (now < next_look) return;
+    next_look = now + limits::store_load_pace;
+    static_cast<StoreMachine&>(m).set_load(
+        {process_memory().over(limits::store_memory_share), host.waiting() > limits::store_waiting_bytes});
+  });
   if (auto f =
           host.start([&](Recovered r, Millis now) { return std::make_unique<StoreMachine>(id, std::move(r), now); });
       !f.empty())
@@ -23,18 +33,21 @@
   auto answer = [&](const HttpAsk& a) {
     HttpAnswer x;
     if (a.path == "/metrics") {
-      size_t n = 0, g = 0, lacking = 0, fetched = 0;
+      size_t n = 0, g = 0, lacking = 0, fetched = 0, refused = 0;
       host.ask([&](Machine& m, Millis) {
         n = static_cast<StoreMachine&>(m).kept_lines();
         g = static_cast<StoreMachine&>(m).kept_tombstones();
         lacking = static_cast<StoreMachine&>(m).repair().lacking();
         fetched = static_cast<StoreMachine&>(m).repair().fetched();
+        refused = static_cast<StoreMachine&>(m).refused();
       });
       x.body = metrics_of(host, "store",
                           {{"lines", static_cast<double>(n)},
                            {"tombstones", static_cast<double>(g)},
                            {"slots_lacking", static_cast<double>(lacking)},
-                           {"lines_repaired", static_cast<double>(fetched)}});
+                           {"lines_repaired", static_cast<double>(fetched)},
+                           {"store_refused", static_cast<double>(refused)},
+                           {"messages_refused", static_cast<double>(host.refused())}});
       x.headers["Content-Type"] = "text/plain";
       return x;
     }
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -9,6 +9,7 @@
 
 #include "history/history_limits.hpp"
 #include "history/store_machine.hpp"
+#include "kernel/inbox.hpp"
 
 using namespace mosskeel;
 
@@ -275,6 +276,49 @@
   CHECK(StoreMachine(identity(2), Recovered{store_inc(2), torn, {}}, start).kept_lines() == 0);
 }
 
+TEST_CASE("a store that is short of memory refuses new text and takes ends, and takes both again later") {
+  StoreMachine store(identity(2), journal_of(2, joining(), 2, 1, 100), start);
+  store.set_load({true, false});
+  LineWrite w{history(0), slot(history(0)), Epoch{2}, false, 1, {settled("next", 1000)}};
+  auto a = store.step(from(owner, "front", w), start + 1);
+  REQUIRE(a.now.size() == 1);
+  CHECK_FALSE(std::get<LineWriteReply>(a.now[0].body).granted);
+  CHECK(a.journal.empty());
+  store.step(from(owner, "front", LineBury{history(1), slot(history(1)), Epoch{2}}), start + 2);
+  CHECK(store.kept_lines() == 1);
+  CHECK(store.refused() == 1);
+  store.set_load({});
+  auto again = store.step(from(owner, "front", w), start + 3);
+  REQUIRE(again.synced.size() == 1);
+  CHECK(std::get<LineWriteReply>(again.synced[0].body).length == 2);
+}
+
+TEST_CASE("a store whose disk is behind sends no histories, but takes writes") {
+  StoreMachine store(identity(2), journal_of(2, joining(), 1, 1, 100), start);
+  LineRead r{history(0), slot(history(0)), Epoch{2}};
+  store.set_load({false, true});
+  CHECK(store.step(from(owner, "front", r), start + 1).synced.empty());
+  LineWrite w{history(0), slot(history(0)), Epoch{2}, false, 1, {settled("next", 1000)}};
+  CHECK(store.step(from(owner, "front", w), start + 2).synced.size() == 1);
+  store.set_load({});
+  CHECK(store.step(from(owner, "front", r), start + 3).synced.size() == 1);
+}
+
+TEST_CASE("an inbox drops large messages beyond its bound, and takes them when there is room") {
+  Inbox inbox(10000);
+  auto e = from(owner, "front", Discover{});
+  CHECK(inbox.hear(e, 6000));
+  CHECK_FALSE(inbox.hear(e, 6000));
+  CHECK(inbox.hear(e, Inbox::small_message));
+  CHECK(inbox.refused() == 1);
+  auto items = inbox.take(0);
+  REQUIRE(items.size() == 2);
+  CHECK(inbox.bytes() == 6000 + Inbox::small_message);
+  for (auto& x : items) inbox.done(x);
+  CHECK(inbox.bytes() == 0);
+  CHECK(inbox.hear(e, 6000));
+}
+
 #ifndef __SANITIZE_ADDRESS__
 TEST_CASE("a start and a checkpoint take no more than three and a half times the histories") {
   auto u = in_child([] { return start_and_checkpoint(2000, 2, 2000); });
--- a/tools/scale/crew.cpp
+++ b/tools/scale/crew.cpp
@@ -82,7 +82,7 @@
 }
 
 Findings Voice::open() {
-  auto p = Post::open(self_, [this](Envelope e) { in_.push(std::move(e)); });
+  auto p = Post::open(self_, [this](Envelope e, size_t) { in_.push(std::move(e)); });
   if (!ok(p)) return findings(p);
   post_ = std::move(std::get<0>(p));
   return {};
--- a/tools/scale/hollow.cpp
+++ b/tools/scale/hollow.cpp
@@ -44,7 +44,7 @@
   }
   Findings open() {
     for (size_t i = 0; i < v_.size(); ++i) {
-      auto p = Post::open(v_[i]->at, [this, i](Envelope e) { in_.push({i, std::move(e)}); });
+      auto p = Post::open(v_[i]->at, [this, i](Envelope e, size_t) { in_.push({i, std::move(e)}); });
       if (!ok(p)) return findings(p);
       v_[i]->post = std::move(std::get<0>(p));
     }
