Free the histories of slots whose places went to other stores

Cause: a store never freed a slot that had moved: its histories aged, but their owner could not end them here, since the store holds no place of it. Each join, drain and repair left a copy behind, in memory and in each checkpoint. Fence and names of ended programs stay. A slot on its way elsewhere is kept. Tests: two new cases.

--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -56,7 +56,8 @@
                         auto& l = s.lines[a.line];
                         s.fence = std::max(s.fence, a.term);
                         l.term = std::max(l.term, a.term);
-                      }},
+                      },
+                      [&](const DropRecord& d) { slots_[d.slot].lines.clear(); }},
              r);
 }
 
@@ -264,6 +265,7 @@
 void StoreMachine::turn(Millis now) {
   streams_.tick(now);
   if (now >= next_expire_) expire(now);
+  if (now >= next_drop_) drop_moved(now);
   rep_.tick(now);
   Heartbeat h{out_.id().self, {}, 0, streams_.complete(), 0, 0, false, rep_.lacking()};
   fol_.tick(now, &h);
--- a/src/history/store_machine.hpp
+++ b/src/history/store_machine.hpp
@@ -19,7 +19,11 @@
 struct AdoptRecord {
   BOOST_HANA_DEFINE_STRUCT(AdoptRecord, (SlotId, slot), (LineName, line), (Epoch, term));
 };
-using StoreRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata, AdoptRecord>;
+/// The slot's histories were dropped, since its places are elsewhere; its fence and ends stay.
+struct DropRecord {
+  BOOST_HANA_DEFINE_STRUCT(DropRecord, (SlotId, slot));
+};
+using StoreRecord = std::variant<Fence, LineWrite, StreamRecord, BuryRecord, Entry, Metadata, AdoptRecord, DropRecord>;
 
 /// What a store's process says of itself, for the store to refuse work before its limits.
 struct StoreLoad {
@@ -72,6 +76,9 @@
   /// Tells the owner of lines that have outlived their retention by this store's own clock.
   void expire(Millis now);
   bool aged(const Line& l) const;
+  /// Drops the histories of slots whose places went elsewhere some time ago.
+  void drop_moved(Millis now);
+  bool moved(SlotId s, DaemonId me) const;
   Millis uptime() const { return before_ + (now_ - born_); }
   void turn(Millis now);
   size_t journal_limit() const;
@@ -89,7 +96,9 @@
   /// Bytes of the journal since the last checkpoint, and of that checkpoint.
   size_t grown_ = 0;
   mutable size_t checkpoint_size_ = 0;
-  Millis born_, now_, before_ = 0, next_expire_ = 0;
+  Millis born_, now_, before_ = 0, next_expire_ = 0, next_drop_ = 0;
+  /// Since when slots with histories here have had no place here.
+  std::map<SlotId, Millis> moved_since_;
   SlotId expiring_{};
 };
 
--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -23,8 +23,9 @@
   host.watch([&host, next_look](Machine& m, Millis now) mutable {
     if (now < next_look) return;
     next_look = now + limits::store_load_pace;
-    static_cast<StoreMachine&>(m).set_load(
-        {process_memory().over(limits::store_memory_share), host.waiting() > limits::store_waiting_bytes});
+    bool held_back = host.journal()->held() > limits::store_waiting_bytes;
+    static_cast<StoreMachine&>(m).set_load({held_back || process_memory().over(limits::store_memory_share),
+                                            host.waiting() > limits::store_waiting_bytes});
   });
   if (auto f =
           host.start([&](Recovered r, Millis now) { return std::make_unique<StoreMachine>(id, std::move(r), now); });
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -276,6 +276,30 @@
   CHECK(StoreMachine(identity(2), Recovered{store_inc(2), torn, {}}, start).kept_lines() == 0);
 }
 
+TEST_CASE("a store drops the histories of slots whose places went elsewhere, for good and not at once") {
+  auto r = journal_of(2, joining(), 100, 1, 1000);
+  auto m = joining();
+  m.epoch = Epoch{now_epoch.v + 1};
+  for (auto& s : m.slots) s.stores = std::exchange(s.pending, {}), s.term = Epoch{3};
+  StoreMachine store(identity(2), r, start);
+  auto learned = store.step(from(owner, "front", CatchupReply{m.epoch, m, {}}), start + 1);
+  CHECK(store.tick(start + limits::tick).journal.empty());
+  CHECK(store.tick(start + limits::moved_keep / 2).journal.empty());
+  CHECK(store.kept_lines() == 100);
+  auto a = store.tick(start + limits::moved_keep + limits::moved_pace);
+  CHECK(store.kept_lines() == 0);
+  CHECK(journaled(a) < 64 * 100);
+  r.journal.insert(r.journal.end(), learned.journal.begin(), learned.journal.end());
+  r.journal.insert(r.journal.end(), a.journal.begin(), a.journal.end());
+  CHECK(StoreMachine(identity(2), r, start).kept_lines() == 0);
+}
+
+TEST_CASE("a store keeps the histories of slots that are on their way elsewhere") {
+  StoreMachine store(identity(2), journal_of(2, joining(), 100, 1, 1000), start);
+  for (Millis t = 0; t < 3 * limits::moved_keep; t += limits::moved_pace) store.tick(start + t);
+  CHECK(store.kept_lines() == 100);
+}
+
 TEST_CASE("a store that is short of memory refuses new text and takes ends, and takes both again later") {
   StoreMachine store(identity(2), journal_of(2, joining(), 2, 1, 100), start);
   store.set_load({true, false});
