--- a/src/store/main.cpp
+++ b/src/store/main.cpp
@@ -24,8 +24,8 @@
     if (now < next_look) return;
     next_look = now + limits::store_load_pace;
     bool held_back = host.journal()->held() > limits::store_waiting_bytes;
-    static_cast<StoreMachine&>(m).set_load({held_back || process_memory().over(limits::store_memory_share),
-                                            host.waiting() > limits::store_waiting_bytes});
+    static_cast<StoreMachine&>(m).set_load(
+        {held_back || process_memory().over(limits::store_memory_share), host.waiting() > limits::store_waiting_bytes});
   });
   if (auto f =
           host.start([&](Recovered r, Millis now) { return std::make_unique<StoreMachine>(id, std::move(r), now); });
