--- a/src/history/slot_streams.cpp
+++ b/src/history/slot_streams.cpp
@@ -54,13 +54,13 @@
   return v;
 }
 
-/// No more sources than a majority are read at a time, and of each source one page for all slots.
+/// No more sources than a read quorum are read at a time, and of each source one page for all slots.
 void SlotStreams::ask_slot(SlotId id, Streaming& x, Millis now) {
   auto& slot = led_.view()->slots[id.v];
   size_t engaged = 0;
   for (auto& [source_id, source] : x.sources) engaged += source.done || source.busy(now);
   for (auto* d : by_promise(slot, x)) {
-    if (engaged >= majority_of(slot.stores.size()) || under_way(now) >= limits::stream_pages) return;
+    if (engaged >= led_.view()->read_quorum(slot.stores.size()) || under_way(now) >= limits::stream_pages) return;
     auto& source = x.sources[d->id];
     if (source.done || asks(d->id, now)) continue;
     ask(id, x, source, *d, now);
@@ -107,7 +107,7 @@
   }
   source.done = true;
   auto done = std::count_if(x.sources.begin(), x.sources.end(), [](auto& s) { return s.second.done; });
-  x.complete = static_cast<size_t>(done) >= majority_of(led_.view()->slots[r.slot.v].stores.size());
+  x.complete = static_cast<size_t>(done) >= led_.view()->read_quorum(led_.view()->slots[r.slot.v].stores.size());
   ask_pages(now);
   return x.complete;
 }
