--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -15,30 +15,39 @@
 }
 
 void Proposer::on(const Envelope& e, const Commit& c, Millis now) {
-  auto join = [&](Waiting& w) {
-    if (w.id != c.id) return false;
-    if (std::none_of(w.askers.begin(), w.askers.end(), [&](auto& a) { return a.first == e.from; }))
-      w.askers.push_back({e.from, c.known});
-    w.deadline = now + out_.id().tcm_rpc;
+  auto again = [&](Waiting& w) {
+    if (w.id != c.id || w.asker != e.from) return false;
+    w.deadline = now + w.patience;
     return true;
   };
-  if (std::any_of(queue_.begin(), queue_.end(), join)) return;
-  if (std::any_of(held_.begin(), held_.end(), [&](auto& h) { return join(h.w); })) return;
-  queue_.push_back({c.id, c.change, {{e.from, c.known}}, now + out_.id().tcm_rpc});
+  if (std::any_of(queue_.begin(), queue_.end(), again)) return;
+  if (std::any_of(held_.begin(), held_.end(), [&](auto& h) { return again(h.w); })) return;
+  auto patience = c.patience > 0 ? std::min<Millis>(c.patience, out_.id().tcm_rpc) : out_.id().tcm_rpc;
+  queue_.push_back({c.id, c.change, e.from, c.known, patience, now + patience, ++tickets_});
   run(now);
 }
 
-void Proposer::answer(const Waiting& w, Outcome o, const std::string& reason) {
-  auto at = led_.view()->outcome(w.id).value_or(led_.epoch());
-  for (auto& [to, known] : w.askers) {
-    auto [c, v] = led_.since(known);
-    out_.send_synced(to, CommitReply{w.id, o, reason, at, c, v});
-  }
+void Proposer::answer(const Waiting& w, Outcome o, const std::string& reason, Rejection why) {
+  auto at = o == Outcome::no ? led_.epoch() : led_.view()->outcome(w.id).value_or(led_.epoch());
+  auto [c, v] = led_.since(w.known);
+  out_.send_synced(w.asker, CommitReply{w.id, o, reason, at, c, v, why});
   if (o == Outcome::no) out_.note(Event::rejected, describe(w.change) + ": " + reason);
   if (o == Outcome::unknown) out_.note(Event::unknown_outcome, describe(w.change) + " id " + w.id);
 }
 
+/// Whoever was told that an order is unclear may have gone elsewhere with another: it is not proposed any more.
+void Proposer::expire(Millis now) {
+  std::vector<Waiting> late;
+  std::erase_if(queue_, [&](auto& w) {
+    if (now < w.deadline || (w.proposed && led_.view()->outcome(w.id))) return false;
+    late.push_back(w);
+    return true;
+  });
+  for (auto& w : late) answer(w, Outcome::unknown, "no majority of the core answered in time");
+}
+
 void Proposer::run(Millis now) {
+  expire(now);
   while (!round_ && now >= pause_) {
     if (founding_ && led_.view()->cluster == 0) return start(founding_->first, now, false);
     founding_.reset();
@@ -55,16 +64,15 @@
     }
     if (queue_.empty() || led_.view()->cluster == 0) return;
     auto& w = queue_.front();
-    if (led_.view()->outcome(w.id)) {
-      auto at = *led_.view()->outcome(w.id);
-      Held h{std::move(w), at};
+    bool taken = led_.view()->outcome(w.id).has_value();
+    if (taken && w.proposed) {
+      auto first = std::move(w);
       queue_.erase(queue_.begin());
-      if (!release(h, now)) held_.push_back(std::move(h));
+      hold(std::move(first), now);
       continue;
     }
     Entry e{next(led_.epoch()), w.id, w.change};
-    auto r = apply(*led_.view(), e);
-    if (!ok(r)) return read(render(findings(r)), now);
+    if (taken || !ok(apply(*led_.view(), e))) return read(now);
     w.proposed = true;
     start(std::move(e), now, false);
   }
@@ -85,12 +93,13 @@
   round_ = std::move(r);
 }
 
-void Proposer::read(std::string reason, Millis now) {
+/// Asks the core whether this epoch is the newest; whatever waits now may then be answered from this value.
+void Proposer::read(Millis now) {
   Round r{};
   r.stage = Stage::reading;
   r.epoch = led_.epoch();
   r.read = out_.roll();
-  r.reason = std::move(reason);
+  r.last_ticket = queue_.back().ticket;
   r.peers = members();
   r.need = majority_of(r.peers.size());
   r.until = now + limits::paxos_round;
@@ -111,13 +120,32 @@
   round_.reset();
   if (led_.epoch() != r.epoch) return run(now);
   if (r.open) return start(Entry{next(r.epoch), "", std::monostate{}}, now, true);
-  if (queue_.empty()) return;
-  auto w = std::move(queue_.front());
-  queue_.erase(queue_.begin());
-  answer(w, Outcome::no, r.reason);
+  conclude(r.last_ticket, now);
   run(now);
 }
 
+/// Answers what had come before the read began, up to the first that can be proposed.
+void Proposer::conclude(uint64_t last_ticket, Millis now) {
+  while (!queue_.empty() && queue_.front().ticket <= last_ticket) {
+    auto& w = queue_.front();
+    bool taken = led_.view()->outcome(w.id).has_value();
+    auto r = taken ? Result<Metadata>{} : apply(*led_.view(), Entry{next(led_.epoch()), w.id, w.change});
+    if (!taken && ok(r)) return;
+    auto first = std::move(w);
+    queue_.erase(queue_.begin());
+    if (taken)
+      hold(std::move(first), now);
+    else
+      answer(first, Outcome::no, render(findings(r)), rejection(*led_.view(), first.change));
+  }
+}
+
+void Proposer::hold(Waiting w, Millis now) {
+  auto at = *led_.view()->outcome(w.id);
+  Held h{std::move(w), at};
+  if (!release(h, now)) held_.push_back(std::move(h));
+}
+
 void Proposer::on(const Envelope& e, const Promise& p, Millis now) {
   if (!round_ || round_->stage != Stage::preparing || p.epoch != round_->epoch || p.ballot != round_->ballot) return;
   if (!round_->peers.count(e.from_inc)) return;
@@ -191,13 +219,6 @@
   if (round_ && round_->epoch < (round_->stage == Stage::reading ? led_.epoch() : next(led_.epoch()))) round_.reset();
   if (round_ && now >= round_->until) again(now, {});
   heard(now);
-  std::vector<Waiting> late;
-  std::erase_if(queue_, [&](auto& w) {
-    if (now < w.deadline || led_.view()->outcome(w.id)) return false;
-    late.push_back(w);
-    return true;
-  });
-  for (auto& w : late) answer(w, Outcome::unknown, "no majority of the core answered in time");
   run(now);
 }
 
--- a/src/consensus/proposer.hpp
+++ b/src/consensus/proposer.hpp
@@ -35,11 +35,15 @@
 
  private:
   enum class Stage { reading, preparing, accepting };
+  /// One asker's commit; a second asker of the same commit waits for itself, and has its own contact with a majority.
   struct Waiting {
     std::string id;
     Transformation change;
-    std::vector<std::pair<Address, Epoch>> askers;
+    Address asker;
+    Epoch known;
+    Millis patience;
     Millis deadline;
+    uint64_t ticket;
     bool proposed = false;
   };
   struct Round {
@@ -53,7 +57,8 @@
     Millis until;
     uint64_t read = 0;
     bool open = false;
-    std::string reason;
+    /// A read answers whatever had come when it began.
+    uint64_t last_ticket = 0;
     size_t need = 0;
   };
   /// In the log, and not yet acknowledged.
@@ -65,8 +70,11 @@
   bool release(const Held& h, Millis now);
   static bool promised(const Transformation& t);
   void start(Entry e, Millis now, bool finish_only);
-  void read(std::string reason, Millis now);
-  void answer(const Waiting& w, Outcome o, const std::string& reason);
+  void read(Millis now);
+  void conclude(uint64_t last_ticket, Millis now);
+  void hold(Waiting w, Millis now);
+  void expire(Millis now);
+  void answer(const Waiting& w, Outcome o, const std::string& reason, Rejection why = Rejection::none);
   void decided(Millis now);
   void again(Millis now, Ballot seen);
   std::map<Incarnation, Address> members() const;
@@ -80,7 +88,7 @@
   std::optional<std::pair<Entry, Candidates>> founding_;
   std::optional<std::pair<Refound, std::map<Incarnation, Address>>> refound_;
   std::vector<Held> held_;
-  uint64_t top_ = 0;
+  uint64_t top_ = 0, tickets_ = 0;
   Millis pause_ = 0;
 };
 
--- a/src/controller/admin_api.cpp
+++ b/src/controller/admin_api.cpp
@@ -36,7 +36,7 @@
 }  // namespace
 
 HttpAnswer AdminApi::change(const Transformation& t, const HttpAsk& a) {
-  auto r = commit(t, id_of(a), await_);
+  auto r = commit_safely(t, id_of(a));
   Json j{{"outcome", r.outcome == Outcome::yes ? "yes" : r.outcome == Outcome::no ? "no" : "unknown"}, {"id", r.id}};
   if (r.outcome == Outcome::yes)
     j["epoch"] = r.epoch.v, j["revision"] = host_.view()->revision.v;
@@ -52,19 +52,25 @@
 
 std::vector<Entry> AdminApi::recent() {
   std::vector<Entry> v;
-  host_.ask([&](Machine& m, Millis) {
-    auto& q = static_cast<ControllerMachine&>(m).recent();
-    v.assign(q.begin(), q.end());
-  });
+  inspect([&](ControllerMachine& m, Millis) { v.assign(m.recent().begin(), m.recent().end()); });
   return v;
 }
 
+HttpAnswer AdminApi::read(const std::function<HttpAnswer(const Metadata&)>& show) {
+  if (auto v = confirmed(*this, limits::operator_patience)) return show(*v);
+  return HttpAnswer::error(503, "unclear", "no majority of the core answered in time", limits::retry_ms);
+}
+
 HttpAnswer AdminApi::say(const HttpAsk& a) {
   auto c = operators::parse(a.body);
   std::string s;
-  auto v = host_.view();
+  bool rebuilds = ok(c) && std::holds_alternative<operators::RebuildCore>(value(c));
+  // The core that is to be founded anew has no majority to confirm anything.
+  auto v = !ok(c) || rebuilds ? host_.view() : confirmed(*this, limits::operator_patience);
   if (!ok(c)) {
     s = "no: " + render(findings(c));
+  } else if (!v) {
+    s = "unknown: no majority of the core answered in time";
   } else if (auto* x = std::get_if<operators::Show>(&value(c))) {
     s = operators::show(*x, *v);
   } else if (auto* x = std::get_if<operators::Explain>(&value(c))) {
@@ -73,7 +79,7 @@
     s = verdict(rebuild(x->lost));
   } else {
     auto t = operators::to_change(value(c), *v);
-    s = ok(t) ? verdict(commit(value(t), id_of(a), await_)) : "no: " + render(findings(t));
+    s = ok(t) ? verdict(commit_safely(value(t), id_of(a))) : "no: " + render(findings(t));
   }
   note(Event::operator_asked, "'" + a.body.substr(0, 200) + "': " + s.substr(0, s.find('\n')));
   return plain(s);
@@ -119,10 +125,9 @@
   return change(SetReplica{r}, a);
 }
 
-HttpAnswer AdminApi::replicas() {
+HttpAnswer AdminApi::replicas(const Metadata& m) {
   Json j = Json::array();
-  auto v = host_.view();
-  for (auto& [n, r] : v->replicas)
+  for (auto& [n, r] : m.replicas)
     j.push_back({{"name", n},
                  {"kind", r.kind},
                  {"zone", r.zone},
@@ -130,15 +135,14 @@
                  {"health", name(r.health)},
                  {"places", r.places},
                  {"epoch", r.since.v}});
-  return body({{"epoch", v->epoch.v}, {"replicas", j}});
+  return body({{"epoch", m.epoch.v}, {"replicas", j}});
 }
 
-HttpAnswer AdminApi::fronts() {
+HttpAnswer AdminApi::fronts(const Metadata& m) {
   Json j = Json::array();
-  auto v = host_.view();
-  host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<ControllerMachine&>(m).failure_detector();
-    for (auto& [id, d] : v->directory) {
+  inspect([&](ControllerMachine& controller, Millis now) {
+    auto& h = controller.failure_detector();
+    for (auto& [id, d] : m.directory) {
       if (d.self.role != Role::front || d.state == DaemonState::left) continue;
       auto* x = h.of(d.self.inc);
       bool fresh = x && now - x->last < limits::heartbeat * 4;
@@ -146,17 +150,17 @@
                    {"http", d.self.http},
                    {"zone", d.self.zone},
                    {"state", name(d.state)},
-                   {"ready", fresh && d.state == DaemonState::up && !v->evacuated.count(d.self.zone)},
+                   {"ready", fresh && d.state == DaemonState::up && !m.evacuated.count(d.self.zone)},
                    {"load", x ? x->load : 0},
                    {"epoch", x ? x->known.v : 0}});
     }
   });
-  return body({{"epoch", v->epoch.v}, {"fronts", j}});
+  return body({{"epoch", m.epoch.v}, {"fronts", j}});
 }
 
 HttpAnswer AdminApi::metrics() {
   double lease = 0;
-  host_.ask([&](Machine& m, Millis now) { lease = static_cast<ControllerMachine&>(m).is_supervisor(now); });
+  inspect([&](ControllerMachine& m, Millis now) { lease = m.is_supervisor(now); });
   auto v = host_.view();
   std::map<std::string, double> more{{"supervisor_lease_held", lease},
                                      {"sequences", static_cast<double>(v->sequences.size())},
@@ -165,28 +169,31 @@
 }
 
 HttpAnswer AdminApi::answer(const HttpAsk& a) {
-  if (auto x = dialect_ ? dialect_->answer(a, *this) : std::nullopt) {
+  ControlSession session(*this, process_now());
+  if (auto x = dialect_ ? dialect_->answer(a, session) : std::nullopt) {
     note(Event::platform_asked, a.method + " " + a.path + ": " + std::to_string(x->status));
     return *x;
   }
-  auto v = host_.view();
   bool old = false;
-  host_.ask([&](Machine& m, Millis) { old = static_cast<ControllerMachine&>(m).outdated(); });
+  inspect([&](ControllerMachine& m, Millis) { old = m.outdated(); });
   if (old)
     return HttpAnswer::error(503, "earlier_generation",
                              "the core was founded anew without this controller; empty its folder");
   if (a.path == "/v1/say" && a.method == "POST") return say(a);
   if (a.path == "/v1/cluster/configuration" && a.method == "GET")
-    return body({{"revision", v->revision.v}, {"epoch", v->epoch.v}, {"configuration", json::write(v->configuration)}});
+    return read([](const Metadata& m) {
+      return body({{"revision", m.revision.v}, {"epoch", m.epoch.v}, {"configuration", json::write(m.configuration)}});
+    });
   if (a.path == "/v1/cluster/configuration" && a.method == "PUT") return put_configuration(a);
-  if (a.path == "/v1/replicas" && a.method == "GET") return replicas();
+  if (a.path == "/v1/replicas" && a.method == "GET") return read([this](const Metadata& m) { return replicas(m); });
   if (a.path.starts_with("/v1/replicas/")) {
     auto n = a.path.substr(13);
     if (a.method == "PUT") return put_replica(a, n);
     if (a.method == "DELETE") return change(DropReplica{n}, a);
   }
-  if (a.path == "/v1/fronts" && a.method == "GET") return fronts();
+  if (a.path == "/v1/fronts" && a.method == "GET") return read([this](const Metadata& m) { return fronts(m); });
   if (a.path == "/metrics") return metrics();
+  auto v = host_.view();
   if (a.path == "/ready")
     return v->cluster ? body({{"ready", true}, {"epoch", v->epoch.v}})
                       : HttpAnswer::error(503, "not_ready", "the cluster is not founded yet", limits::retry_ms);
--- a/src/controller/commits.cpp
+++ b/src/controller/commits.cpp
@@ -1,34 +1,12 @@
-// How the admin_api commits, reads the newest metadata and learns what is in force.
+// How the admin API reaches the machine: commits through a session, and looks in the machine's own thread.
 #include <thread>
 
-#include "kernel/daemon.hpp"
 #include "controller/admin_api.hpp"
+#include "kernel/daemon.hpp"
 
 namespace mosskeel {
 
-/// A store is not retired while another one lacks copies: the one that goes might be the last to hold a line.
-std::string AdminApi::unsafe(const Transformation& t) {
-  auto* p = std::get_if<PrepareDrain>(&t);
-  auto v = host_.view();
-  auto* d = p ? v->find(p->node) : nullptr;
-  if (!d || d->self.role != Role::store) return "";
-  std::string s;
-  host_.ask([&](Machine& m, Millis now) {
-    auto& h = static_cast<ControllerMachine&>(m).failure_detector();
-    for (auto& [id, x] : v->directory) {
-      if (x.self.role != Role::store || x.state != DaemonState::up) continue;
-      auto* o = h.of(x.self.inc);
-      if (!o || now - o->last > limits::silence)
-        s += " daemon " + std::to_string(id.v) + " is silent;";
-      else if (o->lacking)
-        s += " daemon " + std::to_string(id.v) + " lacks copies in " + std::to_string(o->lacking) + " comparisons;";
-    }
-  });
-  return s.empty() ? "" : "copies are lacking:" + s + " wait for the repair (metric slots_lacking must be 0)";
-}
-
 CommitReply AdminApi::commit(const Transformation& t, const std::string& id, Millis patience) {
-  if (auto why = unsafe(t); !why.empty()) return {id, Outcome::no, why, host_.view()->epoch, std::nullopt, {}};
   auto [addr, words] = sessions_.open();
   auto until = process_now() + patience;
   CommitReply last{};
@@ -40,7 +18,7 @@
     e.from = addr;
     e.cluster = v->cluster;
     e.epoch = v->epoch;
-    e.body = Commit{id, t, v->epoch};
+    e.body = Commit{id, t, v->epoch, until - process_now()};
     host_.post(std::move(e));
     auto m = words->pop(std::min<Millis>(rpc_ + limits::heartbeat, until - process_now()));
     if (!m) continue;
@@ -53,6 +31,15 @@
   return last;
 }
 
+CommitReply AdminApi::commit_safely(const Transformation& t, const std::string& id) {
+  std::string why;
+  inspect([&](ControllerMachine& m, Millis now) { why = unsafe(m, t, now); });
+  if (why.empty()) return commit(t, id, await_);
+  auto v = confirmed(*this, limits::operator_patience);
+  if (!v) return {id, Outcome::unknown, "no majority of the core answered in time", host_.view()->epoch, {}, {}};
+  return {id, Outcome::no, why, v->epoch, {}, {}, Rejection::busy};
+}
+
 CommitReply AdminApi::rebuild(const std::vector<DaemonId>& lost) {
   auto [addr, words] = sessions_.open();
   CommitReply r{};
@@ -69,28 +56,16 @@
   return r;
 }
 
-View AdminApi::latest() {
-  View v = host_.view();
-  host_.ask([&](Machine& m, Millis) { v = m.view(); });
-  return v;
+void AdminApi::inspect(const std::function<void(ControllerMachine&, Millis)>& look) {
+  host_.ask([&](Machine& m, Millis now) { look(static_cast<ControllerMachine&>(m), now); });
 }
 
-/// A rejection is confirmed by a majority at the highest epoch, and nothing is logged: so asking for what is never
-/// granted, to forget a replica without a name, reads the newest metadata.
-View AdminApi::newest(Millis until) {
-  auto r = commit(DropReplica{""}, "read-" + hex(dice()), std::max<Millis>(0, until - process_now()));
-  return r.outcome == Outcome::no ? latest() : nullptr;
+Millis AdminApi::now() {
+  return process_now();
 }
 
-Verdict AdminApi::settled(Epoch at, Millis until) {
-  std::string why = "the machine has stopped";
-  while (!host_.stopped()) {
-    host_.ask([&](Machine& m, Millis now) { why = static_cast<ControllerMachine&>(m).lacking(at, now); });
-    if (why.empty()) return {Verdict::Kind::done, ""};
-    if (process_now() + limits::order_poll >= until) break;
-    std::this_thread::sleep_for(std::chrono::milliseconds(limits::order_poll));
-  }
-  return {Verdict::Kind::unclear, "epoch " + std::to_string(at.v) + " is not yet in force: " + why};
+void AdminApi::pause(Millis ms) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(ms));
 }
 
 }  // namespace mosskeel
--- a/src/kernel/messages.hpp
+++ b/src/kernel/messages.hpp
@@ -2,7 +2,7 @@
 // What daemons say to each other. Append only: the index in Message is the kind on the wire.
 #include "kernel/codec.hpp"
 #include "kernel/turn_messages.hpp"
-#include "metadata/transform.hpp"
+#include "metadata/rejection.hpp"
 
 namespace mosskeel {
 
@@ -53,12 +53,15 @@
   BOOST_HANA_DEFINE_STRUCT(QuorumReadReply, (uint64_t, id), (Epoch, epoch), (bool, open));
 };
 enum class Outcome : uint8_t { yes, no, unknown };
+/// `patience` (ms, 0 for a controller's own) ends before its asker turns to another controller: it is not proposed
+/// later.
 struct Commit {
-  BOOST_HANA_DEFINE_STRUCT(Commit, (std::string, id), (Transformation, change), (Epoch, known));
+  BOOST_HANA_DEFINE_STRUCT(Commit, (std::string, id), (Transformation, change), (Epoch, known), (int64_t, patience));
 };
+/// `rejection` says why it is a no, at `epoch`, which a majority has confirmed as the newest since the commit came.
 struct CommitReply {
   BOOST_HANA_DEFINE_STRUCT(CommitReply, (std::string, id), (Outcome, outcome), (std::string, reason), (Epoch, epoch),
-                           (std::optional<Metadata>, checkpoint), (Entries, entries));
+                           (std::optional<Metadata>, checkpoint), (Entries, entries), (Rejection, rejection));
 };
 /// A daemon's sign of life; a agent's speaks for its gateway too.
 struct Heartbeat {
--- a/src/metadata/transform.cpp
+++ b/src/metadata/transform.cpp
@@ -213,6 +213,16 @@
   return m;
 }
 
+void remember(Metadata& m, const Entry& e) {
+  if (e.commit.empty()) return;
+  m.remembered.push_back({e.commit, e.epoch});
+  if (m.remembered.size() > limits::commit_memory) m.remembered.erase(m.remembered.begin());
+  auto* order = std::get_if<ApplyConfiguration>(&e.change);
+  if (!order) return;
+  m.orders.push_back({order->base, e.epoch, digest(e.commit)});
+  if (m.orders.size() > limits::order_memory) m.orders.erase(m.orders.begin());
+}
+
 }  // namespace
 
 Result<Metadata> apply(const Metadata& m, const Entry& e) {
@@ -220,10 +230,7 @@
     return no("epoch", std::to_string(e.epoch.v) + " does not follow " + std::to_string(m.epoch.v));
   auto c = m;
   c.epoch = e.epoch;
-  if (!e.commit.empty()) {
-    c.remembered.push_back({e.commit, e.epoch});
-    if (c.remembered.size() > limits::commit_memory) c.remembered.erase(c.remembered.begin());
-  }
+  remember(c, e);
   return std::visit([&](auto& t) { return go(std::move(c), t); }, e.change);
 }
 
--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -96,9 +96,16 @@
 std::optional<Epoch> Metadata::outcome(const std::string& commit) const {
   for (auto& r : remembered)
     if (r.id == commit) return r.epoch;
+  auto id = digest(commit);
+  for (auto& o : orders)
+    if (o.commit == id) return o.epoch;
   return std::nullopt;
 }
 
+bool Metadata::forgotten(Revision base) const {
+  return !orders.empty() && base < orders.front().base;
+}
+
 uint64_t successor(uint64_t cluster, uint64_t generation) {
   return digest(hex(cluster), generation);
 }
--- a/src/metadata/values.hpp
+++ b/src/metadata/values.hpp
@@ -134,6 +134,12 @@
   bool operator==(const Remembered&) const = default;
 };
 
+/// A configuration order that was taken: the revision that it replaced, its epoch and the digest of its commit id.
+struct TakenOrder {
+  BOOST_HANA_DEFINE_STRUCT(TakenOrder, (Revision, base), (Epoch, epoch), (uint64_t, commit));
+  bool operator==(const TakenOrder&) const = default;
+};
+
 using Directory = std::map<DaemonId, Daemon>;
 using Replicas = std::map<std::string, Replica>;
 using Locks = std::map<SlotId, DaemonId>;
@@ -146,7 +152,7 @@
                            (Revision, revision), (Configuration, configuration), (std::set<std::string>, evacuated),
                            (std::vector<Remembered>, remembered), (std::vector<uint64_t>, former),
                            (std::vector<DaemonId>, quorum), (std::vector<DaemonId>, incoming), (Epoch, recounted),
-                           (uint32_t, core_most), (uint32_t, copies));
+                           (uint32_t, core_most), (uint32_t, copies), (std::vector<TakenOrder>, orders));
   bool operator==(const Metadata&) const = default;
 
   const Daemon* find(DaemonId id) const;
@@ -160,7 +166,10 @@
   void succeed(DaemonId old, DaemonId fresh);
   /// Whether those for whom `has` holds are a majority of everybody who counts, before and after a recount.
   bool quorate(const std::function<bool(const Daemon&)>& has) const;
+  /// The epoch at which this commit was taken; nothing where it was not, or is remembered no more.
   std::optional<Epoch> outcome(const std::string& commit) const;
+  /// Orders on this revision are remembered no more: one that was taken looks like one that lost its race.
+  bool forgotten(Revision base) const;
 };
 using View = std::shared_ptr<const Metadata>;
 
--- a/src/operator/control.hpp
+++ b/src/operator/control.hpp
@@ -10,9 +10,10 @@
   std::string reason;
 };
 
-enum class Retirement { unknown, serving, finished };
+/// `unclear`: no majority of the core has confirmed any state.
+enum class Retirement { unclear, unknown, serving, finished };
 
-/// Each call ends within `limits::operator_patience`.
+/// All calls for one request together end within `limits::operator_patience`.
 class Control {
  public:
   virtual ~Control() = default;
--- /dev/null
+++ b/src/operator/control_session.cpp
@@ -0,0 +1,169 @@
+#include "operator/control_session.hpp"
+
+#include <algorithm>
+
+namespace mosskeel {
+namespace {
+
+using Kind = Verdict::Kind;
+
+constexpr const char* unconfirmed = "no majority of the core answered in time";
+
+/// The last store that came up on this machine.
+const Daemon* store_on(const Metadata& m, const std::string& machine) {
+  const Daemon* last = nullptr;
+  for (auto& [id, d] : m.directory)
+    if (d.self.role == Role::store && !machine.empty() && d.self.machine == machine) last = &d;
+  return last;
+}
+
+bool emptied(const Metadata& m, const Daemon& d) {
+  if (d.state != DaemonState::left || m.sequences.count(d.id)) return false;
+  return std::none_of(m.slots.begin(), m.slots.end(), [&](auto& s) {
+    return std::count(s.stores.begin(), s.stores.end(), d.id) || std::count(s.pending.begin(), s.pending.end(), d.id);
+  });
+}
+
+/// A controller that is a member of the core and may be asked instead.
+Address other_member(const Metadata& m) {
+  std::vector<Address> others;
+  for (auto id : m.members)
+    if (auto* d = m.find(id); d && d->state == DaemonState::up && !d->self.http.empty()) others.push_back(d->self.http);
+  return others.empty() ? "" : others[dice() % others.size()];
+}
+
+Kind kind_of(Rejection r) {
+  switch (r) {
+    case Rejection::other_revision:
+      return Kind::other_base;
+    case Rejection::invalid:
+      return Kind::invalid;
+    case Rejection::refused:
+      return Kind::refused;
+    case Rejection::unknown_target:
+      return Kind::unknown;
+    default:
+      return Kind::unclear;
+  }
+}
+
+}  // namespace
+
+/// A rejection is confirmed by a majority at the highest epoch, and nothing is logged: so asking for what is never
+/// granted, to forget a replica without a name, reads the newest metadata.
+View confirmed(ControllerAccess& controller, Millis patience) {
+  auto r = controller.commit(DropReplica{""}, "read-" + hex(dice()), patience);
+  View v;
+  if (r.outcome == Outcome::no) controller.inspect([&](ControllerMachine& m, Millis) { v = m.view(); });
+  return v;
+}
+
+/// A store is not retired while another one lacks copies: the one that goes might be the last to hold a line.
+std::string unsafe(ControllerMachine& m, const Transformation& t, Millis now) {
+  auto* p = std::get_if<PrepareDrain>(&t);
+  auto v = m.view();
+  auto* d = p ? v->find(p->node) : nullptr;
+  if (!d || d->self.role != Role::store) return "";
+  std::string s;
+  for (auto& [id, x] : v->directory) {
+    if (x.self.role != Role::store || x.state != DaemonState::up) continue;
+    auto* o = m.failure_detector().of(x.self.inc);
+    if (!o || now - o->last > limits::silence)
+      s += " daemon " + std::to_string(id.v) + " is silent;";
+    else if (o->lacking)
+      s += " daemon " + std::to_string(id.v) + " lacks copies in " + std::to_string(o->lacking) + " comparisons;";
+  }
+  return s.empty() ? "" : "copies are lacking:" + s + " wait for the repair (metric slots_lacking must be 0)";
+}
+
+ControlSession::ControlSession(ControllerAccess& controller, Millis arrived)
+    : controller_(controller), until_(arrived + limits::operator_patience) {}
+
+Millis ControlSession::left() {
+  return std::max<Millis>(0, until_ - controller_.now());
+}
+
+/// A member that hears no majority can do nothing; a controller that is no member yet names one. This only spares the
+/// wait: whoever passes has still to be confirmed by a majority before any verdict.
+std::optional<Control::Absent> ControlSession::absent() {
+  std::optional<Absent> x;
+  controller_.inspect([&](ControllerMachine& k, Millis now) {
+    auto& m = *k.view();
+    auto near = [&](DaemonId id) {
+      auto* d = m.find(id);
+      return d && k.failure_detector().silence(*d, now) < limits::heartbeat * 4;
+    };
+    if (k.outdated()) return void(x = {"", "the core was founded anew without this controller"});
+    if (!m.cluster) return void(x = {"", "the cluster is not founded yet"});
+    if (!m.member(k.self().inc)) return void(x = {other_member(m), "this controller is no core member yet"});
+    auto heard = std::count_if(m.members.begin(), m.members.end(), near);
+    if (static_cast<size_t>(heard) < majority_of(m.members.size())) x = {"", "cut off from a majority of the core"};
+  });
+  return x;
+}
+
+View ControlSession::newest() {
+  return confirmed(controller_, left());
+}
+
+Verdict ControlSession::settled() {
+  Epoch at{};
+  controller_.inspect([&](ControllerMachine& m, Millis) { at = m.view()->epoch; });
+  return in_force(at);
+}
+
+Verdict ControlSession::in_force(Epoch at) {
+  std::string why = "the machine has stopped";
+  while (!controller_.stopped()) {
+    controller_.inspect([&](ControllerMachine& m, Millis now) { why = m.lacking(at, now); });
+    if (why.empty()) return {Kind::done, ""};
+    if (left() <= limits::order_poll) break;
+    controller_.pause(limits::order_poll);
+  }
+  return {Kind::unclear, "epoch " + std::to_string(at.v) + " is not yet in force: " + why};
+}
+
+/// The verdict comes out of the reply alone: a later look at the value may see another state than was decided on.
+Verdict ControlSession::order(const Transformation& t, const std::string& id) {
+  auto r = controller_.commit(t, id, left());
+  if (r.outcome == Outcome::yes) return {Kind::done, ""};
+  if (r.outcome == Outcome::unknown) return {Kind::unclear, r.reason};
+  if (r.rejection == Rejection::already_so) return in_force(r.epoch);
+  return {kind_of(r.rejection), r.reason};
+}
+
+Verdict ControlSession::apply(const std::string& id, Revision base, Revision own, const Configuration& m) {
+  return order(ApplyConfiguration{base, m, own}, id);
+}
+
+Verdict ControlSession::evacuate(const std::string& zone) {
+  return order(EvacuateZone{zone}, "evacuate-" + hex(dice()));
+}
+
+Verdict ControlSession::restore(const std::string& zone) {
+  return order(RestoreZone{zone}, "restore-" + hex(dice()));
+}
+
+Verdict ControlSession::retire(const std::string& machine) {
+  auto v = newest();
+  if (!v) return {Kind::unclear, unconfirmed};
+  auto* d = store_on(*v, machine);
+  if (!d) return {Kind::unknown, "no store has come up on machine " + machine};
+  PrepareDrain drain{d->id};
+  std::string why;
+  controller_.inspect([&](ControllerMachine& m, Millis now) { why = unsafe(m, drain, now); });
+  if (!why.empty() && ok(mosskeel::apply(*v, {next(v->epoch), "", drain}))) return {Kind::unclear, why};
+  return order(drain, "retire-" + hex(dice()));
+}
+
+Retirement ControlSession::retirement(const std::string& machine) {
+  auto v = newest();
+  if (!v) return Retirement::unclear;
+  auto* d = store_on(*v, machine);
+  if (!d) return Retirement::unknown;
+  std::string lacking;
+  controller_.inspect([&](ControllerMachine& m, Millis now) { lacking = m.lacking(d->since, now); });
+  return emptied(*v, *d) && lacking.empty() ? Retirement::finished : Retirement::serving;
+}
+
+}  // namespace mosskeel
--- a/tests/metadata_test.cpp
+++ b/tests/metadata_test.cpp
@@ -5,7 +5,7 @@
 
 #include "kernel/codec.hpp"
 #include "kernel/limits.hpp"
-#include "metadata/transform.hpp"
+#include "metadata/rejection.hpp"
 
 using namespace mosskeel;
 
@@ -269,3 +269,40 @@
   CHECK(f.m.outcome("once") == e);
   CHECK_FALSE(f.m.outcome("twice"));
 }
+
+TEST_CASE("a taken configuration is known again after the memory of all commits has rolled over") {
+  Fleet f;
+  REQUIRE(ok(f.go(ApplyConfiguration{f.m.revision, {}, {}}, "first")));
+  auto at = f.m.epoch;
+  for (size_t i = 0; i <= limits::commit_memory; ++i)
+    f.go(MarkDown{f.id("store11")}, "m" + std::to_string(i)), f.go(MarkUp{f.id("store11")}, "u" + std::to_string(i));
+  CHECK(f.m.remembered.front().id != "first");
+  CHECK(f.m.outcome("first") == at);
+  CHECK_FALSE(f.m.outcome("rival"));
+}
+
+TEST_CASE("an order on a revision older than all that is remembered cannot be told from a taken one") {
+  Fleet f;
+  auto order = [](uint64_t base) { return ApplyConfiguration{Revision{base}, {}, {}}; };
+  for (uint64_t r = 0; r < limits::order_memory; ++r) REQUIRE(ok(f.go(order(r), "o" + std::to_string(r))));
+  CHECK(f.m.outcome("o0"));
+  CHECK(rejection(f.m, order(0)) == Rejection::other_revision);
+  REQUIRE(ok(f.go(order(limits::order_memory), "last")));
+  CHECK(f.m.orders.size() == limits::order_memory);
+  CHECK(rejection(f.m, order(0)) == Rejection::forgotten);
+  CHECK(rejection(f.m, order(1)) == Rejection::other_revision);
+  CHECK(rejection(f.m, order(limits::order_memory + 9)) == Rejection::other_revision);
+}
+
+TEST_CASE("a rejection says which of its reasons it has") {
+  Fleet f;
+  REQUIRE(ok(f.go(ApplyConfiguration{f.m.revision, {}, Revision{7}}, "first")));
+  CHECK(rejection(f.m, ApplyConfiguration{Revision{7}, {}, Revision{7}}) == Rejection::invalid);
+  CHECK(rejection(f.m, ApplyConfiguration{Revision{5}, {}, Revision{8}}) == Rejection::other_revision);
+  CHECK(rejection(f.m, ApplyConfiguration{Revision{9}, {}, Revision{10}}) == Rejection::other_revision);
+  CHECK(rejection(f.m, EvacuateZone{"nowhere"}) == Rejection::unknown_target);
+  CHECK(rejection(f.m, RestoreZone{"a"}) == Rejection::already_so);
+  f.must(EvacuateZone{"a"});
+  CHECK(rejection(f.m, EvacuateZone{"a"}) == Rejection::already_so);
+  CHECK(rejection(f.m, PrepareDrain{DaemonId{999}}) == Rejection::unknown_target);
+}
--- a/tests/platform_admin_api_test.cpp
+++ b/tests/platform_admin_api_test.cpp
@@ -81,6 +81,104 @@
   CHECK(c.asked.size() == 3);
 }
 
+TEST_CASE("bad input has the right status, and no order comes of it") {
+  struct Row {
+    const char *method, *match, *body;
+  };
+  const Row rows[] = {
+      {"PUT", "", text},
+      {"PUT", "five", text},
+      {"PUT", "-5", text},
+      {"PUT", "5 6", text},
+      {"PUT", "\"5", text},
+      {"PUT", "\"\"", text},
+      {"PUT", "*", text},
+      {"PUT", "5.0", text},
+      {"PUT", "99999999999999999999", text},
+      {"PUT", "5", ""},
+      {"PUT", "5", "null"},
+      {"PUT", "5", "[]"},
+      {"PUT", "5", "7"},
+      {"PUT", "5", "\xff\xfe"},
+      {"PUT", "5", "{}"},
+      {"PUT", "5", R"({"Revision":7,"Routes":[],"Services":[]} x)"},
+      {"PUT", "5", R"({"Routes":[],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":0,"Routes":[],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":-7,"Routes":[],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":7.5,"Routes":[],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":"7","Routes":[],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":1e30,"Routes":[],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":7,"Routes":{},"Services":[]})"},
+      {"PUT", "5", R"({"Revision":7,"Routes":[1],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":7,"Routes":[{"Name":"r"}],"Services":[]})"},
+      {"PUT", "5", R"({"Revision":7,"Routes":[],"Services":[{"Name":"s"},{"Name":"s"}]})"},
+      {"PUT", "5", R"({"Revision":7,"Routes":[],"Services":[],"Limits":3})"},
+      {"PATCH", "", R"({"Revision":9})"},
+      {"PATCH", "five", R"({"Revision":9})"},
+      {"PATCH", "7", ""},
+      {"PATCH", "7", "{}"},
+      {"PATCH", "7", "[]"},
+      {"PATCH", "7", R"({"Revision":9,"Upsert":[]})"},
+      {"PATCH", "7", R"({"Revision":9,"Upsert":{"Services":{}}})"},
+      {"PATCH", "7", R"({"Revision":9,"Upsert":{"Services":[{}]}})"},
+      {"PATCH", "7", R"({"Revision":9,"Upsert":{"Services":[{"Name":"t"},{"Name":"t"}]}})"},
+      {"PATCH", "7", R"({"Revision":9,"Remove":{"Services":[3]}})"},
+      {"PATCH", "7", R"({"Revision":9,"Remove":{"Services":"s"}})"},
+      {"PATCH", "7", R"({"Upsert":{"Services":[{"Name":"t"}]}})"},
+  };
+  for (auto& r : rows) {
+    Core c;
+    c.m.configuration.document = text;
+    c.m.revision = Revision{7};
+    INFO(r.method << " If-Match '" << r.match << "' " << r.body);
+    CHECK(c.go(r.method, "/v1/config", r.body, r.match).status == 400);
+    CHECK(c.asked.empty());
+  }
+}
+
+TEST_CASE("a configuration that is cut short anywhere is invalid") {
+  std::string whole = text;
+  for (size_t n = 0; n < whole.size(); ++n) {
+    Core c;
+    CHECK(c.go("PUT", "/v1/config", whole.substr(0, n), "5").status == 400);
+    CHECK(c.asked.empty());
+  }
+}
+
+TEST_CASE("unknown fields and thousands of routes are taken") {
+  Core c;
+  CHECK(c.go("PUT", "/v1/config", R"({"Revision":7,"Routes":[],"Services":[{"Name":"s","New":{"a":[1]}}],"Later":1})",
+             "5")
+            .status == 200);
+  std::string routes;
+  for (int i = 0; i < 3000; ++i) {
+    auto n = std::to_string(i);
+    routes += (i ? "," : "") + std::string(R"({"Name":"r)") + n + R"(","Host":"h)" + n +
+              R"(.example","PathPrefix":"/p/","RouteKind":"safe","TimeoutMs":1000,"MaxAttempts":2,"Service":"s"})";
+  }
+  auto body = R"({"Revision":8,"Routes":[)" + routes + R"(],"Services":[{"Name":"s"}]})";
+  CHECK(c.go("PUT", "/v1/config", body, "7").status == 200);
+  CHECK(c.configuration.paths.size() == 3000);
+  c.m.configuration.document = body;
+  c.m.revision = Revision{8};
+  CHECK(c.go("PATCH", "/v1/config", R"({"Revision":9,"Remove":{"Routes":["r17"]}})", "8").status == 200);
+  CHECK(c.configuration.paths.size() == 2999);
+}
+
+TEST_CASE("a change on a stale or future version loses, and one older than the log's memory is left unclear") {
+  const char* patch = R"({"Revision":9,"Upsert":{"Services":[{"Name":"t"}]}})";
+  Core c;
+  c.m.configuration.document = text;
+  c.m.revision = Revision{7};
+  c.m.orders = {{Revision{5}, Epoch{3}, 1}};
+  CHECK(c.go("PATCH", "/v1/config", patch, "6").status == 412);
+  CHECK(c.go("PATCH", "/v1/config", patch, "5").status == 412);
+  CHECK(c.go("PATCH", "/v1/config", patch, "8").status == 412);
+  CHECK(c.go("PATCH", "/v1/config", patch, "18446744073709551615").status == 412);
+  CHECK(c.go("PATCH", "/v1/config", patch, "4").status == 503);
+  CHECK(c.asked.empty());
+}
+
 TEST_CASE("verdicts become statuses") {
   const std::pair<Kind, uint32_t> table[] = {{Kind::done, 200},    {Kind::other_base, 412}, {Kind::invalid, 400},
                                              {Kind::refused, 409}, {Kind::unknown, 404},    {Kind::unclear, 503}};
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -43,6 +43,7 @@
 void idle_lines(Day& d);
 void survivor(Day& d);
 void planned(Day& d);
+void orders(Day& d);
 void successor(Day& d);
 void deployment(Day& d, bool election);
 
--- /dev/null
+++ b/tests/sim/operator_request.hpp
@@ -0,0 +1,53 @@
+#pragma once
+// One request of a platform's operator, run by the real plug-in on a simulated controller.
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "operator/control_session.hpp"
+#include "sim/day.hpp"
+
+namespace mosskeel::sim {
+
+/// The request blocks as it does in the daemon, so it has a thread; only one of it and the world runs at a time.
+class OperatorRequest : public ControllerAccess {
+ public:
+  using Then = std::function<void(std::optional<HttpAnswer>, Millis took)>;
+  /// `then` hears the answer, or nothing where the process died before.
+  OperatorRequest(World& w, std::string controller, HttpAsk ask, Then then);
+  ~OperatorRequest();
+  void start();
+  /// A reply for this request's session.
+  void hear(const CommitReply& r);
+  const Address& session() const { return session_; }
+  bool over() const { return over_; }
+
+  CommitReply commit(const Transformation& t, const std::string& id, Millis patience) override;
+  void inspect(const std::function<void(ControllerMachine&, Millis)>& look) override;
+  Millis now() override;
+  void pause(Millis ms) override;
+  bool stopped() override;
+
+ private:
+  void serve();
+  void resume();
+  void wait_until(Millis world_time);
+  bool lives();
+  void thaw();
+  World& w_;
+  std::string controller_;
+  HttpAsk ask_;
+  Then then_;
+  uint64_t life_, wake_ = 0;
+  Millis began_;
+  Address session_;
+  std::optional<CommitReply> reply_;
+  std::optional<HttpAnswer> answer_;
+  bool over_ = false, abandoned_ = false;
+  std::mutex lock_;
+  std::condition_variable turn_;
+  bool mine_ = false;
+  std::thread thread_;
+};
+
+}  // namespace mosskeel::sim
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -223,6 +223,8 @@
       {"kjortala", {5, 3, 6, 18, 3, 8}, 400, [](Day& d) { deployment(d, true); }},
       {"catania", {3, 3, 6, 9, 3, 3}, 400, [](Day& d) { deployment(d, false); }},
       {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
+      {"orders", {3, 3, 3, 4, 3}, 400, orders},
+      {"orders5", {5, 3, 3, 4, 3}, 400, orders},
   };
   return v;
 }
