--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -43,7 +43,11 @@
     late.push_back(w);
     return true;
   });
-  for (auto& w : late) answer(w, Outcome::unknown, "no majority of the core answered in time");
+  for (auto& w : late) {
+    // Nobody has been asked to accept it yet, so it can be left.
+    if (round_ && round_->stage == Stage::preparing && round_->entry.commit == w.id) round_.reset();
+    answer(w, Outcome::unknown, "no majority of the core answered in time");
+  }
 }
 
 void Proposer::run(Millis now) {
