--- a/src/operator/control_session.cpp
+++ b/src/operator/control_session.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "kernel/settings.hpp"
+
 namespace mosskeel {
 namespace {
 
