--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -45,6 +45,7 @@
 void planned(Day& d);
 void orders(Day& d);
 void successor(Day& d);
+void pair_wiped(Day& d);
 void deployment(Day& d, bool election);
 
 /// One request from its asking to its end; a session that is lost gives status 0.
