--- a/src/metadata/values.cpp
+++ b/src/metadata/values.cpp
@@ -97,9 +97,16 @@
 std::optional<Epoch> Metadata::outcome(const std::string& commit) const {
   for (auto& r : remembered)
     if (r.id == commit) return r.epoch;
+  auto id = digest(commit);
+  for (auto& o : orders)
+    if (o.commit == id) return o.epoch;
   return std::nullopt;
 }
 
+bool Metadata::forgotten(Revision base) const {
+  return !orders.empty() && base < orders.front().base;
+}
+
 size_t Metadata::full_copies() const {
   return std::max(copies, limits::copies);
 }
