Simulate two lost stores that nobody replaces, and the price of five copies

`ControllerMachine::endangered` names the partitions with a lost or silent member, for orders that wait for none.

--- a/src/consensus/controller_machine.hpp
+++ b/src/consensus/controller_machine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // A controller: acceptor, proposer, founder, observer and, with the lease, supervisor.
+#include "consensus/handover.hpp"
 #include "consensus/proposer.hpp"
 #include "consensus/supervisor.hpp"
 
@@ -20,6 +21,8 @@
   bool outdated() const { return outdated_; }
   /// What still hinders that an epoch is in force; empty if nothing.
   std::string lacking(Epoch at, Millis now) const;
+  /// Which partitions have a lost or silent member, so that a store that was emptied may not go yet; empty if none.
+  std::string endangered(Millis now) const { return handover::endangered(*led_.view(), detector_, now); }
   std::string checkpoint() const override;
 
  private:
--- a/tests/sim/day.hpp
+++ b/tests/sim/day.hpp
@@ -47,6 +47,7 @@
 void planned(Day& d);
 void successor(Day& d);
 void pair_wiped(Day& d);
+void unreplaced(Day& d);
 void leaving(Day& d);
 void flapping(Day& d);
 void deployment(Day& d, bool election);
--- a/tests/sim/losses.cpp
+++ b/tests/sim/losses.cpp
@@ -89,6 +89,28 @@
   }
 }
 
+/// Two stores of seven lose their disks right after they acknowledged a turn and nobody replaces them. The others take
+/// their places; once that is done two more are lost, and what is left still serves and holds everything.
+void unreplaced(Day& d) {
+  auto& w = d.w;
+  d.c.traffic(80, w.now() + 30000);
+  w.run(2000);
+  for (int round = 0; round < 2; ++round) {
+    lose_after_ack(d, [&](const std::string& program) {
+      auto v = holders(d, program);
+      while (v.size() > 2) v.erase(v.begin() + static_cast<ptrdiff_t>(w.roll() % v.size()));
+      for (auto& s : v) w.wipe(s);
+      forget_owners(d);
+    });
+    auto lost = w.now();
+    if (round == 0 && !w.until(catch_up, [&] { return whole(w); }))
+      w.fail("the others did not take the places of two lost stores");
+    if (round == 0) d.exposed.push_back(w.now() - lost);
+  }
+  w.run(2000);
+  must_serve(d, 5000, "the loss of four stores of seven, two and two");
+}
+
 /// A store is emptied by order. In the middle, at any step, a store that is to take places loses its disk, the leaver
 /// freezes for a while, or the supervisor is lost. As soon as the log says that the store has left, its disk goes; and
 /// once the other loss is made good, another store loses its disk. One loss at a time is borne.
--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -223,7 +223,9 @@
       {"kjortala", {5, 3, 6, 18, 3, 8}, 400, [](Day& d) { deployment(d, true); }},
       {"catania", {3, 3, 6, 9, 3, 3}, 400, [](Day& d) { deployment(d, false); }},
       {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
+      {"quietpair", {5, 7, 4, 4, 3, 3, 2}, 400, quiet},
       {"pairwipe", {5, 7, 4, 4, 3, 3, 2}, 400, pair_wiped},
+      {"unreplaced", {5, 7, 4, 4, 3, 3, 2}, 400, unreplaced},
       {"leaving", {3, 5, 3, 4, 3}, 400, leaving},
       {"flapping", {3, 5, 3, 4, 3}, 400, flapping},
   };
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -45,7 +45,9 @@
     {"survivor5", {1, 2, 3}},
     {"kjortala", {1, 7, 29}},
     {"catania", {7, 53}},
+    {"quietpair", {1}},
     {"pairwipe", {1, 2, 3}},
+    {"unreplaced", {1, 2, 3}},
     {"leaving", {1, 2, 3, 4, 5, 6}},
     {"flapping", {1, 2}},
 };
