--- a/tests/sim/scenarios.cpp
+++ b/tests/sim/scenarios.cpp
@@ -225,7 +225,9 @@
       {"helpers", {3, 3, 3, 4, 3}, 12, many_helpers},
       {"orders", {3, 3, 3, 4, 3}, 400, orders},
       {"orders5", {5, 3, 3, 4, 3}, 400, orders},
+      {"quietpair", {5, 7, 4, 4, 3, 3, 2}, 400, quiet},
       {"pairwipe", {5, 7, 4, 4, 3, 3, 2}, 400, pair_wiped},
+      {"unreplaced", {5, 7, 4, 4, 3, 3, 2}, 400, unreplaced},
       {"leaving", {3, 5, 3, 4, 3}, 400, leaving},
       {"flapping", {3, 5, 3, 4, 3}, 400, flapping},
   };
--- a/tests/sim_test.cpp
+++ b/tests/sim_test.cpp
@@ -47,7 +47,9 @@
     {"catania", {7, 53}},
     {"orders", {1, 2, 3}},
     {"orders5", {1, 2}},
+    {"quietpair", {1}},
     {"pairwipe", {1, 2, 3}},
+    {"unreplaced", {1, 2, 3}},
     {"leaving", {1, 2, 3, 4, 5, 6}},
     {"flapping", {1, 2}},
 };
