A restarted proposer uses ballots of its own, never one of its earlier process

Cause: a ballot was (round, incarnation). The round comes from the proposer's own synced promise, but Prepare leaves before that sync; after a crash in between the same ballot was used for another value, and a late vote for the first value counted for the second: two values at one epoch. The model rolls other dice at each start of a process, as daemons do.

--- a/src/consensus/proposer.cpp
+++ b/src/consensus/proposer.cpp
@@ -4,6 +4,16 @@
 
 namespace mosskeel {
 
+namespace {
+
+/// Marks the ballots of this process alone. The rounds of an earlier process of the same incarnation may not have been
+/// synced, and a vote for one of its ballots must never count for another value.
+uint64_t ballot_owner(const Identity& id) {
+  return digest(hex(id.self.inc.v), id.dice);
+}
+
+}  // namespace
+
 std::map<Incarnation, Address> Proposer::members() const {
   std::map<Incarnation, Address> v;
   auto& m = *led_.view();
@@ -75,7 +85,7 @@
   r.stage = Stage::preparing;
   r.epoch = e.epoch;
   top_ = std::max(top_, acc_.promised().round) + 1;
-  r.ballot = {top_, out_.id().self.inc.v};
+  r.ballot = {top_, ballot_owner(out_.id())};
   r.entry = std::move(e);
   if (finish_only) r.entry.epoch = Epoch{0};
   r.peers = refound_ ? refound_->second : members();
--- a/tests/model/cluster.cpp
+++ b/tests/model/cluster.cpp
@@ -7,7 +7,7 @@
 namespace mosskeel::model {
 namespace {
 
-constexpr uint64_t dice = 7;  // every machine rolls the same numbers, so that a trace is all that a state depends on
+constexpr uint64_t first_dice = 7;  // each start of a process rolls other numbers, the same in each replay
 
 uint64_t mix(uint64_t a, uint64_t b) {
   return digest(std::string_view(reinterpret_cast<const char*>(&b), sizeof b), a);
@@ -36,7 +36,8 @@
 
 size_t Cluster::add(const Address& address, const Addresses& seeds, uint32_t core_size) {
   Node n;
-  n.identity = {{Incarnation{next_incarnation_++}, Role::controller, "z", address, "", "", ""}, seeds, core_size, dice};
+  n.identity = {
+      {Incarnation{next_incarnation_++}, Role::controller, "z", address, "", "", ""}, seeds, core_size, first_dice};
   n.clock = limits::process_start;
   nodes_.push_back(std::move(n));
   start(nodes_.size() - 1);
@@ -67,6 +68,7 @@
   auto& n = nodes_[node];
   n.found = {n.identity.self.inc, n.checkpoint, n.journal};
   n.started = n.clock;
+  ++n.identity.dice;
   n.inputs = nullptr;
   n.unsynced.clear();
   n.unordered = 0;
--- a/tests/model/fault_test.cpp
+++ b/tests/model/fault_test.cpp
@@ -37,14 +37,15 @@
   return e;
 }
 
-/// Delivers the first message of this kind from one node to another, if there is one.
+/// Delivers the first message of this kind from one node to another; false if there is none.
 template <class T>
-void deliver(Cluster& c, size_t from, size_t to) {
+bool deliver(Cluster& c, size_t from, size_t to) {
   for (size_t i = 0; i < c.in_flight(); ++i) {
     auto& m = c.message(i);
     if (std::holds_alternative<T>(m.body) && m.from_inc == c.incarnation(from) && m.to == c.candidate(to).addr)
-      return c.apply({Kind::deliver, to, i, 0});
+      return c.apply({Kind::deliver, to, i, 0}), true;
   }
+  return false;
 }
 
 /// Lets node 0 commit a change without asking whether it is wise.
@@ -155,3 +156,35 @@
   force(c, ReplaceCore{lost, fresh}, "replace");
   CHECK(c.observer().broken().find("need not meet") != std::string::npos);
 }
+
+/// Node 0 proposes one change with a slow disk, starts again and proposes another; a late vote for the first arrives.
+TEST_CASE("a proposer that starts again does not count votes of its earlier life", "[model]") {
+  auto c = after_founding();
+  REQUIRE(settle(c, 400, [](auto& x) { return x.observer().acknowledged() == 1; }));
+  while (c.in_flight()) c.apply({Kind::lose, 0, 0, 0});
+  REQUIRE(c.view(0)->epoch == c.view(1)->epoch);
+  REQUIRE(c.view(0)->epoch == c.view(2)->epoch);
+  Configuration changed{{Cell{"c", 1000, 100, 60000, {{"chat", "model", {}}}}}};
+  c.submit({"third", ApplyConfiguration{c.view(0)->revision, changed}});
+  c.submit({"fourth", ApplyConfiguration{c.view(0)->revision, c.view(0)->configuration}});
+  c.budget.resends = 4;
+  c.apply({Kind::restart, 0, 0, 0});  // so that both lives count their rounds from the start
+  c.apply({Kind::hold_disk, 0, 0, 0});
+  c.apply({Kind::order, 0, 2, 0});
+  for (size_t voter : {1, 2}) {
+    REQUIRE(deliver<Prepare>(c, 0, voter));
+    REQUIRE(deliver<Promise>(c, voter, 0));
+  }
+  REQUIRE(deliver<Accept>(c, 0, 1));
+  c.apply({Kind::restart, 0, 0, 0});
+  c.apply({Kind::order, 0, 3, 0});
+  REQUIRE(deliver<Prepare>(c, 0, 2));
+  deliver<Promise>(c, 2, 0);
+  REQUIRE(deliver<Accepted>(c, 1, 0));
+  CHECK(!c.view(0)->outcome("fourth"));
+  c.apply({Kind::cut, 0, 1, 0});
+  c.apply({Kind::order, 1, 2, 0});
+  settle(c, 400, [](auto& x) { return !x.observer().broken().empty(); });
+  CHECK(c.observer().broken().empty());
+  CHECK(c.view(1)->outcome("third"));
+}
