Let a store that is short of memory still take outcomes and ends

Cause: while its memory was short a store refused every write, the record that ends a history among them, and so the only way to set memory free; and the outcome of a turn that it had admitted. Now only writes that begin a turn, or bring a history that is not here, are refused.

--- a/src/history/store_machine.hpp
+++ b/src/history/store_machine.hpp
@@ -59,6 +59,7 @@
   void handle(const Envelope& e, Millis now);
   /// Refuses or leaves unanswered what the load forbids.
   bool refuse(const Envelope& e);
+  bool admits_more(const LineWrite& w) const;
   bool placed(const Envelope& e, SlotId s) const;
   bool fence(SlotId s, Epoch term);
   void on(const Envelope& e, const LineRead& r);
