An operator's sentence that no majority confirmed names the id to retry with

serve.sh expects 'unknown: retry with ID' while two of three controllers are frozen; the read that now comes before a change answered 'unknown' without the id.

--- a/src/controller/admin_api.cpp
+++ b/src/controller/admin_api.cpp
@@ -70,7 +70,7 @@
   if (!ok(c)) {
     s = "no: " + render(findings(c));
   } else if (!v) {
-    s = "unknown: no majority of the core answered in time";
+    s = verdict({id_of(a), Outcome::unknown, "no majority of the core answered in time", {}, std::nullopt, {}});
   } else if (auto* x = std::get_if<operators::Show>(&value(c))) {
     s = operators::show(*x, *v);
   } else if (auto* x = std::get_if<operators::Explain>(&value(c))) {
