review: case 5, no order is acknowledged once most fronts are gone

Cause looked for: what must answer before an acknowledgement. A majority of all daemons that count must know an epoch, the dead ones included, and taking them out needs that same majority. The shared fleet ends its processes where a script runs out of time.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -18,6 +18,7 @@
 ZONES = ["zone-a", "zone-b", "zone-c"]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 T0 = time.monotonic()
+FLEETS = []
 
 
 class CannotRun(Exception):
@@ -223,7 +224,6 @@
         self.runs = []
         self.arrivals = []
         self.lock = threading.Lock()
-        self.closed_by_length = True
 
     def entry(self):
         return {"Id": self.id, "Service": self.service, "Address": self.address, "Zone": self.zone, "Revision": "v1",
@@ -328,9 +328,9 @@
 
 
 class Fleet:
-    """Three machines of each class, one in each zone."""
+    """Three machines of each class, one in each zone, or more fronts."""
 
-    def __init__(self, record, spare_stores=0):
+    def __init__(self, record, fronts_per_zone=1):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="mosskeel-review-")
         net = "127.%d.%d." % (random.randrange(64, 250), random.randrange(1, 250))
@@ -340,16 +340,18 @@
         self.daemons = {}
         number = 10
         for role, programs in (("core", ["controller"]), ("storage", ["store"]), ("front", ["agent", "gateway"])):
-            for index, zone in enumerate(ZONES):
+            for zone in ZONES:
                 number += 1
                 self.add_machine("%s-%s" % (role, zone), role, zone, net + str(number), programs)
-        for index in range(spare_stores):
-            number += 1
-            self.add_machine("storage-spare-%d" % index, "storage", ZONES[index % 3], net + str(number), ["store"])
+        for zone in ZONES:
+            for index in range(2, fronts_per_zone + 1):
+                number += 1
+                self.add_machine("front-%s-%d" % (zone, index), "front", zone, net + str(number), ["agent", "gateway"])
         self.stub_ip = net + "2"
         self.replicas = []
         self.list = ReplicaList(self.stub_ip, self.replicas)
         self.operator_turn = 0
+        FLEETS.append(self)
         atexit.register(self.end)
 
     def add_machine(self, name, role, zone, ip, programs):
@@ -365,7 +367,8 @@
                  'MachineClass = "%s"' % machine["class"], 'Ip = "%s"' % machine["ip"],
                  'Zone = "%s"' % machine["zone"], 'Region = "region"',
                  "InternalPorts = [%d,%d]" % (self.port, self.port + 15), "SeedNodes = [%s]" % ",".join(seeds),
-                 "FirstStart = %s" % ("true" if first_start else "false"), "LossCounted = true"]
+                 "FirstStart = %s" % ("true" if first_start else "false"),
+                 "LossCounted = %s" % ("false" if machine["class"] == "front" else "true")]
         if machine["class"] != "front":
             lines.append('DataDir = "%s"' % os.path.join(self.folder, "data-" + machine["name"]))
         lines += ["[ListenAddrs]", 'ControlPlane = "%s:%d"' % (machine["ip"], self.port + 20),
@@ -381,10 +384,9 @@
             for _ in range(per_zone):
                 self.replicas.append(make(self.stub_ip, service, zone, self.record))
 
-    def start(self, spare=False):
+    def start(self):
         for daemon in self.daemons.values():
-            if spare or "spare" not in daemon.machine["name"]:
-                daemon.start(first_start=True)
+            daemon.start(first_start=True)
 
     def fronts(self):
         return [m for m in self.machines.values() if m["class"] == "front"]
@@ -523,6 +525,14 @@
     """Runs a case: it returns what broke the rule, or nothing."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
+
+    def out_of_time(*_):
+        record("cannot run: out of time")
+        for fleet in FLEETS:
+            fleet.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, out_of_time)
     record("trouble %s" % ("on" if TROUBLE else "off"))
     try:
         broken = case(record)
