--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import fleet as f  # noqa: E402
 
 # The site has 6 front machines and 3 spare ones; LossCounted is false on all of them.
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -14,7 +14,7 @@
 import threading
 import time
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ZONES = ["zone-a", "zone-b", "zone-c"]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 T0 = time.monotonic()
