Acknowledgement: gateways that are gone no longer hold up an operator's orders

Callers saw: with eight of nine front machines gone for good every configuration and evacuation got 503 "unclear" at every controller, without end, though the core was settled, the entry in the log and the last gateway serving it.

Cause: an epoch was acknowledged once a majority of the core and a majority of all daemons that have not left knew it. Gateways count in the second majority and may go in any number. Taking the dead out of the set needs that same majority, so it never ended.

Fix: both sides rest on the stores too, whose losses are limited. A change needs a majority of the core, and a majority of all who count or of the stores among them; a gateway without the core needs majorities of all who count and of the stores. Each set of the first kind meets each of the second, so a gateway that goes on has still met one that knows the change. No transformation, message or record changes.

--- a/src/consensus/in_force.cpp
+++ b/src/consensus/in_force.cpp
@@ -23,7 +23,7 @@
   if (static_cast<size_t>(members_that_know) < majority_of(metadata.members.size()))
     return "no majority of the core has it; missing:" + missing;
   if (!metadata.has_quorum(knows))
-    return "no majority of the fleet has it; missing:" + missing;
+    return "no majority of the fleet or of its stores has it; missing:" + missing;
   for (const auto& [id, daemon] : metadata.directory) {
     bool has_disk = daemon.self.role != Role::gateway && daemon.state == DaemonState::up;
     bool in_touch = detector.heartbeat_age(daemon, now) < kHeartbeatTimeout;
--- a/src/consensus/in_force.hpp
+++ b/src/consensus/in_force.hpp
@@ -6,9 +6,10 @@
 
 /// Which acknowledgements `epoch` lacks to be in force, as text for operators; empty once it is in force.
 ///
-/// An epoch is in force when a majority of the core, a majority of the fleet's quorum members, and every
-/// controller and store in contact has it. A gateway in contact has asked one of these majorities within the last 2 s,
-/// so it has met one that knows the epoch. `self` is the controller that asks, which holds `metadata`.
+/// An epoch is in force when a majority of the core, a majority of the fleet's quorum members or of the stores among
+/// them, and every controller and store in contact has it. A gateway in contact was answered within the last 2 s by a
+/// majority of the core, or by majorities of both the quorum members and their stores, so by one that knows the epoch.
+/// Lost gateways, however many, hold nothing up. `self` is the controller that asks, which holds `metadata`.
 std::string missing_acknowledgements(const Metadata& metadata, Incarnation self, const FailureDetector& detector,
                                      Epoch epoch, TimePoint now);
 
--- a/src/consensus/supervisor.cpp
+++ b/src/consensus/supervisor.cpp
@@ -42,7 +42,7 @@
 std::optional<Transformation> Supervisor::update_daemon_states(TimePoint now) {
   const Metadata& metadata = *metadata_log_.view();
   // Where this controller itself misses most of the fleet, it may be the one that is cut off.
-  bool isolated = !metadata.has_quorum(
+  bool isolated = !metadata.has_fleet_majority(
       [&](const Daemon& daemon) { return detector_.heartbeat_age(daemon, now) < kHeartbeatTimeout; });
   Duration timeout = isolated ? kIsolatedHeartbeatTimeout : kHeartbeatTimeout;
   for (const auto& [id, daemon] : metadata.directory) {
--- a/src/metadata/metadata.cpp
+++ b/src/metadata/metadata.cpp
@@ -5,6 +5,19 @@
 #include "metadata/constants.hpp"
 
 namespace mosskeel {
+namespace {
+
+/// Never true of an empty set.
+bool is_majority(const Metadata& metadata, const std::vector<DaemonId>& set,
+                 const Metadata::DaemonPredicate& predicate) {
+  auto count = std::count_if(set.begin(), set.end(), [&](DaemonId id) {
+    auto* daemon = metadata.find(id);
+    return daemon && predicate(*daemon);
+  });
+  return static_cast<size_t>(count) >= majority_of(set.size());
+}
+
+}  // namespace
 
 const Daemon* Metadata::find(DaemonId id) const {
   auto entry = directory.find(id);
@@ -50,15 +63,27 @@
   }
 }
 
-bool Metadata::has_quorum(const std::function<bool(const Daemon&)>& predicate) const {
-  auto is_majority = [&](const std::vector<DaemonId>& set) {
-    auto count = std::count_if(set.begin(), set.end(), [&](DaemonId id) {
-      auto* daemon = find(id);
-      return daemon && predicate(*daemon);
-    });
-    return static_cast<size_t>(count) >= majority_of(set.size());
+std::vector<DaemonId> Metadata::stores_among(const std::vector<DaemonId>& daemons) const {
+  std::vector<DaemonId> stores;
+  std::copy_if(daemons.begin(), daemons.end(), std::back_inserter(stores), [&](DaemonId id) {
+    auto* daemon = find(id);
+    return daemon && daemon->self.role == Role::store;
+  });
+  return stores;
+}
+
+bool Metadata::has_fleet_majority(const DaemonPredicate& predicate) const {
+  auto suffices = [&](const std::vector<DaemonId>& set) {
+    return is_majority(*this, set, predicate);
+  };
+  return suffices(quorum_members) && (incoming_quorum_members.empty() || suffices(incoming_quorum_members));
+}
+
+bool Metadata::has_quorum(const DaemonPredicate& predicate) const {
+  auto suffices = [&](const std::vector<DaemonId>& set) {
+    return is_majority(*this, set, predicate) || is_majority(*this, stores_among(set), predicate);
   };
-  return is_majority(quorum_members) && (incoming_quorum_members.empty() || is_majority(incoming_quorum_members));
+  return suffices(quorum_members) && (incoming_quorum_members.empty() || suffices(incoming_quorum_members));
 }
 
 std::optional<Epoch> Metadata::epoch_of_commit(const std::string& commit_id) const {
--- a/src/metadata/metadata.hpp
+++ b/src/metadata/metadata.hpp
@@ -51,11 +51,20 @@
   /// re-found a core of which nobody is left.
   bool replaces_member(const Candidate& candidate) const;
 
+  using DaemonPredicate = std::function<bool(const Daemon&)>;
+
   /// Lets a daemon acknowledge in place of one that lost its address to it, and so provably no longer runs.
   void replace_in_quorum(DaemonId old_id, DaemonId new_id);
+  /// The stores of a set of daemons.
+  std::vector<DaemonId> stores_among(const std::vector<DaemonId>& daemons) const;
   /// Whether the daemons for which the predicate holds are a majority of the quorum members, and during a change of
   /// these also of the incoming ones.
-  bool has_quorum(const std::function<bool(const Daemon&)>& predicate) const;
+  bool has_fleet_majority(const DaemonPredicate& predicate) const;
+  /// Whether the daemons for which the predicate holds, with a majority of the core, suffice for an acknowledgement: a
+  /// majority of the quorum members or of the stores among them, and during a change of these also of the incoming
+  /// ones. Never depends on gateways, which may be lost in any number. Meets each contact that lets a gateway go on
+  /// without the core, see `HeartbeatAcknowledgements::last_majority_contact`.
+  bool has_quorum(const DaemonPredicate& predicate) const;
 
   /// The epoch at which this commit was applied; nothing where it was not, or is forgotten.
   std::optional<Epoch> epoch_of_commit(const std::string& commit_id) const;
--- a/src/replication/heartbeat_acknowledgements.cpp
+++ b/src/replication/heartbeat_acknowledgements.cpp
@@ -53,6 +53,12 @@
   return times[majority_of(times.size()) - 1];
 }
 
+TimePoint HeartbeatAcknowledgements::fleet_contact(const std::vector<DaemonId>& quorum_members) const {
+  auto contact = majority_time(quorum_members);
+  auto stores = metadata_log_.view()->stores_among(quorum_members);
+  return stores.empty() ? contact : std::min(contact, majority_time(stores));
+}
+
 TimePoint HeartbeatAcknowledgements::last_core_contact() const {
   return majority_time(metadata_log_.view()->members);
 }
@@ -61,9 +67,9 @@
   auto& metadata = *metadata_log_.view();
   if (!metadata.cluster)
     return kNeverAcknowledged;
-  auto quorum_contact = majority_time(metadata.quorum_members);
+  auto quorum_contact = fleet_contact(metadata.quorum_members);
   if (!metadata.incoming_quorum_members.empty())
-    quorum_contact = std::min(quorum_contact, majority_time(metadata.incoming_quorum_members));
+    quorum_contact = std::min(quorum_contact, fleet_contact(metadata.incoming_quorum_members));
   return std::max(last_core_contact(), quorum_contact);
 }
 
--- a/src/replication/heartbeat_acknowledgements.hpp
+++ b/src/replication/heartbeat_acknowledgements.hpp
@@ -26,7 +26,9 @@
 
   /// The latest time at which a majority of the core, this daemon left out, is known to have been in contact.
   TimePoint last_core_contact() const;
-  /// The same for a majority of the core or one of all quorum members, whichever is later.
+  /// The same for a majority of the core, or one of all quorum members and one of their stores, whichever is later.
+  /// Acknowledgements rest on a majority of the core and one of the other two (`Metadata::has_quorum`), so both are
+  /// needed where the core is missing.
   TimePoint last_majority_contact() const;
   /// Whether a majority of the core has answered since the start, none of them with a later epoch than ours.
   bool confirmed() const { return confirmed_; }
@@ -42,6 +44,9 @@
   };
   void count(const Address& from, const Acknowledgement& acknowledgement);
   TimePoint majority_time(const std::vector<DaemonId>& daemons) const;
+  /// When majorities of a set of quorum members and of the stores among them were in contact; of the whole set alone
+  /// where it has no stores.
+  TimePoint fleet_contact(const std::vector<DaemonId>& quorum_members) const;
 
   const MetadataLog& metadata_log_;
   const Candidate& self_;
--- a/tests/simulation/cuts.cpp
+++ b/tests/simulation/cuts.cpp
@@ -98,4 +98,28 @@
   world.run(3000ms);
 }
 
+/// All gateways, a majority of the fleet, are cut off from the core and the stores while operators reach the core:
+/// changes are acknowledged without the gateways, so none of these may go on with what it knows.
+void gateways_cut(Day& day) {
+  constexpr Duration acknowledgement_limit = 4000ms;
+  auto& world = day.world;
+  std::set<std::string> cut_group;
+  for (auto kind : {Kind::controller, Kind::store})
+    for (const auto& name : world.names(kind))
+      cut_group.insert(name);
+  day.callers.traffic(60ms, world.now() + 40000ms);
+  for (int round = 0; round < 3; ++round) {
+    world.run(2000ms + world.below(1000ms));
+    cut_off(world, cut_group, {});
+    world.run(world.below(300ms));
+    auto revision = change_configuration(day, acknowledgement_limit);
+    if (!revision)
+      world.fail("no change was acknowledged while the gateways were cut off");
+    world.run(2500ms + world.below(1000ms));
+    world.heal();
+    must_be_in_force(day, revision, 4000ms);
+  }
+  world.run(3000ms);
+}
+
 }  // namespace mosskeel::sim
--- a/tests/simulation/scenario_functions.hpp
+++ b/tests/simulation/scenario_functions.hpp
@@ -19,6 +19,7 @@
 void split(Day& day);
 void zone_lost(Day& day);
 void coreless(Day& day);
+void gateways_lost(Day& day);
 void cold(Day& day);
 void rush(Day& day);
 void slow_disks(Day& day);
@@ -32,8 +33,9 @@
 void survivor(Day& day);
 void seeds_swapped(Day& day);
 
-// cuts.cpp: the core is cut off from the fleet.
+// cuts.cpp: the core is cut off from the fleet, or the gateways from all others.
 void core_cut(Day& day);
+void gateways_cut(Day& day);
 
 // losses.cpp: stores are lost at the worst moments.
 void pair_wiped(Day& day);
--- a/tests/simulation/scenarios.cpp
+++ b/tests/simulation/scenarios.cpp
@@ -96,6 +96,8 @@
       {"unreplaced", two_losses(), kAmpleBudget, unreplaced},
       {"leaving", five_stores(), kAmpleBudget, leaving},
       {"flapping", five_stores(), kAmpleBudget, flapping},
+      {"gateways-lost", usual(3, 9, 6), kAmpleBudget, gateways_lost},
+      {"gateways-cut", usual(3, 9, 6), kAmpleBudget, gateways_cut},
   };
   return all;
 }
--- a/tests/simulation/troubles.cpp
+++ b/tests/simulation/troubles.cpp
@@ -117,6 +117,29 @@
     world.fail("the core did not come back");
 }
 
+/// All gateways but one go for good at once. The core and the stores are untouched, so operators' changes are
+/// acknowledged as before, the first of them already right after the loss.
+void gateways_lost(Day& day) {
+  constexpr Duration acknowledgement_limit = 4000ms;
+  auto& world = day.world;
+  day.callers.traffic(60ms, world.now() + 30000ms);
+  world.run(3000ms);
+  auto gateways = world.names(Kind::gateway);
+  for (size_t i = 1; i < gateways.size(); ++i) {
+    world.kill(world.node(gateways[i]).beside);
+    world.kill(gateways[i]);
+  }
+  world.run(world.below(300ms));
+  for (int round = 0; round < 4; ++round) {
+    auto revision = change_configuration(day, acknowledgement_limit);
+    if (!revision)
+      world.fail("no change was acknowledged with one gateway left");
+    must_be_in_force(day, revision, 2000ms);
+    world.run(3000ms);
+  }
+  must_serve(day, 5000ms, "the loss of most gateways");
+}
+
 /// Replicas come back cold, one after the other, under load.
 void cold(Day& day) {
   auto& world = day.world;
--- a/tests/unit/simulation/sim_test.cpp
+++ b/tests/unit/simulation/sim_test.cpp
@@ -59,6 +59,8 @@
     {"unreplaced", {1, 2, 3}},
     {"leaving", {1, 2, 3, 4, 5, 6}},
     {"flapping", {1, 2}},
+    {"gateways-lost", {1, 2, 3}},
+    {"gateways-cut", {1, 2, 3}},
 };
 
 /// Successes and resumed programs that a day with histories must exceed, since with fewer it would prove nothing.
