Operators: an unclear answer names whose acknowledgements are missing

A session whose commit got no reply in time now says what the newest epoch lacks to be in force.

Failed before: control_session_test, the new case (the reason was empty). After: passes with the others.

--- a/src/control/control_session.cpp
+++ b/src/control/control_session.cpp
@@ -172,6 +172,19 @@
   return {Code::outcome_unknown, "epoch " + std::to_string(epoch.value()) + " is not yet in force: " + missing};
 }
 
+std::string ControlSession::describe_silence() {
+  std::string reason = "no outcome in time";
+  if (controller_.stopped())
+    return reason + "; this controller is stopping";
+  controller_.inspect([&](ControllerMachine& machine, TimePoint now) {
+    auto epoch = machine.view()->epoch;
+    auto missing = machine.missing_acknowledgements(epoch, now);
+    if (!missing.empty())
+      reason += "; epoch " + std::to_string(epoch.value()) + " is in the log and not in force: " + missing;
+  });
+  return reason;
+}
+
 /// The result comes out of the reply alone: a later look at the metadata may see another state than was decided on.
 CommandResult ControlSession::execute(const Transformation& change, const std::string& commit_id) {
   auto reply = controller_.commit(change, commit_id, time_left());
@@ -179,7 +192,7 @@
     case CommitOutcome::committed:
       return {Code::done, ""};
     case CommitOutcome::unknown:
-      return {Code::outcome_unknown, reply.reason};
+      return {Code::outcome_unknown, reply.reason.empty() ? describe_silence() : reply.reason};
     case CommitOutcome::rejected:
       break;
   }
--- a/src/control/control_session.hpp
+++ b/src/control/control_session.hpp
@@ -53,6 +53,8 @@
   /// Commits a change and waits until it is in force.
   CommandResult execute(const Transformation& change, const std::string& commit_id);
   CommandResult wait_until_in_force(Epoch epoch);
+  /// Why a commit may have had no reply in time: whose acknowledgements the newest epoch here lacks.
+  std::string describe_silence();
 
   ControllerAccess& controller_;
   TimePoint deadline_{};
--- a/tests/unit/control/control_session_test.cpp
+++ b/tests/unit/control/control_session_test.cpp
@@ -88,6 +88,20 @@
   CHECK_FALSE(session.read_metadata());
 }
 
+// With most gateways gone operators were told "unclear" without a reason, so nobody could tell why.
+TEST_CASE("ControlSession names what the newest epoch lacks when a commit gets no reply in time") {
+  ScriptedController controller;
+  CommitReply silence{};
+  silence.outcome = CommitOutcome::unknown;
+  controller.replies = {silence};
+  ControlSession session(controller, controller.clock);
+
+  auto result = session.evacuate("z");
+
+  CHECK(result.code == Code::outcome_unknown);
+  CHECK(result.reason.find("not in force: no majority of the core has it") != std::string::npos);
+}
+
 TEST_CASE("ControlSession reads a retirement state only from a linearizable read") {
   ScriptedController controller;
   controller.replies = {make_reply(CommitOutcome::rejected, Rejection::refused)};
