Upstream: an orderly close completes an answer that has no length; a reset never does

Callers saw: whole streams of sound replicas that have neither a length nor chunks ended in a reset of the caller's connection; on plain routes such an answer became a 502.

Cause: the connection to a replica took each end of stream as a failure, whatever the framing. What lasts until the close was read but could never be complete.

Fix: an orderly close completes such a body (RFC 9112, section 6.3), but not while the request was not taken to its end, nor a late answer to an earlier request. A stream of events that ends so inside an event is reset, for it was cut. All other framings and every reset are judged as before.

--- a/src/net/http_response_reader.cpp
+++ b/src/net/http_response_reader.cpp
@@ -80,6 +80,14 @@
   return Progress::complete;
 }
 
+bool HttpResponseReader::completed_by_close() {
+  bool lasts_until_close = in_body_ && !without_body_ && !chunked_ && !body_remaining_;
+  if (lasts_until_close) {
+    in_body_ = false;
+  }
+  return lasts_until_close;
+}
+
 void HttpResponseReader::read_sized_body() {
   auto size = std::min<uint64_t>(received_.size(), body_remaining_.value_or(received_.size()));
   if (size == received_.size()) {
--- a/src/net/http_response_reader.hpp
+++ b/src/net/http_response_reader.hpp
@@ -15,7 +15,7 @@
     head,
     /// Bytes of the body have been read: `take_body` gives them and must be called before the next `read`.
     body,
-    /// The response is complete by its own framing. A body that lasts until the close never is.
+    /// The response is complete by its own framing. A body that lasts until the close is by `completed_by_close`.
     complete,
     malformed
   };
@@ -25,6 +25,9 @@
   void append(std::string_view bytes) { received_ += bytes; }
   /// Reads on, one step at a time.
   Progress read();
+  /// The replica closed its direction in order, and all that it sent before was read: whether this completes the
+  /// response under way. Only one without a length and a chunked coding may end so (RFC 9112, section 6.3).
+  bool completed_by_close();
   HttpHead take_head() { return std::move(head_); }
   std::string take_body() { return std::exchange(body_, {}); }
   /// What is wrong after `malformed`.
--- a/src/net/upstream_client.hpp
+++ b/src/net/upstream_client.hpp
@@ -20,7 +20,7 @@
     std::function<void(uint64_t request, ResponseHead&& head)> on_head;
     /// Bytes of the body, without the chunked coding.
     std::function<void(uint64_t request, std::string_view bytes)> on_body;
-    /// The response is complete by its own framing. One whose body lasts until the close ends in `on_failure`.
+    /// The response is complete: by its own framing, or by an orderly close where it has none. A reset completes none.
     std::function<void(uint64_t request)> on_complete;
     /// There is no complete response, and there will be none.
     std::function<void(uint64_t request, Delivery delivery, std::string reason)> on_failure;
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -178,13 +178,24 @@
     return;
   }
   if (received == 0) {
-    fail("closed before the answer was whole");
+    on_end_of_stream();
     return;
   }
   reader_.append({buffer.data(), static_cast<size_t>(received)});
   while (phase_ == Phase::active && read_response()) {}
 }
 
+void UpstreamConnection::on_end_of_stream() {
+  // Nor does the end complete a late response to an earlier request, or one to a request that was not taken whole.
+  bool may_complete = !skipping_ && request_bytes_.empty();
+  if (!may_complete || !reader_.completed_by_close()) {
+    fail("closed before the answer was whole");
+    return;
+  }
+  reusable_ = false;
+  on_response_complete();
+}
+
 bool UpstreamConnection::read_response() {
   switch (reader_.read()) {
     case HttpResponseReader::Progress::incomplete:
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -35,6 +35,9 @@
   std::optional<uint64_t> content_length;
   /// The tag of the request that had this connection before; empty on a new one.
   std::string previous_tag;
+
+  /// Whether nothing but the end of the connection tells where the body ends.
+  bool lasts_until_close() const { return !chunked && !content_length; }
 };
 
 /// What a connection needs of its client. All of it is called on the loop's thread, and never from within
@@ -94,6 +97,8 @@
   void on_connected();
   void send_unsent();
   void receive();
+  /// The replica has closed its direction in order.
+  void on_end_of_stream();
   /// Reads on; false where nothing more can be read for now.
   bool read_response();
   void on_head(HttpHead head);
--- a/src/routing/active_request.hpp
+++ b/src/routing/active_request.hpp
@@ -18,6 +18,10 @@
   std::string buffered_body;
   /// Whether the head was passed on: from then on the response can only be ended or reset.
   bool streaming = false;
+  /// Whether the response is a stream of events whose end only the close of the connection tells.
+  bool events_last_until_close = false;
+  /// Line feeds at the end of what was passed on of it, two at most; two of them end an event.
+  size_t trailing_line_feeds = 0;
   /// Whether a stale response was skipped on the connection; a second one is an error.
   bool skipped_stale_response = false;
 };
--- a/src/routing/http_frontend.cpp
+++ b/src/routing/http_frontend.cpp
@@ -59,8 +59,9 @@
 
 UpstreamClient::Callbacks HttpFrontend::replica_callbacks() {
   auto on_head = [this](uint64_t upstream_id, UpstreamClient::ResponseHead&& head) {
+    bool lasts_until_close = head.lasts_until_close();
     step(routing::ResponseHeadersReceived{attempts_.attempt_of(upstream_id), head.status, std::move(head.fields),
-                                          std::move(head.previous_tag)});
+                                          std::move(head.previous_tag), lasts_until_close});
   };
   auto on_body = [this](uint64_t upstream_id, std::string_view bytes) {
     step(routing::ResponseDataReceived{attempts_.attempt_of(upstream_id), std::string(bytes)});
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -150,6 +150,8 @@
   auto* request = find_by_attempt(event.attempt);
   if (!request)
     return;
+  if (ResponseRelay::ended_inside_event(*request->attempt))
+    return on_attempt_failed(*request, Outcome::unknown, "the stream ended inside an event", now);
   if (request->turn)
     on_turn_response(*request);
   else
--- a/src/routing/response_relay.cpp
+++ b/src/routing/response_relay.cpp
@@ -1,5 +1,7 @@
 #include "routing/response_relay.hpp"
 
+#include <algorithm>
+
 #include "routing/constants.hpp"
 
 namespace mosskeel::routing {
@@ -8,10 +10,27 @@
 /// Statuses from here on are errors or redirections, which are never streamed from the head on.
 constexpr uint32_t kFirstErrorStatus = 300;
 
+/// What ends an event: a line feed behind the one of its last line.
+constexpr size_t kLineFeedsAfterEvent = 2;
+
+bool is_event_stream(const UpstreamAttempt& attempt) {
+  return header_value(attempt.fields, "content-type").starts_with("text/event-stream");
+}
+
 bool is_streamed(const ActiveRequest& request, const UpstreamAttempt& attempt) {
-  if (attempt.status >= kFirstErrorStatus)
-    return false;
-  return request.turn || header_value(attempt.fields, "content-type").starts_with("text/event-stream");
+  return attempt.status < kFirstErrorStatus && (request.turn || is_event_stream(attempt));
+}
+
+/// Counts on from `before` the line feeds at the end of a stream; carriage returns beside them do not matter.
+size_t count_trailing_line_feeds(size_t before, std::string_view bytes) {
+  size_t count = 0;
+  for (auto byte = bytes.rbegin(); byte != bytes.rend() && count < kLineFeedsAfterEvent; ++byte) {
+    if (*byte == '\n')
+      ++count;
+    else if (*byte != '\r')
+      return count;
+  }
+  return std::min(before + count, kLineFeedsAfterEvent);
 }
 
 }  // namespace
@@ -20,6 +39,7 @@
   auto& attempt = *request.attempt;
   attempt.status = event.status;
   attempt.fields = std::move(event.fields);
+  attempt.events_last_until_close = event.lasts_until_close && (request.turn || is_event_stream(attempt));
   if (is_streamed(request, attempt))
     start_streaming(request);
 }
@@ -43,10 +63,16 @@
   }
   if (request.turn)
     request.turn->events.read(bytes);
+  if (attempt.events_last_until_close)
+    attempt.trailing_line_feeds = count_trailing_line_feeds(attempt.trailing_line_feeds, bytes);
   actions_.push_back(SendResponseData{request.id, std::move(bytes), attempt.number});
   return true;
 }
 
+bool ResponseRelay::ended_inside_event(const UpstreamAttempt& attempt) {
+  return attempt.streaming && attempt.events_last_until_close && attempt.trailing_line_feeds < kLineFeedsAfterEvent;
+}
+
 void ResponseRelay::send_buffered(ActiveRequest& request) {
   auto& attempt = *request.attempt;
   actions_.push_back(
--- a/src/routing/response_relay.hpp
+++ b/src/routing/response_relay.hpp
@@ -14,6 +14,8 @@
   /// Passes bytes on or keeps them. False where the error response to a turn is too large to be kept: a turn's error
   /// may not be streamed, since its outcome must be known before.
   [[nodiscard]] bool on_data(ActiveRequest& request, std::string&& bytes);
+  /// Whether a stream whose end only the close of the connection tells ended inside an event: then it was cut.
+  static bool ended_inside_event(const UpstreamAttempt& attempt);
   /// Sends a response that was kept as a whole.
   void send_buffered(ActiveRequest& request);
 
--- a/src/routing/router_messages.hpp
+++ b/src/routing/router_messages.hpp
@@ -26,6 +26,8 @@
   HeaderFields fields;
   /// The caller's attempt that used the connection before; empty on a new one.
   std::string previous_attempt_id;
+  /// The body has no framing and lasts until the replica closes the connection.
+  bool lasts_until_close = false;
 };
 /// Bytes of the body of a replica's response.
 struct ResponseDataReceived {
--- a/tests/unit/net/socket_peer.hpp
+++ b/tests/unit/net/socket_peer.hpp
@@ -76,6 +76,9 @@
 
   void close() { socket = Fd(); }
 
+  /// Closes its own direction in order and goes on reading nothing.
+  void end_sending() { ::shutdown(socket.get(), SHUT_WR); }
+
   void close_with_reset() {
     reset_on_close(socket.get());
     close();
--- a/tests/unit/routing/request_router_test.cpp
+++ b/tests/unit/routing/request_router_test.cpp
@@ -219,6 +219,29 @@
   CHECK(fixture.all<EndResponse>().size() == 1);
 }
 
+TEST_CASE("RequestRouter takes a stream that lasts until the close for whole only where it ends with an event") {
+  RouterFixture fixture;
+  auto sent = fixture.receive_and_send("stream");
+  HeaderFields fields{
+      {"Mosskeel-Attempt-Id", sent.attempt_id}, {"Mosskeel-Server-Seal", "s.0"}, {"Content-Type", "text/event-stream"}};
+  fixture.handle(ResponseHeadersReceived{sent.attempt, 200, fields, "", true});
+  fixture.handle(ResponseDataReceived{sent.attempt, "id: 1\ndata: a\n\nid: 2\nda"});
+
+  SECTION("it ends inside an event") {
+    fixture.handle(ResponseCompleted{sent.attempt});
+
+    CHECK(fixture.all<ResetResponse>().size() == 1);
+    CHECK(fixture.none<EndResponse>());
+  }
+  SECTION("the last event comes in pieces") {
+    fixture.handle(ResponseDataReceived{sent.attempt, "ta: b\r\n"});
+    fixture.handle(ResponseDataReceived{sent.attempt, "\r\n"});
+    fixture.handle(ResponseCompleted{sent.attempt});
+
+    CHECK(fixture.all<EndResponse>().size() == 1);
+  }
+}
+
 TEST_CASE("RequestRouter cancels a turn whose error response is larger than its buffer") {
   RouterFixture fixture;
   auto sent = fixture.receive_and_send("turn");
