Graceful stop: late requests that may outlast the grace are refused unrun

Callers saw: requests on kept connections that a stopping gateway read 3.0 to 3.2 s after SIGTERM were passed on, run, and cut by the kill at the end of the 8 s of grace.

Cause: a stopping gateway reads requests for 3.2 s; nothing compared a request's time with what is left of the grace, which the gateway did not even know.

Fix: the grace comes from the settings (Bounds.GraceS, 8 s without it). From 2.7 s after SIGTERM on a request whose deadline or route's time ends later than 0.5 s before the grace does gets 503 with a time to come back, at once, before any reservation or sending. All others are taken as before.

Ruled out: ending the listening at 3.0 s (a request that crosses the close is lost), refusing by the deadline from the SIGTERM on (refuses what is nearly always served).

http_frontend_faults_test calls begin_shutdown, which took the place of close_after_responses, with limits that never refuse: the same behaviour is tested.

--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -68,7 +68,8 @@
     const auto* codec = find_protocol_codec(settings.platform_protocol);
     if (!codec)
       return cannot_start("gateway", {{"dialect", "'" + settings.platform_protocol + "' is not known"}});
-    auto started = RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address);
+    auto started =
+        RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address, settings.shutdown_grace);
     if (!started.ok())
       return cannot_start("gateway", started.errors());
     routing_thread = std::move(started).value();
--- a/src/gateway/routing_thread.cpp
+++ b/src/gateway/routing_thread.cpp
@@ -6,8 +6,9 @@
 namespace mosskeel {
 
 Result<std::unique_ptr<RoutingThread>> RoutingThread::start(Host& host, const ProtocolCodec& codec,
-                                                            const Address& callers, const Address& readiness) {
-  std::unique_ptr<RoutingThread> started(new RoutingThread(host, codec));
+                                                            const Address& callers, const Address& readiness,
+                                                            Duration shutdown_grace) {
+  std::unique_ptr<RoutingThread> started(new RoutingThread(host, codec, shutdown_grace));
   auto* self = started.get();
   if (auto errors = self->listen_for_callers(callers); !errors.empty())
     return errors;
@@ -82,8 +83,10 @@
 
 void RoutingThread::begin_draining() {
   loop_.post([this] {
-    frontend_->close_after_responses();
-    draining_since_ = process_now();
+    auto now = process_now();
+    draining_since_ = now;
+    frontend_->begin_shutdown(
+        {.refuse_from = now + kShutdownRefusalDelay, .ends_at = now + shutdown_grace_ - kShutdownMargin});
   });
 }
 
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -25,8 +25,11 @@
   void tick();
   /// Where callers are listened for, with the port that the system chose where none was named.
   Address at() const { return callers_->local_address(); }
-  /// Every response from now on is the last of its connection.
-  void close_after_responses() { callers_->close_after_responses(); }
+  /// Every response from now on is the last of its connection, and requests are taken within these limits.
+  void begin_shutdown(const routing::ShutdownLimits& limits) {
+    router_.begin_shutdown(limits);
+    callers_->close_after_responses();
+  }
   /// Ends listening and closes idle connections.
   void drain() { callers_->drain(); }
   /// Whether a caller's connection is open or one of its requests is under way.
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -14,6 +14,9 @@
 /// When a caller may come back that found no replica: shorter, for capacity frees up fast.
 constexpr Duration kRetryAfterNoReplica = kDefaultRetryAfter / 4;
 
+/// When a caller may come back that this gateway can't serve before it stops: at once, for others take it.
+constexpr Duration kRetryAfterShutdown = kDefaultRetryAfter / 10;
+
 /// The status of a reservation's reply that was granted.
 constexpr uint32_t kGranted = 200;
 /// The status of a reservation's reply whose attempt may have run before.
@@ -53,6 +56,8 @@
     return send_error(id, {404, "no path leads there"});
 
   auto request = make_active_request(std::move(event), headers, *path, routes.view(), now);
+  if (may_outlast_shutdown(request, now))
+    return send_error(id, {503, "this gateway stops before the request's time is over", kRetryAfterShutdown});
   if (request.runs_once()) {
     auto duplicate = requests_.find_duplicate(headers.attempt_id);
     if (duplicate == RequestTable::Duplicate::in_progress)
@@ -67,6 +72,10 @@
     dispatch(added, now);
 }
 
+bool RequestRouter::may_outlast_shutdown(const ActiveRequest& request, TimePoint now) const {
+  return shutdown_ && now >= shutdown_->refuse_from && request.deadline > shutdown_->ends_at;
+}
+
 void RequestRouter::on(ReserveTurnReply& reply, TimePoint now) {
   auto* request = requests_.find_turn(reply.attempt);
   if (!request || !request->is_reserving())
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -6,6 +6,9 @@
 
 namespace mosskeel {
 
+/// How long a graceful stop may take where the settings do not say it.
+constexpr Duration kDefaultShutdownGrace = 8000ms;
+
 /// A daemon's settings, as it uses them. Addresses are "IP:port".
 struct Settings {
   /// Where other daemons reach this one.
@@ -44,6 +47,8 @@
   uint32_t tolerated_machines = 0;
   /// Zones that may be lost at once.
   uint32_t tolerated_zones = 0;
+  /// Gateways; how long after SIGTERM the process may be killed.
+  Duration shutdown_grace = kDefaultShutdownGrace;
 };
 
 /// What a program needs of the settings.
--- a/tests/unit/net/http_frontend_faults_test.cpp
+++ b/tests/unit/net/http_frontend_faults_test.cpp
@@ -215,7 +215,7 @@
   REQUIRE(run_until(fixture.loop, [&] {
     auto elapsed = monotonic_now() - begin;
     if (elapsed > 30ms && !std::exchange(closing, true)) {
-      fixture.frontend->close_after_responses();
+      fixture.frontend->begin_shutdown({.refuse_from = TimePoint::max(), .ends_at = TimePoint::max()});
     }
     if (elapsed > 60ms && !std::exchange(draining, true)) {
       fixture.frontend->drain();
--- a/tests/unit/platform/settings_test.cpp
+++ b/tests/unit/platform/settings_test.cpp
@@ -126,6 +126,18 @@
   }
 }
 
+TEST_CASE("The time for a graceful stop comes from the platform's file, and is the default where it names none") {
+  auto grace_of = [](const std::string& bounds) {
+    return accepted(parse_settings(file_with("[CloudApi]", bounds + "[CloudApi]"), "gateway")).shutdown_grace;
+  };
+  CHECK(grace_of("") == kDefaultShutdownGrace);
+  CHECK(grace_of("[Bounds]\nGraceS = 12\n") == 12000ms);
+  CHECK(grace_of("[Bounds]\nGraceS = 4.5\n") == 4500ms);
+  CHECK(error_locations(file_with("[CloudApi]", "[Bounds]\nGraceS = -1\n[CloudApi]"), "gateway") == "Bounds.GraceS");
+  CHECK(error_locations(file_with("[CloudApi]", "[Bounds]\nGraceS = \"long\"\n[CloudApi]"), "gateway") ==
+        "Bounds.GraceS");
+}
+
 TEST_CASE("A start that is not the first one is a later start") {
   auto file = file_with("FirstStart = true", "FirstStart = false");
 
--- a/tests/unit/routing/request_router_test.cpp
+++ b/tests/unit/routing/request_router_test.cpp
@@ -242,6 +242,30 @@
   }
 }
 
+// Guards against review case 4: requests that came late in a graceful stop were passed on and cut at its end.
+TEST_CASE("RequestRouter that stops rejects requests that may outlast it, and takes all others") {
+  RouterFixture fixture;
+  fixture.router.begin_shutdown({.refuse_from = fixture.now + 2700ms, .ends_at = fixture.now + 6500ms});
+
+  fixture.advance(2600ms);
+  fixture.receive("unsafe");
+  CHECK(fixture.all<SendToReplica>().size() == 1);
+
+  fixture.advance(200ms);
+  fixture.receive("unsafe");
+  auto response = fixture.one<SendResponse>();
+  CHECK(response.status == 503);
+  CHECK_FALSE(header_value(response.fields, "Retry-After").empty());
+  CHECK(fixture.none<SendToReplica>());
+
+  fixture.receive("turn");
+  CHECK(fixture.one<SendResponse>().status == 503);
+  CHECK(fixture.none<SendToOwner>());
+
+  fixture.receive("unsafe", {{"Mosskeel-Time-Left", "3000"}});
+  CHECK(fixture.all<SendToReplica>().size() == 1);
+}
+
 TEST_CASE("RequestRouter cancels a turn whose error response is larger than its buffer") {
   RouterFixture fixture;
   auto sent = fixture.receive_and_send("turn");
