Inbox: a message larger than the bound is taken, one at a time

Seen: a store never gets a history of over 4 MiB.

Cause: a store's inbox refused what does not fit into 4 MiB beside what waits, also when nothing waits. Such a message can never arrive, and its sender sends it for ever. The same holds for the metadata and for one record.

Ruled out: a larger bound (moves the limit), taking anything while the bound is not reached (two large ones).

--- a/tests/unit/runtime/inbox_test.cpp
+++ b/tests/unit/runtime/inbox_test.cpp
@@ -21,3 +21,23 @@
   CHECK(inbox.bytes() == 0);
   CHECK(inbox.hear(envelope, 6000));
 }
+
+// Guards against a message that is sent again for ever, since no room is ever large enough for it.
+TEST_CASE("An inbox takes a message that is larger than its bound, one at a time") {
+  Inbox inbox(10000);
+  Envelope envelope{};
+  envelope.body = Discover{};
+
+  CHECK(inbox.hear(envelope, 6000));
+  CHECK(inbox.hear(envelope, 30000));
+  CHECK_FALSE(inbox.hear(envelope, 30000));
+  CHECK(inbox.hear(envelope, 4000));
+  CHECK_FALSE(inbox.hear(envelope, 4000));
+  CHECK(inbox.bytes() == 40000);
+
+  for (auto& item : inbox.take(0ms))
+    inbox.done(item);
+
+  CHECK(inbox.bytes() == 0);
+  CHECK(inbox.hear(envelope, 30000));
+}
