--- a/src/gateway/program_response_json.cpp
+++ b/src/gateway/program_response_json.cpp
@@ -17,6 +17,8 @@
       return "unknown_or_missing";
     case 409:
       return "conflict";
+    case 413:
+      return "too_long";
     case 429:
       return "budget_spent";
     case 503:
--- a/src/history/constants.hpp
+++ b/src/history/constants.hpp
@@ -54,6 +54,16 @@
 constexpr size_t kMaxBytesWaitingForDisk = 4u << 20;
 /// Between two measurements of a store's own load.
 constexpr Duration kStoreLoadInterval = 100ms;
+/// Bytes; a turn that would make a history larger is rejected before it runs.
+constexpr size_t kMaxHistoryBytes = 16u << 20;
+/// Bytes; a larger history is read page by page wherever a smaller one is sent whole.
+constexpr size_t kMaxWholeHistoryBytes = 1u << 20;
+/// Bytes; a page of one history's records ends before the record that exceeds this.
+constexpr size_t kRecordsPageBytes = 256u << 10;
+/// A download from a source that sends no page for so long is given up.
+constexpr Duration kRecordsSilenceTimeout = 4000ms;
+/// Large histories that a store reads from owners at once; more wait until the owners ask again.
+constexpr size_t kMaxAdoptions = 2;
 /// Bytes of a record beside its text, encoded or in memory.
 constexpr size_t kRecordOverheadBytes = 128;
 
--- a/src/history/history_table.cpp
+++ b/src/history/history_table.cpp
@@ -5,7 +5,8 @@
 namespace mosskeel {
 namespace {
 
-AppendHistoryReply rejected_append(const AppendHistory& request) {
+template <class Request>
+AppendHistoryReply rejected_append(const Request& request) {
   return {request.history, request.term, false, false, 0};
 }
 
@@ -14,7 +15,8 @@
   return {request.history, request.term, true, true, 0};
 }
 
-AppendHistoryReply accepted_append(const AppendHistory& request, size_t length) {
+template <class Request>
+AppendHistoryReply accepted_append(const Request& request, size_t length) {
   return {request.history, request.term, true, false, length};
 }
 
@@ -33,6 +35,14 @@
   return found == stored->histories.end() ? nullptr : &found->second;
 }
 
+bool HistoryTable::is_up_to_date(PartitionId partition, const HistorySummary& summary) const {
+  auto* stored = find(partition);
+  if (stored && stored->has_tombstone(summary.history))
+    return true;
+  auto* history = find(partition, summary.history);
+  return history && history->version() >= version_of(summary);
+}
+
 Epoch HistoryTable::fence(PartitionId id) const {
   auto* stored = find(id);
   return stored ? stored->fence : Epoch{};
@@ -70,6 +80,25 @@
   return result.reply;
 }
 
+std::optional<AppendHistoryReply> HistoryTable::adopt(const AdoptHistory& request) {
+  auto& partition = partitions_[request.partition];
+  if (partition.has_tombstone(request.history))
+    return rejected_append(request);
+  auto found = partition.histories.find(request.history);
+  if (found == partition.histories.end())
+    return std::nullopt;
+  auto& history = found->second;
+  bool is_adopted = history.term == request.term;
+  if (!is_adopted && history.version() != HistoryVersion{request.replica_term, request.replica_length})
+    return std::nullopt;
+  if (!is_adopted) {
+    HistoryTermRecord record{request.partition, request.history, request.term};
+    replay(record);
+    journal_.append(record);
+  }
+  return accepted_append(request, history.records.size());
+}
+
 HistoryTable::AppendResult HistoryTable::apply(const AppendHistory& request) {
   auto& partition = partitions_[request.partition];
   partition.fence = std::max(partition.fence, request.term);
@@ -135,13 +164,13 @@
   stored.tombstones.add(tombstone_of(name));
 }
 
-void HistoryTable::merge(const MergeRecord& received) {
-  auto newer = merge_newer(received);
+void HistoryTable::merge(MergeRecord received) {
+  auto newer = merge_newer(std::move(received));
   if (!newer.empty())
     journal_.append(newer);
 }
 
-MergeRecord HistoryTable::merge_newer(const MergeRecord& received) {
+MergeRecord HistoryTable::merge_newer(MergeRecord received) {
   auto& partition = partitions_[received.partition];
   MergeRecord newer{received.partition, {}, {}, {}};
   if (partition.fence < received.fence) {
@@ -163,7 +192,7 @@
     if (history.version() >= version_of(copy))
       continue;
     history = {copy.history_term, copy.records, clock_.uptime()};
-    newer.histories.push_back(copy);
+    newer.histories.push_back(std::move(copy));
   }
   return newer;
 }
--- a/src/history/history_table.hpp
+++ b/src/history/history_table.hpp
@@ -16,6 +16,8 @@
   const StoredPartition* find(PartitionId id) const;
   /// The history as it is here, or nothing.
   const History* find(PartitionId partition, const HistoryName& name) const;
+  /// Whether what is here is of this version or a higher one, or has ended for good.
+  bool is_up_to_date(PartitionId partition, const HistorySummary& summary) const;
   /// The highest ownership term shown to this partition here; 0 for none.
   Epoch fence(PartitionId id) const;
   size_t history_count() const;
@@ -25,10 +27,13 @@
   [[nodiscard]] bool raise_fence(PartitionId id, Epoch term);
   /// Applies an owner's write. The caller has checked that its term is not below the fence.
   AppendHistoryReply append(const AppendHistory& request);
+  /// Takes over, under the owner's term, a history of the version that the owner has read. The reply, or nothing where
+  /// another version is here. The caller has checked that the term is not below the fence.
+  std::optional<AppendHistoryReply> adopt(const AdoptHistory& request);
   /// Deletes a history and keeps a tombstone of its name.
   void write_tombstone(PartitionId partition, const HistoryName& name);
   /// Takes what is newer than what is here.
-  void merge(const MergeRecord& received);
+  void merge(MergeRecord received);
   /// Forgets the partition's histories; its fence and tombstones stay.
   void drop_histories(PartitionId id);
 
@@ -37,7 +42,7 @@
   /// Recovery: applies a record of the journal again.
   void replay(const FenceRecord& record);
   void replay(const AppendHistory& request) { apply(request); }
-  void replay(const MergeRecord& record) { merge_newer(record); }
+  void replay(MergeRecord record) { merge_newer(std::move(record)); }
   void replay(const TombstoneRecord& record) { delete_history(record.partition, record.history); }
   void replay(const HistoryTermRecord& record);
   void replay(const DropPartitionRecord& record) { partitions_[record.partition].histories.clear(); }
@@ -54,7 +59,7 @@
   AppendResult append_records(StoredPartition& partition, const AppendHistory& request);
   void journal_append(const AppendHistory& request, Change change, bool raised_fence);
   /// Takes what is newer, and returns that part.
-  MergeRecord merge_newer(const MergeRecord& received);
+  MergeRecord merge_newer(MergeRecord received);
   void delete_history(PartitionId partition, const HistoryName& name);
 
   StoreJournal& journal_;
--- a/src/history/history_writer.cpp
+++ b/src/history/history_writer.cpp
@@ -2,6 +2,7 @@
 
 #include "history/constants.hpp"
 #include "history/partition_lookup.hpp"
+#include "history/record_bytes.hpp"
 
 namespace mosskeel {
 
@@ -22,7 +23,7 @@
   auto term = metadata_log_.view()->partitions[partition.value()].term;
   auto found = histories_.find(name);
   if (found != histories_.end() && found->second.term() != term) {
-    histories_.erase(found);
+    forget(found);
     found = histories_.end();
   }
   if (found == histories_.end())
@@ -33,12 +34,17 @@
     return State::open;
   if (now - history.opening_since() <= kHistoryQuorumTimeout)
     return State::opening;
-  // The next call begins anew. What has been read stays, since its writing goes on.
-  if (history.phase() == OpenHistory::Phase::reading)
-    histories_.erase(found);
+  // The next call begins anew. What has been read stays, since its writing goes on, and so does a download.
+  if (history.phase() == OpenHistory::Phase::reading && !downloads_.count(name))
+    forget(found);
   return State::unavailable;
 }
 
+HistoryWriter::OpenHistories::iterator HistoryWriter::forget(OpenHistories::iterator history) {
+  downloads_.erase(history->first);
+  return histories_.erase(history);
+}
+
 HistoryWriter::OpenHistories::iterator HistoryWriter::begin_opening(const HistoryName& name, PartitionId partition,
                                                                     Epoch term, TimePoint now) {
   auto opened = histories_.emplace(name, OpenHistory(name, partition, term, now)).first;
@@ -52,6 +58,11 @@
   return history ? history->records() : none;
 }
 
+size_t HistoryWriter::bytes(const HistoryName& name) const {
+  auto* history = find(name);
+  return history ? history->bytes() : 0;
+}
+
 uint64_t HistoryWriter::committed_length(const HistoryName& name) const {
   auto* history = find(name);
   return history ? history->committed_length() : 0;
@@ -104,15 +115,22 @@
 }
 
 bool HistoryWriter::handle(const Envelope& envelope, TimePoint now) {
-  if (auto* reply = std::get_if<ReadHistoryReply>(&envelope.body)) {
-    handle(*reply, envelope, now);
-    return true;
-  }
-  if (auto* reply = std::get_if<AppendHistoryReply>(&envelope.body)) {
-    handle(*reply, envelope, now);
+  auto handled = [&](const auto& message) {
+    handle(message, envelope, now);
     return true;
-  }
-  return false;
+  };
+  return std::visit(overload{[&](const ReadHistoryReply& reply) { return handled(reply); },
+                             [&](const LargeHistoryReply& reply) { return handled(reply); },
+                             [&](const AppendHistoryReply& reply) { return handled(reply); },
+                             [&](const ReadRecordsReply& page) { return handled(page); },
+                             [&](const ReadRecords& request) {
+                               handle(request, envelope);
+                               return true;
+                             },
+                             [](const auto& /* not of a store */) {
+                               return false;
+                             }},
+                    envelope.body);
 }
 
 OpenHistory* HistoryWriter::awaiting(const HistoryName& name, Epoch term) {
@@ -126,14 +144,66 @@
       changed_.insert(*checked);
     return;
   }
+  if (reply.granted)
+    on_read(reply, envelope, now);
+}
+
+void HistoryWriter::handle(const LargeHistoryReply& reply, const Envelope& envelope, TimePoint now) {
+  on_read(reply, envelope, now);
+}
+
+template <class Reply>
+void HistoryWriter::on_read(const Reply& reply, const Envelope& envelope, TimePoint now) {
   auto* history = awaiting(reply.history, reply.term);
   auto* store = metadata_log_.view()->find(envelope.from_incarnation);
-  if (!history || !store || !reply.granted || history->phase() != OpenHistory::Phase::reading)
+  if (!history || !store || history->phase() != OpenHistory::Phase::reading)
     return;
   history->on_read(store->id, reply, envelope.epoch);
   advance(*history, now);
 }
 
+void HistoryWriter::handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now) {
+  auto download = downloads_.find(page.history);
+  auto history = histories_.find(page.history);
+  if (download == downloads_.end() || history == histories_.end())
+    return;
+  if (download->second.handle(out_, page, envelope, now))
+    advance(history->second, now);
+}
+
+/// A store that lacks a large history reads it as it is written back under this term.
+void HistoryWriter::handle(const ReadRecords& request, const Envelope& envelope) {
+  auto* history = find(request.history);
+  bool is_known = history && history->phase() != OpenHistory::Phase::reading;
+  auto reply =
+      is_known ? read_records(request, &history->records(), history->term()) : read_records(request, nullptr, Epoch{});
+  out_.send(envelope.from, std::move(reply), envelope.from_incarnation);
+}
+
+void HistoryWriter::advance_download(OpenHistory& history, TimePoint now) {
+  auto& metadata = *metadata_log_.view();
+  auto& replica = history.awaited_replica();
+  auto found = downloads_.find(history.name());
+  // A reply that came later may have told of a higher version.
+  if (found != downloads_.end() && (!replica || found->second.version() != replica->version)) {
+    downloads_.erase(found);
+    found = downloads_.end();
+  }
+  if (!replica || !history.is_read(metadata))
+    return;
+  auto* store = metadata.find(replica->store);
+  if (found == downloads_.end() && store) {
+    HistoryDownload download(out_, history.name(), history.partition(), replica->version, store->self.address,
+                             store->self.incarnation, now);
+    downloads_.emplace(history.name(), std::move(download));
+    return;
+  }
+  if (found == downloads_.end() || found->second.state() != HistoryDownload::State::complete)
+    return;
+  history.on_downloaded(found->second.take_records());
+  downloads_.erase(found);
+}
+
 void HistoryWriter::handle(const AppendHistoryReply& reply, const Envelope& envelope, TimePoint now) {
   auto* history = awaiting(reply.history, reply.term);
   auto* store = metadata_log_.view()->find(envelope.from_incarnation);
@@ -156,6 +226,7 @@
       changed_.insert(history.name());
     return;
   }
+  advance_download(history, now);
   if (!history.finish_reading(metadata))
     return;
   if (history.is_open())
@@ -170,14 +241,19 @@
     auto current = next++;
     auto& [name, history] = *current;
     bool is_owned = owns(history.partition());
-    if (!is_owned || metadata_log_.view()->partitions[history.partition().value()].term != history.term()) {
+    auto download = downloads_.find(name);
+    if (download != downloads_.end())
+      download->second.tick(out_, now);
+    bool has_failed = download != downloads_.end() && download->second.state() == HistoryDownload::State::failed;
+    if (!is_owned || has_failed ||
+        metadata_log_.view()->partitions[history.partition().value()].term != history.term()) {
       changed_.insert(name);
-      histories_.erase(current);
+      forget(current);
     } else if (!history.is_settled()) {
       advance(history, now);
       send_due(history, now, OpenHistory::Resend::overdue);
     } else if (now - history.last_used_at() > kIdleHistoryTimeout) {
-      histories_.erase(current);
+      forget(current);
     }
   }
 }
--- a/src/history/history_writer.hpp
+++ b/src/history/history_writer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The owner's side of histories: how a partition's single writer reads, replicates and commits them.
+#include "history/history_download.hpp"
 #include "history/open_history.hpp"
 #include "history/ownership_checks.hpp"
 #include "replication/metadata_log.hpp"
@@ -27,6 +28,8 @@
   const Records& records(const HistoryName& name) const;
   /// Appends to an open history. The record is committed once `committed_length` reaches the number returned.
   uint64_t append(const HistoryName& name, Record record, TimePoint now);
+  /// Bytes of all records of the history.
+  size_t bytes(const HistoryName& name) const;
   /// Whether a record, an element of `records(name)`, is committed; until then nobody may be told of it.
   bool is_committed(const HistoryName& name, const Record& record) const;
   /// How many records of the history are committed.
@@ -41,7 +44,7 @@
   /// called, until it is no longer `checking`, before a request is answered by what `records` holds: a newer owner may
   /// know better. The history is in `take_changed` once the check has ended. Committing a record needs no check.
   OwnershipChecks::State check_ownership(const HistoryName& name, const std::string& request, TimePoint now);
-  /// Handles the stores' replies; false leaves the message to the caller.
+  /// Handles the stores' replies and their requests for records; false leaves the message to the caller.
   bool handle(const Envelope& envelope, TimePoint now);
   /// Repeats unanswered requests, and forgets histories that are idle or owned no more.
   void tick(TimePoint now);
@@ -56,6 +59,15 @@
   OpenHistories::iterator begin_opening(const HistoryName& name, PartitionId partition, Epoch term, TimePoint now);
   void handle(const ReadHistoryReply& reply, const Envelope& envelope, TimePoint now);
   void handle(const AppendHistoryReply& reply, const Envelope& envelope, TimePoint now);
+  void handle(const LargeHistoryReply& reply, const Envelope& envelope, TimePoint now);
+  void handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now);
+  void handle(const ReadRecords& request, const Envelope& envelope);
+  /// Takes a granted read: `reply` is a `ReadHistoryReply` or a `LargeHistoryReply`.
+  template <class Reply>
+  void on_read(const Reply& reply, const Envelope& envelope, TimePoint now);
+  /// Begins to read the records of a large history once its highest version is known, or goes on.
+  void advance_download(OpenHistory& history, TimePoint now);
+  OpenHistories::iterator forget(OpenHistories::iterator history);
   /// The open history that a reply of this term belongs to, or nothing.
   OpenHistory* awaiting(const HistoryName& name, Epoch term);
   /// Sends each store what it lacks.
@@ -66,6 +78,8 @@
   Outbox& out_;
   const MetadataLog& metadata_log_;
   OpenHistories histories_;
+  /// Large histories that are being read from a store.
+  std::map<HistoryName, HistoryDownload> downloads_;
   OwnershipChecks ownership_checks_;
   std::set<HistoryName> changed_;
 };
--- a/src/history/load_shedder.cpp
+++ b/src/history/load_shedder.cpp
@@ -22,6 +22,10 @@
       overload{[&](const AppendHistory& request) { return memory_short && grows_state(request); },
                [&](const StreamPartitionReply&) { return memory_short; },
                [&](const FetchHistoriesReply&) { return memory_short; },
+               [&](const AdoptHistory& request) { return memory_short && grows_state(request); },
+               [&](const ReadRecordsReply&) { return memory_short; },
+               [&](const StreamLargeHistory&) { return memory_short; },
+               [&](const FetchLargeHistory&) { return memory_short; }, [&](const ReadRecords&) { return disk_behind; },
                [&](const ReadHistory&) { return disk_behind; }, [&](const FindChain&) { return disk_behind; },
                [&](const StreamPartition&) { return any; }, [&](const FetchHistories&) { return any; },
                [](const auto& /* small, or frees memory */) {
@@ -30,6 +34,12 @@
       message);
 }
 
+/// Whether the history's records have to be read from the owner.
+bool LoadShedder::grows_state(const AdoptHistory& request) const {
+  auto* history = table_.find(request.partition, request.history);
+  return !history || history->records.size() < request.replica_length;
+}
+
 /// Whether a write begins a turn here or brings a history that is not here yet. What ends a turn or a history does
 /// not: its turn was admitted before, and an end sets memory free.
 bool LoadShedder::grows_state(const AppendHistory& request) const {
--- a/src/history/load_shedder.hpp
+++ b/src/history/load_shedder.hpp
@@ -27,6 +27,7 @@
  private:
   bool must_shed(const Message& message) const;
   bool grows_state(const AppendHistory& request) const;
+  bool grows_state(const AdoptHistory& request) const;
 
   Outbox& out_;
   const HistoryTable& table_;
--- a/src/history/open_history.cpp
+++ b/src/history/open_history.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "history/constants.hpp"
-#include "history/history_version.hpp"
+#include "history/record_bytes.hpp"
 
 namespace mosskeel {
 
@@ -48,37 +48,75 @@
   if (!progress.has_history) {
     if (!is_due || records_.empty())
       return std::nullopt;
-    progress.sent_length = records_.size();
-    return AppendHistory{name_, partition_, term_, true, 0, records_};
+    return replace_request(progress);
   }
   if (is_overdue && progress.synced_length < records_.size())
     progress.sent_length = progress.synced_length;
   return append_request(progress);
 }
 
+/// A large history goes by its version: most stores have it already, and the others read it from here.
+std::optional<Message> OpenHistory::replace_request(StoreProgress& progress) const {
+  progress.sent_length = records_.size();
+  if (is_large(records_))
+    return AdoptHistory{name_, partition_, term_, replica_.term, replica_.length, records_.size()};
+  return AppendHistory{name_, partition_, term_, true, 0, records_};
+}
+
+/// What does not fit into one message follows once the store has answered.
 std::optional<Message> OpenHistory::append_request(StoreProgress& progress) const {
   if (progress.sent_length >= records_.size())
     return std::nullopt;
   auto from = progress.sent_length;
-  Records unsent(records_.begin() + static_cast<ptrdiff_t>(from), records_.end());
-  progress.sent_length = records_.size();
+  auto unsent = page_of(records_, from, records_.size());
+  progress.sent_length += unsent.size();
   return AppendHistory{name_, partition_, term_, false, from, std::move(unsent)};
 }
 
-void OpenHistory::on_read(DaemonId store, const ReadHistoryReply& reply, Epoch epoch) {
+void OpenHistory::append(Record record) {
+  bytes_ += bytes_of(record);
+  records_.push_back(std::move(record));
+}
+
+void OpenHistory::on_answered_read(DaemonId store, Epoch epoch) {
   auto& progress = stores_[store];
   progress.has_answered_read = true;
   progress.read_epoch = std::max(progress.read_epoch, epoch);
+}
+
+void OpenHistory::on_read(DaemonId store, const ReadHistoryReply& reply, Epoch epoch) {
+  on_answered_read(store, epoch);
   has_tombstone_ = has_tombstone_ || reply.has_tombstone;
-  HistoryVersion best_read{replica_term_, records_.size()};
-  if (best_read < version_of(reply)) {
-    replica_term_ = reply.history_term;
-    records_ = reply.records;
-  }
+  if (version_of(reply) <= replica_)
+    return;
+  replica_ = version_of(reply);
+  awaited_replica_.reset();
+  records_ = reply.records;
+  bytes_ = bytes_of(records_);
+}
+
+void OpenHistory::on_read(DaemonId store, const LargeHistoryReply& reply, Epoch epoch) {
+  on_answered_read(store, epoch);
+  HistoryVersion version{reply.history_term, reply.length};
+  if (version <= replica_)
+    return;
+  replica_ = version;
+  awaited_replica_ = LargeReplica{store, version};
+  records_.clear();
+  bytes_ = 0;
+}
+
+void OpenHistory::on_downloaded(Records records) {
+  awaited_replica_.reset();
+  records_ = std::move(records);
+  bytes_ = bytes_of(records_);
 }
 
 void OpenHistory::on_synced(DaemonId store, uint64_t length) {
   auto& progress = stores_[store];
+  // A store that took the history over may have fewer records than there are by now.
+  if (!progress.has_history)
+    progress.sent_length = std::min(progress.sent_length, length);
   progress.has_history = true;
   progress.synced_length = std::max(progress.synced_length, length);
 }
@@ -89,18 +127,23 @@
   progress.last_sent_at = {};
 }
 
-bool OpenHistory::finish_reading(const Metadata& metadata) {
+bool OpenHistory::is_read(const Metadata& metadata) const {
   auto& partition = partition_in(metadata);
-  auto has_answered = by_progress([&](const StoreProgress& progress) { return has_read(partition, progress); });
-  if (!is_quorum(metadata, has_answered))
+  return is_quorum(metadata, by_progress([&](auto& progress) { return has_read(partition, progress); }));
+}
+
+bool OpenHistory::finish_reading(const Metadata& metadata) {
+  if (!is_read(metadata) || (awaited_replica_ && !has_tombstone_))
     return false;
   phase_ = Phase::writing_back;
   for (auto& [id, progress] : stores_) {
     progress.last_sent_at = {};
     progress.has_history = false;
   }
-  if (has_tombstone_)
+  if (has_tombstone_) {
     records_.clear();
+    bytes_ = 0;
+  }
   // There is nothing to write back.
   if (records_.empty())
     phase_ = Phase::open;
--- a/src/history/open_history.hpp
+++ b/src/history/open_history.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 
+#include "history/history_version.hpp"
 #include "history/store_quorum.hpp"
 #include "messages/message.hpp"
 
@@ -17,6 +18,11 @@
 class OpenHistory {
  public:
   enum class Phase { reading, writing_back, open };
+  /// The replica that the history is to be taken from, whose records are not here yet.
+  struct LargeReplica {
+    DaemonId store;
+    HistoryVersion version;
+  };
   /// Whether requests that were not answered for a while are sent again.
   enum class Resend { none, overdue };
 
@@ -41,18 +47,28 @@
   /// Whether the stores for which `has` holds are a quorum: a read quorum while it is read, else a write quorum.
   bool is_quorum(const Metadata& metadata, const StorePredicate& has) const;
 
-  void append(Record record) { records_.push_back(std::move(record)); }
+  /// Bytes of all records.
+  size_t bytes() const { return bytes_; }
+  void append(Record record);
   /// The next request to a store, or nothing where none is to be sent now. The caller sends it.
   std::optional<Message> next_request(const Partition& partition, const Daemon& store, TimePoint now, Resend resend);
 
   /// A store has granted the read. `epoch` is the one that it knew.
   void on_read(DaemonId store, const ReadHistoryReply& reply, Epoch epoch);
+  /// A store has granted the read of a history that is too large for a message.
+  void on_read(DaemonId store, const LargeHistoryReply& reply, Epoch epoch);
+  /// The replica to download once a read quorum has answered, nothing where the records are here.
+  const std::optional<LargeReplica>& awaited_replica() const { return awaited_replica_; }
+  /// The records of the awaited replica.
+  void on_downloaded(Records records);
   /// A store has synced the history up to this length.
   void on_synced(DaemonId store, uint64_t length);
   /// A store lacks the records before those that it was sent: it needs the whole history, at once.
   void on_gap(DaemonId store);
 
-  /// Ends the reading once a read quorum has answered, and tells whether it did.
+  /// Whether a read quorum has answered, so that the highest version is known.
+  bool is_read(const Metadata& metadata) const;
+  /// Ends the reading once a read quorum has answered and the records are here, and tells whether it did.
   bool finish_reading(const Metadata& metadata);
   /// Commits what a write quorum has synced, and opens the history once all that was read is committed. Tells whether
   /// either happened.
@@ -92,9 +108,15 @@
   Epoch term_{};
   Phase phase_ = Phase::reading;
   bool has_tombstone_ = false;
-  /// The term of the replica that `records_` were taken from.
-  Epoch replica_term_{};
+  void on_answered_read(DaemonId store, Epoch epoch);
+  std::optional<Message> replace_request(StoreProgress& progress) const;
+
+  /// The highest version that a store has told of.
+  HistoryVersion replica_;
+  std::optional<LargeReplica> awaited_replica_;
   Records records_;
+  /// Bytes of `records_`.
+  size_t bytes_ = 0;
   std::map<DaemonId, StoreProgress> stores_;
   uint64_t committed_length_ = 0;
   TimePoint opening_since_{};
--- a/src/history/partition_repair.cpp
+++ b/src/history/partition_repair.cpp
@@ -4,19 +4,10 @@
 
 #include "history/constants.hpp"
 #include "history/partition_lookup.hpp"
+#include "history/record_bytes.hpp"
 #include "replication/constants.hpp"
 
 namespace mosskeel {
-namespace {
-
-size_t memory_size(const Records& records) {
-  size_t bytes = 0;
-  for (auto& record : records)
-    bytes += record.input.size() + record.output.size() + sizeof record;
-  return bytes;
-}
-
-}  // namespace
 
 /// In order, each settled partition of this store with each other store of it that is up.
 std::vector<PartitionRepair::Comparison> PartitionRepair::comparisons() const {
@@ -80,6 +71,8 @@
     return begin_next(now);
   if (job_->answered)
     return proceed(now);
+  if (job_->download)
+    return advance_download(now);
   if (now - job_->requested_at >= kRepairRequestTimeout)
     abandon();
 }
@@ -131,7 +124,7 @@
   return job_ && sender && job_->comparison == Comparison{partition, sender->id} && !job_->answered;
 }
 
-bool PartitionRepair::handle(const Envelope& envelope) {
+bool PartitionRepair::handle(const Envelope& envelope, TimePoint now) {
   auto handled = [&](const auto& message) {
     handle(message, envelope);
     return true;
@@ -142,6 +135,10 @@
                              [&](const ListHistoriesReply& reply) { return handled(reply); },
                              [&](const FetchHistories& request) { return handled(request); },
                              [&](const FetchHistoriesReply& reply) { return handled(reply); },
+                             [&](const FetchLargeHistory& reply) {
+                               handle(reply, envelope, now);
+                               return true;
+                             },
                              [](const auto& /* not of a comparison */) {
                                return false;
                              }},
@@ -197,11 +194,7 @@
 
 /// The history with the higher version replaces the other one, and one that has ended stays deleted.
 bool PartitionRepair::lacks(PartitionId id, const HistorySummary& summary) const {
-  auto* stored = table_.find(id);
-  if (stored && stored->has_tombstone(summary.history))
-    return false;
-  auto* history = table_.find(id, summary.history);
-  return (history ? history->version() : HistoryVersion{}) < version_of(summary);
+  return version_of(summary) > HistoryVersion{} && !table_.is_up_to_date(id, summary);
 }
 
 void PartitionRepair::handle(const FetchHistories& request, const Envelope& envelope) {
@@ -213,7 +206,15 @@
     auto* history = table_.find(request.partition, name);
     if (!history)
       continue;
-    bytes += memory_size(history->records);
+    if (is_large(history->records)) {
+      if (reply.histories.empty()) {
+        HistorySummary summary{name, history->term, history->records.size()};
+        return out_.send(envelope.from, FetchLargeHistory{request.partition, std::move(summary)},
+                         envelope.from_incarnation);
+      }
+      break;
+    }
+    bytes += bytes_of(history->records);
     reply.histories.push_back({name, history->term, history->records});
   }
   out_.send(envelope.from, reply, envelope.from_incarnation);
@@ -230,8 +231,43 @@
     table_.merge({reply.partition, {}, reply.histories, {}});
     last_answered = reply.histories.back().history;
   }
+  on_answered(last_answered);
+}
+
+void PartitionRepair::on_answered(const HistoryName& last_answered) {
   std::erase_if(job_->wanted, [&](auto& name) { return name <= last_answered; });
   job_->answered = true;
 }
 
+void PartitionRepair::handle(const FetchLargeHistory& reply, const Envelope& envelope, TimePoint now) {
+  if (!is_awaited(envelope, reply.partition) || job_->wanted.empty() || job_->download)
+    return;
+  if (!lacks(reply.partition, reply.next))
+    return on_answered(reply.next.history);
+  job_->download.emplace(out_, reply.next.history, reply.partition, version_of(reply.next), envelope.from,
+                         envelope.from_incarnation, now);
+}
+
+void PartitionRepair::handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now) {
+  if (job_ && job_->download && job_->download->handle(out_, page, envelope, now))
+    advance_download(now);
+}
+
+void PartitionRepair::advance_download(TimePoint now) {
+  auto& download = *job_->download;
+  download.tick(out_, now);
+  if (download.state() == HistoryDownload::State::failed)
+    return abandon();
+  if (download.state() == HistoryDownload::State::reading)
+    return;
+  HistoryCopy copy{download.history(), download.version().term, download.take_records()};
+  job_->download.reset();
+  ++fetched_;
+  auto name = copy.history;
+  std::vector<HistoryCopy> copies;
+  copies.push_back(std::move(copy));
+  table_.merge({job_->comparison.partition, {}, std::move(copies), {}});
+  on_answered(name);
+}
+
 }  // namespace mosskeel
--- a/src/history/partition_repair.hpp
+++ b/src/history/partition_repair.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // Anti-entropy between the stores of a partition.
+#include "history/history_download.hpp"
 #include "history/history_table.hpp"
 #include "replication/metadata_log.hpp"
 
@@ -15,7 +16,9 @@
       : out_(out), metadata_log_(metadata_log), table_(table), clock_(clock) {}
 
   /// Handles the messages of comparisons, both ways; false leaves the message to the caller.
-  bool handle(const Envelope& envelope);
+  bool handle(const Envelope& envelope, TimePoint now);
+  /// Takes records of a large history.
+  void handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now);
   void tick(TimePoint now);
   /// How many comparisons of a partition with another store have not ended, under the present set of stores, with this
   /// store having all that the other one had.
@@ -45,6 +48,8 @@
     /// The open request was answered.
     bool answered = false;
     TimePoint requested_at{};
+    /// The large history that is being read, in the place of an answer to a request for histories.
+    std::optional<HistoryDownload> download{};
   };
   std::vector<Comparison> comparisons() const;
   uint64_t checksum(PartitionId id) const;
@@ -62,6 +67,10 @@
   void handle(const ListHistoriesReply& reply, const Envelope& envelope);
   void handle(const FetchHistories& request, const Envelope& envelope);
   void handle(const FetchHistoriesReply& reply, const Envelope& envelope);
+  void handle(const FetchLargeHistory& reply, const Envelope& envelope, TimePoint now);
+  void advance_download(TimePoint now);
+  /// The wanted histories up to this one were answered for.
+  void on_answered(const HistoryName& last_answered);
 
   Outbox& out_;
   const MetadataLog& metadata_log_;
--- a/src/history/partition_streams.cpp
+++ b/src/history/partition_streams.cpp
@@ -4,28 +4,26 @@
 
 #include "history/constants.hpp"
 #include "history/partition_lookup.hpp"
+#include "history/record_bytes.hpp"
 
 namespace mosskeel {
 namespace {
 
-size_t encoded_size(const Records& records) {
-  size_t bytes = 0;
-  for (auto& record : records)
-    bytes += record.input.size() + record.output.size() + kRecordOverheadBytes;
-  return bytes;
+/// The first history behind the one that a page begins after.
+Histories::const_iterator first_after(const Histories& histories, const HistoryName& after) {
+  return after.program.empty() ? histories.begin() : histories.upper_bound(after);
 }
 
-/// Adds the histories behind the requested one, until the page is full.
+/// Adds the histories behind the requested one, until the page is full or a large one follows.
 void add_histories(StreamPartitionReply& page, const Histories& histories) {
   size_t bytes = 0;
-  auto next = page.after.program.empty() ? histories.begin() : histories.upper_bound(page.after);
-  for (; next != histories.end(); ++next) {
-    if (bytes > kStreamPageBytes) {
+  for (auto next = first_after(histories, page.after); next != histories.end(); ++next) {
+    auto& [name, history] = *next;
+    if (bytes > kStreamPageBytes || is_large(history.records)) {
       page.more = true;
       return;
     }
-    auto& [name, history] = *next;
-    bytes += encoded_size(history.records);
+    bytes += bytes_of(history.records);
     page.histories.push_back({name, history.term, history.records});
   }
 }
@@ -47,6 +45,7 @@
   if (!self)
     return;
   follow_metadata(self->id);
+  advance_download(now);
   request_pages(now);
 }
 
@@ -145,6 +144,8 @@
 }
 
 void PartitionStreams::handle(const StreamPartition& request, const Envelope& envelope) {
+  if (auto large = next_large_history(request))
+    return out_.send(envelope.from, std::move(*large), envelope.from_incarnation);
   StreamPartitionReply page{
       request.partition, request.sequence, request.after, request.after_tombstone, {}, {}, {}, false};
   if (auto* stored = table_.find(request.partition)) {
@@ -155,15 +156,75 @@
   out_.send(envelope.from, page, envelope.from_incarnation);
 }
 
+std::optional<StreamLargeHistory> PartitionStreams::next_large_history(const StreamPartition& request) const {
+  auto* stored = table_.find(request.partition);
+  if (!stored)
+    return std::nullopt;
+  auto next = first_after(stored->histories, request.after);
+  if (next == stored->histories.end() || !is_large(next->second.records))
+    return std::nullopt;
+  auto& [name, history] = *next;
+  HistorySummary summary{name, history.term, history.records.size()};
+  return StreamLargeHistory{request.partition,       request.sequence, request.after,
+                            request.after_tombstone, stored->fence,    std::move(summary)};
+}
+
+/// One large history is read at a time; the source of another one is asked again later.
+void PartitionStreams::handle(const StreamLargeHistory& page, const Envelope& envelope, TimePoint now) {
+  auto* sender = metadata_log_.view()->find(envelope.from_incarnation);
+  auto* source = sender ? awaited_source(page, sender->id) : nullptr;
+  if (!source)
+    return;
+  table_.merge({page.partition, page.fence, {}, {}});
+  if (table_.is_up_to_date(page.partition, page.next)) {
+    source->last_history = page.next.history;
+    return request_page(page.partition, streams_[page.partition], *source, *sender, now);
+  }
+  if (download_)
+    return;
+  source->requested_at = now;
+  HistoryDownload pages(out_, page.next.history, page.partition, version_of(page.next), sender->self.address,
+                        sender->self.incarnation, now);
+  download_ = Download{page.sequence, sender->id, std::move(pages)};
+}
+
+void PartitionStreams::handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now) {
+  if (download_ && download_->pages.handle(out_, page, envelope, now))
+    advance_download(now);
+}
+
+void PartitionStreams::advance_download(TimePoint now) {
+  if (!download_)
+    return;
+  auto& pages = download_->pages;
+  pages.tick(out_, now);
+  auto stream = streams_.find(pages.partition());
+  bool is_wanted = stream != streams_.end() && stream->second.sequence == download_->sequence;
+  if (!is_wanted || pages.state() == HistoryDownload::State::failed)
+    return download_.reset();
+  auto& source = stream->second.sources[download_->source];
+  // While pages come the source counts as sending.
+  source.requested_at = pages.last_progress_at();
+  if (pages.state() == HistoryDownload::State::reading)
+    return;
+  auto ended = std::move(*std::exchange(download_, std::nullopt));
+  HistoryCopy copy{ended.pages.history(), ended.pages.version().term, ended.pages.take_records()};
+  source.last_history = copy.history;
+  source.awaits_page = false;
+  auto partition = ended.pages.partition();
+  std::vector<HistoryCopy> copies;
+  copies.push_back(std::move(copy));
+  table_.merge({partition, {}, std::move(copies), {}});
+  if (auto* sender = metadata_log_.view()->find(ended.source))
+    request_page(partition, stream->second, source, *sender, now);
+}
+
 bool PartitionStreams::handle(const StreamPartitionReply& page, const Envelope& envelope, TimePoint now) {
-  auto found = streams_.find(page.partition);
   auto* sender = metadata_log_.view()->find(envelope.from_incarnation);
-  if (found == streams_.end() || !sender)
-    return false;
-  auto& stream = found->second;
-  auto* source = awaited_source(stream, page, sender->id);
+  auto* source = sender ? awaited_source(page, sender->id) : nullptr;
   if (!source)
     return false;
+  auto& stream = streams_[page.partition];
   table_.merge({page.partition, page.fence, page.histories, page.tombstones});
   source->awaits_page = false;
   if (page.more) {
@@ -180,18 +241,6 @@
   return stream.complete;
 }
 
-PartitionStreams::Source* PartitionStreams::awaited_source(Stream& stream, const StreamPartitionReply& page,
-                                                           DaemonId sender) const {
-  if (stream.complete || stream.sequence != page.sequence)
-    return nullptr;
-  auto found = stream.sources.find(sender);
-  if (found == stream.sources.end() || found->second.complete)
-    return nullptr;
-  auto& source = found->second;
-  bool is_next_page = source.last_history == page.after && source.last_tombstone == page.after_tombstone;
-  return is_next_page ? &source : nullptr;
-}
-
 bool PartitionStreams::has_read_quorum(PartitionId id, const Stream& stream) const {
   auto& metadata = *metadata_log_.view();
   auto complete =
--- a/src/history/partition_streams.hpp
+++ b/src/history/partition_streams.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // How a store copies the partitions that it is about to hold from the stores that hold them.
+#include "history/history_download.hpp"
 #include "history/history_table.hpp"
 #include "replication/metadata_log.hpp"
 
@@ -7,7 +8,8 @@
 
 /// Streams each partition for which this store is pending, page by page, from a read quorum of the stores in place. The
 /// number of pages in flight is bounded over all partitions, and each source sends one page at a time. What
-/// comes is merged into the table; progress is kept in memory only, so that a restart streams anew.
+/// comes is merged into the table; progress is kept in memory only, so that a restart streams anew. A history that is
+/// too large for a page is read by a `HistoryDownload` of its own and merged once it is whole.
 class PartitionStreams {
  public:
   PartitionStreams(Outbox& out, const MetadataLog& metadata_log, HistoryTable& table)
@@ -19,6 +21,9 @@
   void handle(const StreamPartition& request, const Envelope& envelope);
   /// Takes a page that was requested; true where it completed its partition.
   bool handle(const StreamPartitionReply& page, const Envelope& envelope, TimePoint now);
+  /// Takes a page that names a large history, and records of one.
+  void handle(const StreamLargeHistory& page, const Envelope& envelope, TimePoint now);
+  void handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now);
   /// The epoch of the latest sequence for which all partitions pending here are complete; 0 while one is not.
   Epoch completed_sequence() const;
   /// Pages requested and neither answered nor given up.
@@ -41,7 +46,16 @@
     std::map<DaemonId, Source> sources;
     bool complete = false;
   };
+  /// The large history under way.
+  struct Download {
+    Epoch sequence;
+    DaemonId source;
+    HistoryDownload pages;
+  };
   void follow_metadata(DaemonId self);
+  void advance_download(TimePoint now);
+  /// What to answer where the next history is too large for a page.
+  std::optional<StreamLargeHistory> next_large_history(const StreamPartition& request) const;
   void request_pages(TimePoint now);
   void request_pages(PartitionId id, Stream& stream, TimePoint now);
   void request_page(PartitionId id, const Stream& stream, Source& source, const Daemon& daemon, TimePoint now);
@@ -49,13 +63,26 @@
   std::vector<const Daemon*> preferred_sources(const Partition& partition, Stream& stream) const;
   bool is_sending(DaemonId source, TimePoint now) const;
   /// The source that this page was requested of, or nothing.
-  Source* awaited_source(Stream& stream, const StreamPartitionReply& page, DaemonId sender) const;
+  template <class Page>
+  Source* awaited_source(const Page& page, DaemonId sender) {
+    auto stream = streams_.find(page.partition);
+    if (stream == streams_.end() || stream->second.complete || stream->second.sequence != page.sequence)
+      return nullptr;
+    auto& sources = stream->second.sources;
+    auto source = sources.find(sender);
+    if (source == sources.end() || source->second.complete)
+      return nullptr;
+    bool is_next_page =
+        source->second.last_history == page.after && source->second.last_tombstone == page.after_tombstone;
+    return is_next_page ? &source->second : nullptr;
+  }
   bool has_read_quorum(PartitionId id, const Stream& stream) const;
 
   Outbox& out_;
   const MetadataLog& metadata_log_;
   HistoryTable& table_;
   std::map<PartitionId, Stream> streams_;
+  std::optional<Download> download_;
   /// The partition for which pages were requested last.
   PartitionId last_requested_{};
 };
--- a/src/history/store_machine.cpp
+++ b/src/history/store_machine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "history/partition_lookup.hpp"
+#include "history/record_bytes.hpp"
 #include "history/turn_chain.hpp"
 
 namespace mosskeel {
@@ -19,6 +20,7 @@
       table_(journal_, clock_),
       repair_(out_, metadata_log_, table_, clock_),
       streams_(out_, metadata_log_, table_),
+      adoptions_(out_),
       expiry_(out_, metadata_log_, table_, clock_),
       moved_partitions_(out_, metadata_log_, table_),
       load_shedder_(out_, table_) {
@@ -105,6 +107,7 @@
 
 void StoreMachine::run_timers(TimePoint now) {
   streams_.tick(now);
+  adoptions_.tick(now);
   expiry_.tick(now);
   moved_partitions_.tick(now);
   repair_.tick(now);
@@ -130,11 +133,15 @@
     return;
   if (follower_.defer(envelope, now))
     return;
-  if (repair_.handle(envelope))
+  if (repair_.handle(envelope, now))
     return;
   std::visit(overload{[&](const ReadHistory& request) { handle(request, envelope); },
                       [&](const AppendHistory& request) { handle(request, envelope); },
                       [&](const WriteTombstone& request) { handle(request, envelope); },
+                      [&](const AdoptHistory& request) { handle(request, envelope, now); },
+                      [&](const ReadRecords& request) { handle(request, envelope); },
+                      [&](const ReadRecordsReply& page) { handle(page, envelope, now); },
+                      [&](const StreamLargeHistory& page) { streams_.handle(page, envelope, now); },
                       [&](const StreamPartition& request) { streams_.handle(request, envelope); },
                       [&](const StreamPartitionReply& page) { handle(page, envelope, now); },
                       [&](const FindChain& request) { handle(request, envelope); },
@@ -161,15 +168,24 @@
   reply.granted = is_from_owner(envelope, request.partition) && table_.raise_fence(request.partition, request.term);
   if (auto* partition = table_.find(request.partition))
     reply.has_tombstone = partition->has_tombstone(request.history);
-  if (auto* history = table_.find(request.partition, request.history); history && reply.granted) {
+  auto* history = table_.find(request.partition, request.history);
+  if (history && reply.granted && is_large(history->records)) {
+    LargeHistoryReply large{request.history, request.term, history->term, history->records.size()};
+    return out_.send_synced(envelope.from, std::move(large), envelope.from_incarnation);
+  }
+  if (history && reply.granted) {
     reply.history_term = history->term;
     reply.records = history->records;
   }
   out_.send_synced(envelope.from, std::move(reply), envelope.from_incarnation);
 }
 
+bool StoreMachine::takes_writes(const Envelope& envelope, PartitionId id, Epoch term) const {
+  return is_from_owner(envelope, id) && table_.fence(id) <= term;
+}
+
 void StoreMachine::handle(const AppendHistory& request, const Envelope& envelope) {
-  if (!is_from_owner(envelope, request.partition) || table_.fence(request.partition) > request.term) {
+  if (!takes_writes(envelope, request.partition, request.term)) {
     out_.send(envelope.from, AppendHistoryReply{request.history, request.term, false, false, 0},
               envelope.from_incarnation);
     return;
@@ -178,8 +194,33 @@
   out_.send_synced(envelope.from, reply, envelope.from_incarnation);
 }
 
+void StoreMachine::handle(const AdoptHistory& request, const Envelope& envelope, TimePoint now) {
+  if (!takes_writes(envelope, request.partition, request.term)) {
+    out_.send(envelope.from, AppendHistoryReply{request.history, request.term, false, false, 0},
+              envelope.from_incarnation);
+    return;
+  }
+  if (auto reply = table_.adopt(request))
+    return out_.send_synced(envelope.from, *reply, envelope.from_incarnation);
+  adoptions_.begin(request, envelope, now);
+}
+
+void StoreMachine::handle(const ReadRecords& request, const Envelope& envelope) {
+  auto* history = table_.find(request.partition, request.history);
+  auto reply = history ? read_records(request, &history->records, history->term) : read_records(request, nullptr, {});
+  out_.send(envelope.from, std::move(reply), envelope.from_incarnation);
+}
+
+/// Each part takes the pages that it has asked for and leaves the others.
+void StoreMachine::handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now) {
+  streams_.handle(page, envelope, now);
+  repair_.handle(page, envelope, now);
+  if (auto adopted = adoptions_.handle(page, envelope, now))
+    handle(adopted->write, adopted->request);
+}
+
 void StoreMachine::handle(const WriteTombstone& request, const Envelope& envelope) {
-  if (!is_from_owner(envelope, request.partition) || table_.fence(request.partition) > request.term)
+  if (!takes_writes(envelope, request.partition, request.term))
     return;
   auto* partition = table_.find(request.partition);
   if (partition && partition->has_tombstone(request.history))
--- a/src/history/store_machine.hpp
+++ b/src/history/store_machine.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // A store: the replicas of histories on one machine's disk.
+#include "history/adoptions.hpp"
 #include "history/history_expiry.hpp"
 #include "history/load_shedder.hpp"
 #include "history/moved_partitions.hpp"
@@ -39,9 +40,14 @@
   void handle(const Envelope& envelope, TimePoint now);
   void handle(const ReadHistory& request, const Envelope& envelope);
   void handle(const AppendHistory& request, const Envelope& envelope);
+  void handle(const AdoptHistory& request, const Envelope& envelope, TimePoint now);
   void handle(const WriteTombstone& request, const Envelope& envelope);
+  void handle(const ReadRecords& request, const Envelope& envelope);
+  void handle(const ReadRecordsReply& page, const Envelope& envelope, TimePoint now);
   void handle(const StreamPartitionReply& page, const Envelope& envelope, TimePoint now);
   void handle(const FindChain& request, const Envelope& envelope);
+  /// Whether the sender may write to the partition under this term.
+  bool takes_writes(const Envelope& envelope, PartitionId id, Epoch term) const;
   /// Whether the sender owns the partition, knows its present set of stores, and this store is in that set or to come
   /// into it.
   bool is_from_owner(const Envelope& envelope, PartitionId id) const;
@@ -58,6 +64,7 @@
   HistoryTable table_;
   PartitionRepair repair_;
   PartitionStreams streams_;
+  Adoptions adoptions_;
   HistoryExpiry expiry_;
   MovedPartitions moved_partitions_;
   LoadShedder load_shedder_;
--- a/src/messages/history_messages.hpp
+++ b/src/messages/history_messages.hpp
@@ -117,6 +117,42 @@
   MOSSKEEL_FIELDS(FetchHistoriesReply, (PartitionId, partition), (std::vector<HistoryCopy>, histories));
 };
 
+/// Asks a daemon for records of a history from the index `from` on, as they are in the version of this term and length.
+struct ReadRecords {
+  MOSSKEEL_FIELDS(ReadRecords, (HistoryName, history), (PartitionId, partition), (Epoch, term), (uint64_t, length),
+                  (uint64_t, from));
+};
+
+/// One page of records. Not `available`: the sender does not have this version.
+struct ReadRecordsReply {
+  MOSSKEEL_FIELDS(ReadRecordsReply, (HistoryName, history), (Epoch, term), (uint64_t, length), (uint64_t, from),
+                  (bool, available), (Records, records));
+};
+
+/// A store grants a `ReadHistory` of this term, and the history is too large for one message: `ReadRecords` reads it.
+struct LargeHistoryReply {
+  MOSSKEEL_FIELDS(LargeHistoryReply, (HistoryName, history), (Epoch, term), (Epoch, history_term), (uint64_t, length));
+};
+
+/// A page of a partition whose next history is too large for one message; `next` tells which version the sender has.
+struct StreamLargeHistory {
+  MOSSKEEL_FIELDS(StreamLargeHistory, (PartitionId, partition), (Epoch, sequence), (HistoryName, after),
+                  (uint64_t, after_tombstone), (Epoch, fence), (HistorySummary, next));
+};
+
+/// The next one of the histories that a peer has asked for is too large for one message.
+struct FetchLargeHistory {
+  MOSSKEEL_FIELDS(FetchLargeHistory, (PartitionId, partition), (HistorySummary, next));
+};
+
+/// The owner writes a history back that is too large for one message. A store whose replica has the version of
+/// `replica_term` and `replica_length`, which the owner has read, takes it over under `term`; others read `length`
+/// records from the owner first. The answer is an `AppendHistoryReply`.
+struct AdoptHistory {
+  MOSSKEEL_FIELDS(AdoptHistory, (HistoryName, history), (PartitionId, partition), (Epoch, term), (Epoch, replica_term),
+                  (uint64_t, replica_length), (uint64_t, length));
+};
+
 /// The old owner hands the outcome of a turn that was running when its partition moved to the new owner.
 struct TransferTurnOutcome {
   MOSSKEEL_FIELDS(TransferTurnOutcome, (std::string, attempt), (HistoryName, history), (Record, record));
--- a/src/messages/message.hpp
+++ b/src/messages/message.hpp
@@ -20,7 +20,8 @@
                  ReplicaCallChunk, ReplicaCallResponse, CancelReplicaCall, RefoundRequest, QueryTurnRunner,
                  QueryTurnRunnerReply, HistoryExpired, WriteTombstone, PartitionChecksum, PartitionChecksumReply,
                  ListHistories, ListHistoriesReply, FetchHistories, FetchHistoriesReply, ReserveTurn, ReserveTurnReply,
-                 CommitTurn, CommitTurnReply, FindChain, FindChainReply>;
+                 CommitTurn, CommitTurnReply, FindChain, FindChainReply, ReadRecords, ReadRecordsReply,
+                 LargeHistoryReply, StreamLargeHistory, FetchLargeHistory, AdoptHistory>;
 
 /// A message as it travels: `protocol` is kProtocolRevision, `cluster` 0 before the sender knows one, `epoch` what the
 /// sender knows, `id` random; `to_incarnation` 0 means whoever has the address.
--- a/src/net/message_size.cpp
+++ b/src/net/message_size.cpp
@@ -25,6 +25,9 @@
   if (const auto* reply = std::get_if<ReadHistoryReply>(&message)) {
     return bytes_of(reply->records);
   }
+  if (const auto* reply = std::get_if<ReadRecordsReply>(&message)) {
+    return bytes_of(reply->records);
+  }
   if (const auto* append = std::get_if<AppendHistory>(&message)) {
     return bytes_of(append->records);
   }
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -78,7 +78,13 @@
                                       "commit-turn",
                                       "commit-turn-reply",
                                       "find-chain",
-                                      "find-chain-reply"};
+                                      "find-chain-reply",
+                                      "read-records",
+                                      "read-records-reply",
+                                      "large-history-reply",
+                                      "stream-large-history",
+                                      "fetch-large-history",
+                                      "adopt-history"};
   static_assert(std::size(names) == std::variant_size_v<Message>);
   return names[message.index()];
 }
--- a/src/programs/turn_owner.cpp
+++ b/src/programs/turn_owner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "history/constants.hpp"
 #include "programs/constants.hpp"
 #include "programs/program_request.hpp"
 
@@ -123,6 +124,9 @@
     return RequestRejection{409, "after: the thread has " + std::to_string(used.thread_turns) + " settled turns"};
   if (is_model_turn && used.tokens >= cell.budget)
     return RequestRejection{429, "the program's budget of " + std::to_string(cell.budget) + " tokens is spent"};
+  if (history_writer_.bytes(open.history) + open.request.body.size() + kRecordOverheadBytes > kMaxHistoryBytes)
+    return RequestRejection{
+        413, "the program's history is full: it may hold " + std::to_string(kMaxHistoryBytes) + " bytes"};
   return Admitted{used.thread_turns + 1};
 }
 
--- a/src/routing/turn_coordinator.cpp
+++ b/src/routing/turn_coordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "history/constants.hpp"
 #include "history/partition_lookup.hpp"
+#include "history/record_bytes.hpp"
 #include "routing/constants.hpp"
 #include "runtime/constants.hpp"
 
@@ -172,6 +173,8 @@
     return reject_from_memory(pending, 402, "the program's budget is spent", now);
   auto* gateway = metadata_log_.view()->find(pending.incarnation);
   auto record = reservation_record(request, gateway ? gateway->id : DaemonId{});
+  if (history_writer_.bytes(pending.history) + bytes_of(record) > kMaxHistoryBytes)
+    return reject_from_memory(pending, 413, "the program's history is full", now);
   pending.required_length = history_writer_.append(pending.history, std::move(record), now);
   this->index(pending.history);
   return std::nullopt;
--- a/tests/simulation/message_detail.cpp
+++ b/tests/simulation/message_detail.cpp
@@ -34,23 +34,29 @@
 
 std::string describe_contents(const Message& message) {
   return std::visit(
-      overload{[](const ReadHistory& request) { return describe_term(request.history, request.term); },
-               [](const ReadHistoryReply& reply) {
-                 return describe_term(reply.history, reply.term) + (reply.granted ? " history" : " denied") +
-                        spaced(reply.history_term.value()) + spaced(reply.records.size());
-               },
-               [](const AppendHistory& request) {
-                 return describe_term(request.history, request.term) + (request.replace ? " adopt" : " from") +
-                        spaced(request.from) + " +" + spaced(request.records.size());
-               },
-               [](const AppendHistoryReply& reply) { return describe_append_reply(reply); },
-               [](const ProgramRequest& request) { return " " + request.program + " " + request.key; },
-               [](const TransferTurnOutcome& transfer) { return spaced(transfer.history) + " " + transfer.record.key; },
-               [](const FetchHistoriesReply& reply) { return describe_histories(reply.histories); },
-               [](const StreamPartitionReply& reply) { return describe_histories(reply.histories); },
-               [](const auto&) {
-                 return std::string();
-               }},
+      overload{
+          [](const ReadHistory& request) { return describe_term(request.history, request.term); },
+          [](const ReadHistoryReply& reply) {
+            return describe_term(reply.history, reply.term) + (reply.granted ? " history" : " denied") +
+                   spaced(reply.history_term.value()) + spaced(reply.records.size());
+          },
+          [](const AppendHistory& request) {
+            return describe_term(request.history, request.term) + (request.replace ? " adopt" : " from") +
+                   spaced(request.from) + " +" + spaced(request.records.size());
+          },
+          [](const AppendHistoryReply& reply) { return describe_append_reply(reply); },
+          [](const ProgramRequest& request) { return " " + request.program + " " + request.key; },
+          [](const TransferTurnOutcome& transfer) { return spaced(transfer.history) + " " + transfer.record.key; },
+          [](const AdoptHistory& request) { return describe_term(request.history, request.term) + " adopt large"; },
+          [](const ReadRecordsReply& page) {
+            return describe_term(page.history, page.term) + " from" + spaced(page.from) + " +" +
+                   spaced(page.records.size());
+          },
+          [](const FetchHistoriesReply& reply) { return describe_histories(reply.histories); },
+          [](const StreamPartitionReply& reply) { return describe_histories(reply.histories); },
+          [](const auto&) {
+            return std::string();
+          }},
       message);
 }
 
--- a/tests/unit/history/partition_repair_test.cpp
+++ b/tests/unit/history/partition_repair_test.cpp
@@ -3,6 +3,7 @@
 #include "unit/catch.hpp"
 
 #include "history/constants.hpp"
+#include "net/wire.hpp"
 #include "unit/history/store_fixture.hpp"
 
 using namespace mosskeel;
@@ -25,6 +26,8 @@
     stores_["daemon" + std::to_string(number)] =
         std::make_unique<StoreMachine>(identity_of(number), std::move(disk), kStart);
   }
+  /// Bytes of the largest message that a store has sent.
+  size_t largest_message() const { return largest_message_; }
   StoreMachine& store(uint64_t number) { return *stores_.at("daemon" + std::to_string(number)); }
 
   /// Lets each store compare all of its partitions, once the histories are old enough to be compared.
@@ -43,6 +46,7 @@
   void deliver(const Actions& actions) {
     for (auto* messages : {&actions.now, &actions.synced}) {
       for (auto& envelope : *messages) {
+        largest_message_ = std::max(largest_message_, encode(envelope).size());
         auto receiver = stores_.find(envelope.to);
         if (receiver != stores_.end())
           deliver(receiver->second->step(envelope, now_));
@@ -52,6 +56,7 @@
 
   std::map<Address, std::unique_ptr<StoreMachine>> stores_;
   TimePoint now_ = kStart + kRepairMinimumAge + 1ms;
+  size_t largest_message_ = 0;
 };
 
 }  // namespace
@@ -88,3 +93,22 @@
   CHECK(stores.store(3).history_count() == 0);
   CHECK(stores.store(3).repair().fetched() == 0);
 }
+
+// Guards against a history that no message can carry, so that it stays on a bare majority of its stores.
+TEST_CASE("A store that lacks a history which is too large for a message fetches it page by page") {
+  constexpr size_t kTurns = 170;
+  constexpr size_t kOutputBytes = 31000;
+  ComparingStores stores;
+  stores.add(2, recovered_store(2, settled_fleet(), 2, kTurns, kOutputBytes));
+  stores.add(3, recovered_store(3, settled_fleet(), 0, 0, 0));
+  stores.add(4, recovered_store(4, settled_fleet(), 2, kTurns, kOutputBytes));
+
+  stores.repair();
+
+  CHECK(stores.store(3).repair().incomplete_comparisons() == 0);
+  REQUIRE(stores.store(3).history_count() == 2);
+  auto name = history_name(0);
+  CHECK(stores.store(3).partitions().at(partition_of(name)).histories.at(name).records ==
+        outcomes(kTurns, kOutputBytes));
+  CHECK(stores.largest_message() < kRecordsPageBytes + 2 * kOutputBytes);
+}
--- a/tests/unit/history/partition_streams_test.cpp
+++ b/tests/unit/history/partition_streams_test.cpp
@@ -3,6 +3,7 @@
 #include "unit/catch.hpp"
 
 #include "history/constants.hpp"
+#include "net/wire.hpp"
 #include "unit/history/store_fixture.hpp"
 
 using namespace mosskeel;
@@ -40,6 +41,8 @@
 
   const StoreMachine& store() const { return store_; }
   size_t journaled() const { return journaled_bytes_; }
+  /// Bytes of the largest message that came from a source.
+  size_t largest_page() const { return largest_page_; }
   size_t most_pages_in_flight() const { return most_pages_in_flight_; }
   /// The most pages that one step requested of each source.
   const std::map<Address, size_t>& most_requests_at_once() const { return most_requests_at_once_; }
@@ -50,6 +53,7 @@
     std::vector<Envelope> next_requests;
     for (auto& request : requests) {
       for (auto& page : sources_.at(request.to)->step(request, now).now) {
+        largest_page_ = std::max(largest_page_, encode(page).size());
         auto more = take_requests(store_.step(page, now));
         next_requests.insert(next_requests.end(), more.begin(), more.end());
       }
@@ -63,7 +67,9 @@
     journaled_bytes_ += journaled_bytes(actions);
     for (auto* messages : {&actions.now, &actions.synced}) {
       for (auto& envelope : *messages) {
-        if (!std::holds_alternative<StreamPartition>(envelope.body))
+        bool is_request = std::holds_alternative<StreamPartition>(envelope.body) ||
+                          std::holds_alternative<ReadRecords>(envelope.body);
+        if (!is_request)
           continue;
         requests.push_back(envelope);
         ++by_source[envelope.to];
@@ -78,6 +84,7 @@
   StoreMachine store_{identity_of(1), recovered_store(1, joining_fleet(), 0, 0, 0), kStart};
   size_t journaled_bytes_ = 0;
   size_t most_pages_in_flight_ = 0;
+  size_t largest_page_ = 0;
   std::map<Address, size_t> most_requests_at_once_;
 };
 
@@ -126,3 +133,28 @@
   CHECK(streaming.store().streams().completed_sequence() == kPendingEpoch);
   CHECK(streaming.store().history_count() == 100);
 }
+
+// Guards against a history that no message can carry, so that its partition never leaves two stores.
+TEST_CASE("Histories that are too large for a page are streamed in bounded pages, one after the other") {
+  constexpr size_t kHistories = 3;
+  constexpr size_t kTurns = 170;
+  constexpr size_t kOutputBytes = 31000;
+  StreamingStore streaming(kHistories, kTurns, kOutputBytes);
+
+  // What waited for another large history is asked for again after the time-out.
+  auto now = kStart + kTickInterval;
+  for (size_t round = 0; round < 2 * kHistories; ++round) {
+    streaming.tick_and_stream(now);
+    now += kStreamPageTimeout;
+  }
+
+  CHECK(streaming.store().streams().completed_sequence() == kPendingEpoch);
+  REQUIRE(streaming.store().history_count() == kHistories);
+  for (size_t i = 0; i < kHistories; ++i) {
+    auto name = history_name(i);
+    auto& history = streaming.store().partitions().at(partition_of(name)).histories.at(name);
+    CHECK(history.records == outcomes(kTurns, kOutputBytes));
+    CHECK(history.term == kFirstTerm);
+  }
+  CHECK(streaming.largest_page() < kRecordsPageBytes + 2 * kOutputBytes);
+}
--- a/tests/unit/programs/turn_owner_test.cpp
+++ b/tests/unit/programs/turn_owner_test.cpp
@@ -1,6 +1,7 @@
 // What the owner of a program answers to a key that was used before.
 #include "programs/turn_owner.hpp"
 
+#include "history/constants.hpp"
 #include "programs/program_request.hpp"
 #include "unit/routing/turn_owner_fixture.hpp"
 
@@ -144,3 +145,17 @@
     CHECK(response.body.empty());
   }
 }
+
+TEST_CASE("TurnOwner rejects a turn that would make the history too large, before it runs") {
+  OwningGateway gateway;
+  Record large{};
+  large.kind = RecordKind::outcome;
+  large.key = "earlier";
+  large.output = std::string(kMaxHistoryBytes, 'x');
+  gateway.acknowledge(gateway.history_writer.append(gateway.history, large, gateway.now));
+
+  auto response = gateway.repeat();
+
+  CHECK(response.status == 413);
+  CHECK(response.executed == Outcome::no);
+}
--- a/tests/unit/routing/turn_coordinator_test.cpp
+++ b/tests/unit/routing/turn_coordinator_test.cpp
@@ -1,6 +1,7 @@
 // When the owner of a program grants a turn, and when it acknowledges the turn's outcome.
 #include "routing/turn_coordinator.hpp"
 
+#include "history/constants.hpp"
 #include "unit/routing/turn_owner_fixture.hpp"
 
 using namespace mosskeel;
@@ -222,3 +223,30 @@
 
   CHECK(owner.take<CommitTurnReply>().empty());
 }
+
+TEST_CASE("TurnCoordinator rejects a turn that would make the history too large, before it runs") {
+  constexpr size_t kInputBytes = kMaxHistoryBytes / 4;
+  Owner owner;
+  auto large_turn = [](const std::string& attempt) {
+    auto request = turn(attempt);
+    request.input = std::string(kInputBytes, 'x');
+    return request;
+  };
+  for (auto attempt : {"a", "b", "c"}) {
+    owner.receive(2, large_turn(attempt));
+    owner.complete_writes();
+    REQUIRE(owner.take_one<ReserveTurnReply>().status == 200);
+  }
+
+  owner.receive(2, large_turn("d"));
+
+  CHECK(owner.complete_writes().empty());
+  auto reply = owner.take_one<ReserveTurnReply>();
+  CHECK(reply.status == 413);
+  CHECK(reply.reason.find("history is full") != std::string::npos);
+
+  owner.receive(2, turn("e"));
+  owner.complete_writes();
+
+  CHECK(owner.take_one<ReserveTurnReply>().status == 200);
+}
