--- a/tests/simulation/callers.cpp
+++ b/tests/simulation/callers.cpp
@@ -184,6 +184,7 @@
   turn->thread = thread;
   turn->key = "k" + std::to_string(++last_number_);
   turn->input = "say " + turn->key;
+  turn->input.resize(std::max(turn->input.size(), settings.input_bytes), '.');
   turn->ordinal = last_number_;
   auto known = known_turns(program, thread);
   if (known && world_.chance(states_expected_turns))
--- a/tests/simulation/callers.hpp
+++ b/tests/simulation/callers.hpp
@@ -67,6 +67,8 @@
   uint64_t urgent_share = 0;
   /// One program in so many is long and has many sub-agents; 0 for none.
   uint64_t long_program_share = 0;
+  /// Bytes that a turn's input has at least.
+  size_t input_bytes = 0;
   /// After so many attempts a caller gives up.
   uint32_t most_tries = 12;
 };
--- a/tests/simulation/losses.cpp
+++ b/tests/simulation/losses.cpp
@@ -1,6 +1,7 @@
 // Losses of stores at the worst moments: right after an acknowledgement, in the middle of a drain, twice in a row.
 #include <algorithm>
 
+#include "history/constants.hpp"
 #include "simulation/scenario_functions.hpp"
 
 namespace mosskeel::sim {
@@ -228,4 +229,21 @@
     world.fail(std::to_string(sequences.size()) + " sequences for a store that comes and goes");
 }
 
+/// Most histories are too large for a message. Two stores lose their disks, one after the other, and in between all
+/// gateways are lost, so that new owners read the histories while a store takes them over.
+void large_histories(Day& day) {
+  auto& world = day.world;
+  day.callers.settings.input_bytes = 2 * kMaxWholeHistoryBytes / 10;
+  day.callers.settings.long_program_share = 1;
+  day.callers.traffic(700ms, world.now() + 26000ms);
+  world.run(8000ms);
+  auto first = day.any(Kind::store);
+  lose_one_store(day, first);
+  must_serve(day, 5000ms, "the loss of a store with large histories");
+  forget_owners(day);
+  world.run(2000ms);
+  lose_one_store(day, day.any_store_but(first));
+  must_serve(day, 5000ms, "the loss of a second store with large histories");
+}
+
 }  // namespace mosskeel::sim
--- a/tests/simulation/scenario_functions.hpp
+++ b/tests/simulation/scenario_functions.hpp
@@ -42,6 +42,7 @@
 void unreplaced(Day& day);
 void leaving(Day& day);
 void flapping(Day& day);
+void large_histories(Day& day);
 
 // retention.cpp: histories end, or must not.
 void retention(Day& day);
--- a/tests/simulation/scenarios.cpp
+++ b/tests/simulation/scenarios.cpp
@@ -96,6 +96,7 @@
       {"unreplaced", two_losses(), kAmpleBudget, unreplaced},
       {"leaving", five_stores(), kAmpleBudget, leaving},
       {"flapping", five_stores(), kAmpleBudget, flapping},
+      {"large-histories", usual(), kAmpleBudget, large_histories},
       {"gateways-lost", usual(3, 9, 6), kAmpleBudget, gateways_lost},
       {"gateways-cut", usual(3, 9, 6), kAmpleBudget, gateways_cut},
   };
--- a/tests/unit/simulation/sim_test.cpp
+++ b/tests/unit/simulation/sim_test.cpp
@@ -59,6 +59,7 @@
     {"unreplaced", {1, 2, 3}},
     {"leaving", {1, 2, 3, 4, 5, 6}},
     {"flapping", {1, 2}},
+    {"large-histories", {1, 2}},
     {"gateways-lost", {1, 2, 3}},
     {"gateways-cut", {1, 2, 3}},
 };
