Graceful stop: what is open near its end is answered, not cut by the kill

Callers would see: a request that a stopping gateway took early and that is still open at the end of the grace ends without an answer, also a turn that no replica has seen.

The limits, from one place for all interfaces, count from the signal.

Ruled out: refusing more and sooner; ending at the kill itself, which leaves no time for the answer on the wire.

--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -68,8 +68,7 @@
     const auto* codec = find_protocol_codec(settings.platform_protocol);
     if (!codec)
       return cannot_start("gateway", {{"dialect", "'" + settings.platform_protocol + "' is not known"}});
-    auto started =
-        RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address, settings.shutdown_grace);
+    auto started = RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address);
     if (!started.ok())
       return cannot_start("gateway", started.errors());
     routing_thread = std::move(started).value();
@@ -96,9 +95,10 @@
   }
 
   auto exit_code = run_until_stopped(host, "gateway", [&] {
-    host.ask([](StateMachine& machine, TimePoint) { static_cast<GatewayMachine&>(machine).begin_shutdown(); });
+    auto limits = ShutdownLimits::begin(process_now(), settings.shutdown_grace);
     if (routing_thread)
-      routing_thread->begin_draining();
+      routing_thread->begin_draining(limits);
+    host.ask([](StateMachine& machine, TimePoint) { static_cast<GatewayMachine&>(machine).begin_shutdown(); });
     return false;
   });
   mailboxes.shut_down();
--- a/src/gateway/routing_thread.cpp
+++ b/src/gateway/routing_thread.cpp
@@ -6,9 +6,8 @@
 namespace mosskeel {
 
 Result<std::unique_ptr<RoutingThread>> RoutingThread::start(Host& host, const ProtocolCodec& codec,
-                                                            const Address& callers, const Address& readiness,
-                                                            Duration shutdown_grace) {
-  std::unique_ptr<RoutingThread> started(new RoutingThread(host, codec, shutdown_grace));
+                                                            const Address& callers, const Address& readiness) {
+  std::unique_ptr<RoutingThread> started(new RoutingThread(host, codec));
   auto* self = started.get();
   if (auto errors = self->listen_for_callers(callers); !errors.empty())
     return errors;
@@ -81,12 +80,10 @@
   host_.post(std::move(envelope));
 }
 
-void RoutingThread::begin_draining() {
-  loop_.post([this] {
-    auto now = process_now();
-    draining_since_ = now;
-    frontend_->begin_shutdown(
-        {.refuse_from = now + kShutdownRefusalDelay, .ends_at = now + shutdown_grace_ - kShutdownMargin});
+void RoutingThread::begin_draining(const ShutdownLimits& limits) {
+  loop_.post([this, limits] {
+    draining_since_ = limits.begun_at;
+    frontend_->begin_shutdown(limits);
   });
 }
 
--- a/src/gateway/routing_thread.hpp
+++ b/src/gateway/routing_thread.hpp
@@ -12,21 +12,21 @@
 /// queues: turn messages to the host, and their replies posted to the event loop. Must be destroyed before the host.
 class RoutingThread {
  public:
-  /// Listens and starts the thread. `readiness` may be empty: then no probes are answered. `shutdown_grace` is how long
-  /// a graceful stop may take. Errors where an address can't be listened on.
+  /// Listens and starts the thread. `readiness` may be empty: then no probes are answered. Errors where an address
+  /// can't be listened on.
   static Result<std::unique_ptr<RoutingThread>> start(Host& host, const ProtocolCodec& codec, const Address& callers,
-                                                      const Address& readiness, Duration shutdown_grace);
+                                                      const Address& readiness);
   ~RoutingThread();
   RoutingThread(const RoutingThread&) = delete;
   RoutingThread& operator=(const RoutingThread&) = delete;
   /// Begins a graceful shutdown; from any thread. Every response is the last of its connection at once. Listening ends
   /// `kReadinessPropagation` later, once the platform has had time to see that the gateway is not ready. Late requests
-  /// that may outlast the grace are refused unrun. The control state hears when the last connection is over.
-  void begin_draining();
+  /// that may outlast the limits are refused unrun, and what is open at their end is answered. The control state hears
+  /// when the last connection is over.
+  void begin_draining(const ShutdownLimits& limits);
 
  private:
-  RoutingThread(Host& host, const ProtocolCodec& codec, Duration shutdown_grace)
-      : host_(host), codec_(codec), shutdown_grace_(shutdown_grace) {}
+  RoutingThread(Host& host, const ProtocolCodec& codec) : host_(host), codec_(codec) {}
   Errors listen_for_callers(const Address& address);
   Errors listen_for_readiness(const Address& address);
   /// On the routing thread: a reply to one of the router's turn messages.
@@ -41,7 +41,6 @@
 
   Host& host_;
   const ProtocolCodec& codec_;
-  const Duration shutdown_grace_;
   EventLoop loop_;
   std::unique_ptr<HttpFrontend> frontend_;
   std::unique_ptr<HttpListener> readiness_listener_;
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -26,7 +26,7 @@
   /// Where callers are listened for, with the port that the system chose where none was named.
   Address at() const { return callers_->local_address(); }
   /// Every response from now on is the last of its connection, and requests are taken within these limits.
-  void begin_shutdown(const routing::ShutdownLimits& limits) {
+  void begin_shutdown(const ShutdownLimits& limits) {
     router_.begin_shutdown(limits);
     callers_->close_after_responses();
   }
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -26,6 +26,14 @@
 
 }  // namespace
 
+void RequestRouter::begin_shutdown(const ShutdownLimits& limits) {
+  shutdown_ = limits;
+  for (auto id : requests_.ids()) {
+    auto& deadline = requests_.find(id)->deadline;
+    deadline = limits.clamped(deadline);
+  }
+}
+
 Actions RequestRouter::handle(Event event, TimePoint now) {
   std::visit([&](auto& alternative) { on(alternative, now); }, event);
   dispatch_queued(now);
@@ -56,8 +64,10 @@
     return send_error(id, {404, "no path leads there"});
 
   auto request = make_active_request(std::move(event), headers, *path, routes.view(), now);
-  if (may_outlast_shutdown(request, now))
+  if (shutdown_ && shutdown_->refuses(request.deadline, now))
     return send_error(id, {503, "this gateway stops before the request's time is over", kRetryAfterShutdown});
+  if (shutdown_)
+    request.deadline = shutdown_->clamped(request.deadline);
   if (request.runs_once()) {
     auto duplicate = requests_.find_duplicate(headers.attempt_id);
     if (duplicate == RequestTable::Duplicate::in_progress)
@@ -72,10 +82,6 @@
     dispatch(added, now);
 }
 
-bool RequestRouter::may_outlast_shutdown(const ActiveRequest& request, TimePoint now) const {
-  return shutdown_ && now >= shutdown_->refuse_from && request.deadline > shutdown_->ends_at;
-}
-
 void RequestRouter::on(ReserveTurnReply& reply, TimePoint now) {
   auto* request = requests_.find_turn(reply.attempt);
   if (!request || !request->is_reserving())
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -3,17 +3,10 @@
 #include "routing/attempt_dispatcher.hpp"
 #include "routing/request_table.hpp"
 #include "routing/response_relay.hpp"
+#include "runtime/shutdown_limits.hpp"
 
 namespace mosskeel::routing {
 
-/// What a graceful stop leaves time for.
-struct ShutdownLimits {
-  /// From then on a request is rejected unrun that may last longer than `ends_at`. Earlier ones may be cut by the end.
-  TimePoint refuse_from{};
-  /// By then every response must be complete, for the process may be killed.
-  TimePoint ends_at{};
-};
-
 /// State machine of all requests of a gateway, without socket, clock or disk: events go in, actions come out.
 ///
 /// A request waits for a replica, is sent, and its response is passed on; a failed attempt is followed by another where
@@ -34,8 +27,8 @@
   void update(std::shared_ptr<const RoutingSnapshot> snapshot, TimePoint now) {
     dispatcher_.update(std::move(snapshot), now);
   }
-  /// The gateway stops; requests go on to be taken while their time is over before its end.
-  void begin_shutdown(const ShutdownLimits& limits) { shutdown_ = limits; }
+  /// The gateway stops: its requests end with their deadlines or with the stop, and late ones may be rejected.
+  void begin_shutdown(const ShutdownLimits& limits);
   /// Takes an event and serves the queue.
   Actions handle(Event event, TimePoint now);
   /// Ends requests whose time is over and serves the queue.
@@ -52,8 +45,6 @@
   };
 
   void on(RequestReceived& event, TimePoint now);
-  /// Whether the gateway stops before the request's time is over.
-  bool may_outlast_shutdown(const ActiveRequest& request, TimePoint now) const;
   void on(const CallerDisconnected& event, TimePoint now);
   void on(ResponseHeadersReceived& event, TimePoint now);
   void on(ResponseDataReceived& event, TimePoint now);
--- a/tests/unit/routing/request_router_test.cpp
+++ b/tests/unit/routing/request_router_test.cpp
@@ -266,6 +266,60 @@
   CHECK(fixture.all<SendToReplica>().size() == 1);
 }
 
+// Guards against review case 4 on its related paths: what was taken early in a graceful stop and is still open near its
+// end was cut by the kill, without an answer.
+TEST_CASE("RequestRouter that stops answers what is still open before the process may be killed") {
+  constexpr Duration kUntilEnd = 1000ms;
+  RouterFixture fixture;
+  auto stop = [&] {
+    auto ends_at = fixture.now + kUntilEnd;
+    fixture.router.begin_shutdown({.refuse_from = ends_at, .ends_at = ends_at});
+  };
+  auto let_stop_end = [&] {
+    fixture.advance(kUntilEnd - 1ms);
+    CHECK(fixture.none<SendResponse>());
+    CHECK(fixture.none<ResetResponse>());
+    fixture.advance(1ms);
+  };
+
+  SECTION("a turn whose owner has not answered was not run, and its owner is told") {
+    fixture.receive("turn");
+    stop();
+    let_stop_end();
+    CHECK(fixture.one<SendResponse>().status == 503);
+    CHECK_FALSE(fixture.retry_after().empty());
+    CHECK(fixture.outcome().status == 0);
+  }
+  SECTION("a request that a replica works on may have run") {
+    auto sent = fixture.receive_and_send("unsafe");
+    stop();
+    let_stop_end();
+    CHECK(fixture.one<SendResponse>().status == 504);
+    CHECK(fixture.one<CancelAttempt>().attempt == sent.attempt);
+  }
+  SECTION("a stream that has begun is broken off") {
+    auto sent = fixture.receive_and_send("stream");
+    fixture.respond_with_stream(sent);
+    fixture.stream_events(sent, 1, 3);
+    stop();
+    let_stop_end();
+    CHECK(fixture.one<ResetResponse>().request_id == fixture.last_request_id);
+  }
+  SECTION("a request that comes during the stop and ends before it by its deadline is answered like any other") {
+    stop();
+    auto sent = fixture.receive_and_send("unsafe", {{"Mosskeel-Time-Left", "500"}});
+    fixture.respond(sent, 200);
+    fixture.handle(ResponseCompleted{sent.attempt});
+    CHECK(fixture.one<SendResponse>().status == 200);
+  }
+  SECTION("a request that comes during the stop with a later deadline ends with the stop") {
+    stop();
+    fixture.receive_and_send("unsafe");
+    let_stop_end();
+    CHECK(fixture.one<SendResponse>().status == 504);
+  }
+}
+
 TEST_CASE("RequestRouter cancels a turn whose error response is larger than its buffer") {
   RouterFixture fixture;
   auto sent = fixture.receive_and_send("turn");
