Graceful stop: the product's own interface has the same limits, and its grace is a setting

Callers of the product's own interface would see: a turn whose replica is silent, or whose stores don't answer, is cut by the kill; its deadline is 60 s where the caller names none.

Cause: that interface knew that it stops, but not until when. It refused callers' new requests, went on with open ones until their deadlines, and kept the process until it was killed. A request whose history does not open, or that waits for the turn before it, had no deadline at all, stop or not.

Fix: ShutdownLimits for its requests too: deadlines end 0.5 s before the kill, forwarded requests that come late and may outlast it are refused, and the machine stops 0.25 s before the kill, which answers who still waits (504). Requests that wait to begin end at their deadline with 503. The grace is the platform's, or shutdown_grace_ms (70 s: no turn of a deployment without a platform is cut shorter than before).

--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -98,7 +98,7 @@
     auto limits = ShutdownLimits::begin(process_now(), settings.shutdown_grace);
     if (routing_thread)
       routing_thread->begin_draining(limits);
-    host.ask([](StateMachine& machine, TimePoint) { static_cast<GatewayMachine&>(machine).begin_shutdown(); });
+    host.ask([&](StateMachine& machine, TimePoint) { static_cast<GatewayMachine&>(machine).begin_shutdown(limits); });
     return false;
   });
   mailboxes.shut_down();
--- a/src/programs/gateway_context.hpp
+++ b/src/programs/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "replication/metadata_log.hpp"
+#include "runtime/shutdown_limits.hpp"
 
 namespace mosskeel {
 
@@ -37,7 +38,7 @@
   MetadataLog metadata_log;
   std::map<std::string, uint64_t> counters;
   /// Set once the gateway was told to shut down: callers' new requests are rejected.
-  bool shutting_down = false;
+  std::optional<ShutdownLimits> shutdown;
 };
 
 /// Whether a daemon is neither down nor gone.
--- a/src/programs/gateway_machine.cpp
+++ b/src/programs/gateway_machine.cpp
@@ -94,7 +94,7 @@
   heartbeat.load = open_requests;
   heartbeat.running = open_requests;
   heartbeat.sent = to_milliseconds(now);
-  heartbeat.leaving = context_.shutting_down;
+  heartbeat.leaving = context_.shutdown.has_value();
   context_.outbox.send(context_.outbox.id().self.agent_address, heartbeat);
 }
 
@@ -118,14 +118,25 @@
   bool owns_nothing = !self || !is_in_service(*self) || is_drained;
   if (!request_pipeline_.is_idle() || turn_client_.waiting() || open_routing_sessions_)
     last_active_ = now;
-  if (context_.shutting_down && owns_nothing && now - last_active_ > kShutdownGracePeriod)
+  bool is_over = owns_nothing && now - last_active_ > kShutdownGracePeriod;
+  if (context_.shutdown && (is_over || must_stop(now)))
     context_.outbox.act.stop = true;
 }
 
+bool GatewayMachine::must_stop(TimePoint now) const {
+  // Sessions of the routing thread are answered by it, and need the machine for the outcomes of their turns.
+  return !open_routing_sessions_ && now >= context_.shutdown->ends_at + kShutdownMargin / 2;
+}
+
+void GatewayMachine::begin_shutdown(const ShutdownLimits& limits) {
+  context_.shutdown = limits;
+  request_pipeline_.limit_deadlines();
+}
+
 bool GatewayMachine::ready(TimePoint now) const {
   const auto* self = context_.self();
   bool is_up = self && self->state == DaemonState::up && !context_.metadata().evacuated.count(self->self.zone);
-  return is_up && majority_contact_.is_confirmed() && !context_.shutting_down && has_majority_contact(now);
+  return is_up && majority_contact_.is_confirmed() && !context_.shutdown && has_majority_contact(now);
 }
 
 RoutingSnapshot GatewayMachine::routing_snapshot(TimePoint now) const {
--- a/src/programs/gateway_machine.hpp
+++ b/src/programs/gateway_machine.hpp
@@ -21,8 +21,9 @@
   Actions tick(TimePoint now) override;
   MetadataSnapshot view() const override { return context_.metadata_log.view(); }
 
-  /// Begins a graceful shutdown: the partitions are handed over and running turns end, then the machine stops.
-  void begin_shutdown() { context_.shutting_down = true; }
+  /// Begins a graceful shutdown: the partitions are handed over and running turns end, then the machine stops. What is
+  /// still open when the limits end is answered then.
+  void begin_shutdown(const ShutdownLimits& limits);
   /// Whether callers may be sent here.
   bool ready(TimePoint now) const;
   /// Whether requests may be dispatched: see MajorityContact.
@@ -44,6 +45,8 @@
   void sweep(TimePoint now);
   void log_majority_contact(TimePoint now);
   void stop_if_drained(TimePoint now);
+  /// Whether the process may be killed so soon that who still waits must be told now, by the end of the machine.
+  bool must_stop(TimePoint now) const;
 
   GatewayContext context_;
   Follower follower_;
--- a/src/programs/request_pipeline.cpp
+++ b/src/programs/request_pipeline.cpp
@@ -24,8 +24,9 @@
       history_closer_(context, history_writer, requests_, turn_runners_) {}
 
 void RequestPipeline::begin(OpenRequest& open, TimePoint now) {
+  if (!set_deadline(open, now))
+    return;
   auto& request = open.request;
-  open.deadline = now + (request.deadline_ms > 0 ? Duration(request.deadline_ms) : kDefaultRequestTimeout);
   bool is_application_request = request.kind == kApplicationRequest;
   bool has_own_key = request.key != request.attempt;
   open.is_stateless = is_application_request && (request.idempotent || !has_own_key);
@@ -41,6 +42,27 @@
   route(open, now);
 }
 
+bool RequestPipeline::set_deadline(OpenRequest& open, TimePoint now) {
+  const auto& request = open.request;
+  open.deadline = now + (request.deadline_ms > 0 ? Duration(request.deadline_ms) : kDefaultRequestTimeout);
+  const auto& shutdown = context_.shutdown;
+  if (!shutdown)
+    return true;
+  if (shutdown->refuses(open.deadline, now)) {
+    responder_.reject(open, {503, "this gateway stops before the request's time is over", kDefaultRetryAfter}, now);
+    return false;
+  }
+  open.deadline = shutdown->clamped(open.deadline);
+  return true;
+}
+
+void RequestPipeline::limit_deadlines() {
+  for (const auto& attempt : requests_.attempts()) {
+    auto& deadline = requests_.find(attempt)->deadline;
+    deadline = context_.shutdown->clamped(deadline);
+  }
+}
+
 bool RequestPipeline::handle(const Envelope& envelope, TimePoint now) {
   const auto& body = envelope.body;
   if (const auto* request = std::get_if<ProgramRequest>(&body)) {
@@ -137,7 +159,13 @@
   if (state == HistoryWriter::State::open)
     return start_on_open_history(open, now);
   if (state == HistoryWriter::State::unavailable)
-    responder_.reject(open, {503, "too few stores answer", kDefaultRetryAfter * 2}, now);
+    return responder_.reject(open, {503, "too few stores answer", kDefaultRetryAfter * 2}, now);
+  if (now >= open.deadline)
+    reject_expired(open, now);
+}
+
+void RequestPipeline::reject_expired(OpenRequest& open, TimePoint now) {
+  responder_.reject(open, {503, "the deadline passed before the request could begin", kDefaultRetryAfter}, now);
 }
 
 void RequestPipeline::start_on_open_history(OpenRequest& open, TimePoint now) {
@@ -160,6 +188,8 @@
     RequestRejection rejection{503, "the turn before this one is still running", kDefaultRetryAfter * 2};
     return responder_.reject(open, std::move(rejection), now);
   }
+  if (now >= open.deadline)
+    return reject_expired(open, now);
   open.stage = RequestStage::opening_history;
   advance(open, now);
 }
--- a/src/programs/request_pipeline.hpp
+++ b/src/programs/request_pipeline.hpp
@@ -21,6 +21,8 @@
   void on_history_changed(const HistoryName& history, TimePoint now);
   /// Goes on with all requests, and forgets what is too old to matter.
   void sweep(TimePoint now);
+  /// The gateway has begun to shut down: no open request lasts longer than that leaves time for.
+  void limit_deadlines();
   /// Hands queued requests to replicas with free capacity.
   void dispatch_queued(TimePoint now);
 
@@ -31,6 +33,10 @@
  private:
   /// Starts a request that was admitted.
   void begin(OpenRequest& open, TimePoint now);
+  /// Sets the request's deadline; false where it was rejected, for it may outlast the gateway's shutdown.
+  bool set_deadline(OpenRequest& open, TimePoint now);
+  /// Rejects a request whose deadline came before it could begin.
+  void reject_expired(OpenRequest& open, TimePoint now);
 
   /// Serves the request here if this gateway owns its program, else forwards it to the owner or back.
   void route(OpenRequest& open, TimePoint now);
--- a/src/runtime/settings.cpp
+++ b/src/runtime/settings.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kMinCommitAttemptTimeout = 100ms;
 constexpr Duration kMaxCommitAttemptTimeout = 30000ms;
 constexpr Duration kMaxCommitTimeout = 60000ms;
+constexpr Duration kMinShutdownGrace = 1000ms;
+constexpr Duration kMaxShutdownGrace = 3600000ms;
 
 struct PoptContextDeleter {
   void operator()(poptContext context) const { poptFreeContext(context); }
@@ -56,13 +58,14 @@
   int core_size = 0;
   long commit_timeout = 0;
   long commit_attempt_timeout = 0;
+  long shutdown_grace = 0;
   int check = 0;
   int version = 0;
 
   /// Whether any of them gives settings.
   bool any() const {
     return file || listen || http || agent || zone || seeds || data || core_size || commit_timeout ||
-           commit_attempt_timeout;
+           commit_attempt_timeout || shutdown_grace;
   }
 };
 
@@ -79,6 +82,8 @@
       {"tcm-await-ms", 0, POPT_ARG_LONG, &flags.commit_timeout, 0, "time-out of a change as a whole (10000)", "MS"},
       {"tcm-rpc-ms", 0, POPT_ARG_LONG, &flags.commit_attempt_timeout, 0, "time-out of one controller for it (2000)",
        "MS"},
+      {"shutdown-grace-ms", 0, POPT_ARG_LONG, &flags.shutdown_grace, 0,
+       "a gateway's, from SIGTERM until it may be killed (70000)", "MS"},
       {"check", 0, POPT_ARG_NONE, &flags.check, 0, "check the settings, then exit", nullptr},
       {"version", 'V', POPT_ARG_NONE, &flags.version, 0, "print the version, then exit", nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -139,6 +144,8 @@
     settings.commit_timeout = Duration(flags.commit_timeout);
   if (flags.commit_attempt_timeout)
     settings.commit_attempt_timeout = Duration(flags.commit_attempt_timeout);
+  if (flags.shutdown_grace)
+    settings.shutdown_grace = Duration(flags.shutdown_grace);
   if (flags.seeds)
     settings.seeds = split_at_commas(flags.seeds);
 }
@@ -182,6 +189,9 @@
     errors.push_back({"tcm_rpc_ms", "must be from 100 to 30000"});
   if (settings.commit_timeout < settings.commit_attempt_timeout || settings.commit_timeout > kMaxCommitTimeout)
     errors.push_back({"tcm_await_ms", "must be from tcm_rpc_ms to 60000"});
+  // A platform names its own, whatever it is.
+  if (!from_source && (settings.shutdown_grace < kMinShutdownGrace || settings.shutdown_grace > kMaxShutdownGrace))
+    errors.push_back({"shutdown_grace_ms", "must be from 1000 to 3600000"});
   return errors;
 }
 
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -6,8 +6,10 @@
 
 namespace mosskeel {
 
-/// How long a graceful stop may take where the settings do not say it.
+/// How long a graceful stop may take on a platform whose settings do not say it.
 constexpr Duration kDefaultShutdownGrace = 8000ms;
+/// The same where no platform kills the process: a turn may take 60 s, and its outcome a while to be kept.
+constexpr Duration kUnforcedShutdownGrace = 70000ms;
 
 /// A daemon's settings, as it uses them. Addresses are "IP:port".
 struct Settings {
@@ -48,7 +50,7 @@
   /// Zones that may be lost at once.
   uint32_t tolerated_zones = 0;
   /// Gateways; how long after SIGTERM the process may be killed.
-  Duration shutdown_grace = kDefaultShutdownGrace;
+  Duration shutdown_grace = kUnforcedShutdownGrace;
 };
 
 /// What a program needs of the settings.
--- a/src/runtime/settings_file.hpp
+++ b/src/runtime/settings_file.hpp
@@ -17,7 +17,8 @@
                   (std::vector<std::string>, seeds), (std::string, data), (uint32_t, core_size),
                   (int64_t, tcm_await_ms), (int64_t, tcm_rpc_ms), (std::string, machine), (std::string, ready),
                   (std::string, dialect), (std::string, list), (bool, later_start), (uint32_t, core_most),
-                  (uint32_t, copies), (uint32_t, tolerated_machines), (uint32_t, tolerated_zones));
+                  (uint32_t, copies), (uint32_t, tolerated_machines), (uint32_t, tolerated_zones),
+                  (int64_t, shutdown_grace_ms));
   static std::set<std::string> optional_fields() {
     return {"listen",
             "http",
@@ -36,7 +37,8 @@
             "core_most",
             "copies",
             "tolerated_machines",
-            "tolerated_zones"};
+            "tolerated_zones",
+            "shutdown_grace_ms"};
   }
 };
 
@@ -63,6 +65,8 @@
   settings.replication_factor = file.copies;
   settings.tolerated_machines = file.tolerated_machines;
   settings.tolerated_zones = file.tolerated_zones;
+  if (file.shutdown_grace_ms != 0)
+    settings.shutdown_grace = Duration(file.shutdown_grace_ms);
   return settings;
 }
 
--- a/tests/simulation/ordinary_scenarios.cpp
+++ b/tests/simulation/ordinary_scenarios.cpp
@@ -1,4 +1,5 @@
 // Scenarios of one kind of trouble each.
+#include "runtime/settings.hpp"
 #include "simulation/scenario_functions.hpp"
 
 namespace mosskeel::sim {
@@ -192,7 +193,8 @@
   day.callers.traffic(60ms, world.now() + 25000ms);
   for (const auto& name : world.names(Kind::gateway)) {
     world.run(1500ms);
-    static_cast<GatewayMachine&>(*world.node(name).machine).begin_shutdown();
+    auto& gateway = static_cast<GatewayMachine&>(*world.node(name).machine);
+    gateway.begin_shutdown(ShutdownLimits::begin(world.clock(world.node(name)), kDefaultShutdownGrace));
     if (!world.until(15000ms, [&] { return !world.node(name).machine; }))
       world.fail(name + " did not leave in order");
     world.run(300ms);
--- a/tests/unit/programs/gateway_shutdown_test.cpp
+++ b/tests/unit/programs/gateway_shutdown_test.cpp
@@ -2,6 +2,7 @@
 #include "programs/constants.hpp"
 #include "programs/gateway_machine.hpp"
 #include "runtime/constants.hpp"
+#include "runtime/settings.hpp"
 #include "unit/catch.hpp"
 
 using namespace mosskeel;
@@ -31,7 +32,7 @@
   GatewayMachine gateway(unregistered_gateway(), now);
   gateway.set_open_routing_sessions(1);
 
-  gateway.begin_shutdown();
+  gateway.begin_shutdown(ShutdownLimits::begin(now, kDefaultShutdownGrace));
 
   CHECK_FALSE(stops_within(gateway, now, 10 * kShutdownGracePeriod));
 
