--- a/tests/platform_stub/app_replica.cpp
+++ b/tests/platform_stub/app_replica.cpp
@@ -39,7 +39,8 @@
   environment_.checker.on_executed(*attempt, listed.service, request);
   executing_.insert(exchange);
   auto draw = environment_.is_calm ? kUsualDraw : environment_.random_below(kResponseDraws);
-  auto execution_time = kMinExecutionTime + Duration(environment_.random_below(kExecutionTimeRangeMs));
+  auto execution_time =
+      kMinExecutionTime + Duration(environment_.random_below(kExecutionTimeRangeMs)) + extra_execution_time;
   environment_.loop.run_after(execution_time, [this, exchange, attempt = *attempt, draw] {
     if (executing_.erase(exchange) > 0)
       respond(exchange, attempt, draw);
--- a/tests/platform_stub/app_replica.hpp
+++ b/tests/platform_stub/app_replica.hpp
@@ -10,6 +10,8 @@
 class AppReplica : public Replica {
  public:
   using Replica::Replica;
+  /// Added to the random time that a response takes.
+  Duration extra_execution_time{};
 
  private:
   void on_request(uint64_t exchange, HttpRequest&& request) override;
--- a/tests/platform_stub/callers.cpp
+++ b/tests/platform_stub/callers.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// From the sending of a request to its end; the routes are configured alike.
-constexpr Duration kRequestTimeout = 4000ms;
 constexpr int kMaxAttempts = 4;
 /// Where a response does not say when to retry.
 constexpr Duration kDefaultRetryDelay = 50ms;
@@ -74,7 +72,7 @@
 }
 
 void Callers::send(std::shared_ptr<CallerRequest> request) {
-  request->deadline = monotonic_now() + kRequestTimeout;
+  request->deadline = monotonic_now() + request->timeout;
   ++open_requests_;
   begin_attempt(request);
 }
@@ -89,7 +87,8 @@
 }
 
 void Callers::begin_attempt(const RequestPointer& request) {
-  auto gateway = gateways_.choose_gateway();
+  request->gateway = request->only_gateway.empty() ? gateways_.choose_gateway() : request->only_gateway;
+  request->sent_at = monotonic_now();
   auto attempt = environment_.random_name();
   auto time_left = std::max(Duration(1ms), request->deadline - monotonic_now());
   ++request->attempts;
@@ -100,10 +99,12 @@
                                          .body = request->body,
                                          .previous_turn = request->previous_turn,
                                          .resume_after = request->resume_after,
-                                         .sent_at = monotonic_now()});
-  UpstreamClient::Request message{gateway, "POST", target, std::move(fields), request->body};
-  environment_.send(std::move(message), request->deadline - monotonic_now(),
-                    [this, request, attempt](const HttpOutcome& outcome) { on_outcome(request, attempt, outcome); });
+                                         .sent_at = request->sent_at});
+  UpstreamClient::Request message{request->gateway, "POST", target, std::move(fields), request->body};
+  auto on_outcome = [this, request, attempt](const HttpOutcome& outcome) {
+    this->on_outcome(request, attempt, outcome);
+  };
+  environment_.send(std::move(message), request->deadline - monotonic_now(), on_outcome, request->connection_use);
 }
 
 void Callers::on_outcome(const RequestPointer& request, const std::string& attempt, const HttpOutcome& outcome) {
@@ -111,6 +112,9 @@
   if (is_stream(request->kind) && outcome.status == 200)
     events = parse_events(outcome.body);
   check_outcome(*request, attempt, outcome, events);
+  if (environment_.on_attempt_over)
+    environment_.on_attempt_over({attempt, request->route, request->gateway, request->sent_at, monotonic_now(),
+                                  outcome.status, outcome.is_complete, environment_.checker.was_executed(attempt)});
   auto decision = decide(*request, outcome, events);
   act_on(request, attempt, decision);
 }
@@ -126,7 +130,7 @@
   if (is_success(outcome))
     checker.on_completed(attempt, outcome.fields, outcome.body);
   bool is_lost = !outcome.is_complete && checker.was_executed(attempt) && monotonic_now() < request.deadline;
-  if (environment_.is_calm && is_lost)
+  if (is_lost && !environment_.may_lose_response(request.gateway, request.sent_at))
     checker.report_violation(attempt + " was executed, but its response on " + request.route +
                              " was lost around planned work");
   bool has_all_events = !events.empty() && events.back().id == request.expected_events();
@@ -174,7 +178,7 @@
   request->attempts = 0;
   auto pause = kMinRenewalPause + Duration(environment_.random_below(kRenewalPauseRangeMs));
   environment_.loop.run_after(pause, [this, request] {
-    request->deadline = monotonic_now() + kRequestTimeout;
+    request->deadline = monotonic_now() + request->timeout;
     begin_attempt(request);
   });
   return true;
--- a/tests/platform_stub/callers.hpp
+++ b/tests/platform_stub/callers.hpp
@@ -5,6 +5,9 @@
 
 namespace mosskeel::platform_stub {
 
+/// How long a request may take where its caller does not say; most routes are configured alike.
+inline constexpr Duration kDefaultRequestTimeout = 4000ms;
+
 /// How a caller's request ended.
 struct RequestResult {
   /// Of the last attempt; 0 where it received none.
@@ -31,11 +34,19 @@
   uint64_t token_budget = 0;
   uint64_t prompt_tokens = 100;
   uint64_t max_output_tokens = 48;
+  /// From the first attempt, or from its renewal, to the end.
+  Duration timeout = kDefaultRequestTimeout;
+  ConnectionUse connection_use = ConnectionUse::fresh;
+  /// Where every attempt goes; empty for any gateway in use.
+  Address only_gateway;
   /// Called once.
   std::function<void(const RequestResult& result)> on_done;
 
   // The state of its attempts.
   MonotonicTime deadline{};
+  /// Where and when the last attempt was sent.
+  Address gateway;
+  MonotonicTime sent_at{};
   /// Attempts since the request was last sent anew.
   int attempts = 0;
   /// How often a turn was sent anew after it had failed.
--- a/tests/platform_stub/environment.cpp
+++ b/tests/platform_stub/environment.cpp
@@ -4,14 +4,16 @@
 
 namespace {
 
-/// The same on every run, so that runs differ in timing alone.
-constexpr uint64_t kRandomSeed = 20261202;
 constexpr Duration kMinTimeout = 1ms;
 
 }  // namespace
 
-Environment::Environment(const FleetAddresses& fleet_addresses, bool calm)
-    : addresses(fleet_addresses), is_calm(calm), random_(kRandomSeed), client_(loop, client_callbacks()) {}
+Environment::Environment(const FleetAddresses& fleet_addresses, bool calm, uint64_t seed)
+    : addresses(fleet_addresses), is_calm(calm), random_(seed), client_(loop, client_callbacks()) {
+  may_lose_response = [calm](const Address&, MonotonicTime) {
+    return !calm;
+  };
+}
 
 UpstreamClient::Callbacks Environment::client_callbacks() {
   UpstreamClient::Callbacks callbacks;
@@ -32,8 +34,8 @@
   return callbacks;
 }
 
-void Environment::send(UpstreamClient::Request request, Duration timeout, OnOutcome on_outcome) {
-  request.new_connection = true;
+void Environment::send(UpstreamClient::Request request, Duration timeout, OnOutcome on_outcome, ConnectionUse use) {
+  request.new_connection = use == ConnectionUse::fresh;
   auto id = client_.send_request(std::move(request));
   auto timer = loop.run_after(std::max(kMinTimeout, timeout), [this, id] {
     client_.cancel(id);
@@ -42,6 +44,14 @@
   exchanges_[id] = {{}, std::move(on_outcome), timer};
 }
 
+void Environment::repeat(Duration interval, MonotonicTime end, const std::function<void()>& function) {
+  if (monotonic_now() > end)
+    return;
+  function();
+  auto jitter = Duration(random_below(static_cast<uint64_t>(interval.count())));
+  loop.run_after(interval / 2 + jitter, [this, interval, end, function] { repeat(interval, end, function); });
+}
+
 void Environment::finish(uint64_t request, bool is_complete, bool was_not_sent) {
   auto found = exchanges_.find(request);
   if (found == exchanges_.end())
--- a/tests/platform_stub/operator.cpp
+++ b/tests/platform_stub/operator.cpp
@@ -118,6 +118,60 @@
   });
 }
 
+Json Operator::revised_configuration() {
+  constexpr uint64_t kMaxRevisionStep = 3;
+  constexpr uint64_t kMinTargetMs = 500;
+  constexpr uint64_t kTargetRangeMs = 1500;
+  auto revised = configuration_;
+  auto step = 1 + environment_.random_below(kMaxRevisionStep);
+  revised["Revision"] = configuration_["Revision"].get<uint64_t>() + step;
+  revised["Routes"][0]["TargetLatencyMs"] = kMinTargetMs + environment_.random_below(kTargetRangeMs);
+  return revised;
+}
+
+void Operator::revise(OnDone on_done) {
+  auto base = configuration_["Revision"].get<int>();
+  auto revised = revised_configuration();
+  Json patch{{"Revision", revised["Revision"]}, {"Upsert", {{"Routes", Json::array({revised["Routes"][0]})}}}};
+  configuration_ = std::move(revised);
+  Request request{"PATCH", "/v1/config", patch.dump(), base, kPatience, "a change of one route", {200}};
+  call(std::move(request), [on_done = std::move(on_done)](const Response&) { on_done(); });
+}
+
+void Operator::race(OnDone on_done) {
+  // What both changes share until both have been answered.
+  struct Race {
+    int answered = 0;
+    std::vector<Json> acknowledged;
+  };
+  auto race = std::make_shared<Race>();
+  auto base = configuration_["Revision"].get<int>();
+  for (int rival = 0; rival < 2; ++rival) {
+    auto revised = revised_configuration();
+    Request request{"PUT", "/v1/config", revised.dump(), base, kPatience, "one of two changes at once", {200, 412}};
+    call(std::move(request), [this, race, revised, on_done](const Response& response) {
+      if (response.status == 200)
+        race->acknowledged.push_back(revised);
+      if (++race->answered < 2)
+        return;
+      if (race->acknowledged.size() == 1)
+        configuration_ = race->acknowledged.front();
+      else if (race->acknowledged.size() != 2 || race->acknowledged[0] != race->acknowledged[1])
+        environment_.checker.report_violation(std::to_string(race->acknowledged.size()) +
+                                              " of two changes at once are acknowledged");
+      on_done();
+    });
+  }
+}
+
+void Operator::try_invalid(OnDone on_done) {
+  auto base = configuration_["Revision"].get<int>();
+  auto invalid = revised_configuration();
+  invalid["Routes"][0]["Service"] = "nobody";
+  Request request{"PUT", "/v1/config", invalid.dump(), base, kPatience, "an invalid configuration", {400, 409, 422}};
+  call(std::move(request), [on_done = std::move(on_done)](const Response&) { on_done(); });
+}
+
 void Operator::evacuate(const std::string& zone, OnDone on_done) {
   Request request{"POST", "/v1/evacuate/" + zone, "", std::nullopt, kPatience, "an evacuation", {200, 202, 204}};
   call(std::move(request), [on_done = std::move(on_done)](const Response&) { on_done(); });
--- a/tests/platform_stub/operator.hpp
+++ b/tests/platform_stub/operator.hpp
@@ -16,6 +16,12 @@
   void apply_first_configuration(OnDone on_done);
   /// Changes named routes; `on_done` follows once the change must be in force.
   void change_routes(OnDone on_done);
+  /// Changes one route on top of the configuration that was applied last.
+  void revise(OnDone on_done);
+  /// Sends two changes on top of the same configuration at once: one of them prevails.
+  void race(OnDone on_done);
+  /// Sends a configuration that must be rejected.
+  void try_invalid(OnDone on_done);
   void evacuate(const std::string& zone, OnDone on_done);
   void restore(const std::string& zone);
   /// Asks for retirements that must be rejected, and for the state of a machine that serves.
@@ -57,6 +63,8 @@
   void on_outcome(const std::shared_ptr<Call>& call, const HttpOutcome& outcome);
   /// Notes where a redirection leads.
   static void follow_redirection(Call& call, const HttpOutcome& outcome);
+  /// A later configuration that differs from the one applied last in the latency target of one route.
+  nlohmann::json revised_configuration();
   /// Makes these calls one after the other.
   void call_in_turn(std::vector<Request> requests, OnDone on_done);
 
--- a/tests/platform_stub/platform_configuration.cpp
+++ b/tests/platform_stub/platform_configuration.cpp
@@ -9,6 +9,8 @@
 using Json = nlohmann::json;
 
 constexpr int kInvalidRevision = 6;
+/// Longer than callers wait with a program's next turn.
+constexpr double kRetentionSeconds = 600;
 constexpr int kLaterRevision = 9;
 /// Tokens that a model's prefix cache takes.
 constexpr int kCacheTokens = 100000;
@@ -30,6 +32,14 @@
   route["StickySessions"] = true;
   route["Resumable"] = name == "resume";
   route["GapTargetMs"] = 1000;
+  route["RetentionS"] = kRetentionSeconds;
+  return route;
+}
+
+/// For work of some seconds that is executed at most once.
+Json slow_route() {
+  auto route = plain_route("slow", "unsafe", "slow");
+  route["TimeoutMs"] = kSlowRouteTimeout.count();
   return route;
 }
 
@@ -56,8 +66,8 @@
   auto routes =
       Json::array({plain_route("safe", "safe", "app"), plain_route("unsafe", "unsafe", "app"),
                    plain_route("old", "safe", "app"), plain_route("rogue", "safe", "rogue"), streaming_route("stream"),
-                   streaming_route("resume"), streaming_route("turn"), streaming_route("brief")});
-  auto services = Json::array({service("app"), service("app2"), service("rogue"), model_service()});
+                   streaming_route("resume"), streaming_route("turn"), streaming_route("brief"), slow_route()});
+  auto services = Json::array({service("app"), service("app2"), service("slow"), service("rogue"), model_service()});
   Json limits{
       {"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 4194304}, {"HeaderTimeoutMs", 3000}, {"IdleTimeoutMs", 15000}};
   return {{"Revision", kFirstRevision}, {"Routes", routes}, {"Services", services}, {"Limits", limits}};
--- a/tests/platform_stub/platform_configuration.hpp
+++ b/tests/platform_stub/platform_configuration.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The configuration documents of the stub's operator.
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -7,6 +8,8 @@
 
 inline constexpr int kFirstRevision = 5;
 inline constexpr int kChangedRevision = 8;
+/// The time of the route "slow"; the other routes have 4 s.
+inline constexpr std::chrono::milliseconds kSlowRouteTimeout{6000};
 
 /// The configuration that a run begins with.
 nlohmann::json first_configuration();
--- a/tests/platform_stub/program_callers.cpp
+++ b/tests/platform_stub/program_callers.cpp
@@ -13,6 +13,8 @@
 constexpr int kSubAgents = 2;
 /// One program of this many goes on from an earlier turn.
 constexpr uint64_t kContinuationRate = 4;
+/// Later programs go on from one of the last turns, none of which is too old to be kept.
+constexpr size_t kMaxKeptTurns = 200;
 /// A runaway that is not stopped by then will not be.
 constexpr int kMaxRunawayTurns = 16;
 
@@ -84,7 +86,7 @@
     environment_.checker.report_violation("program " + program->id + " is rejected with 402 within its budget");
   const auto& turn = result.last_attempt;
   if (result.is_success && program->is_history_kept)
-    kept_turns_.push_back(turn);
+    keep(turn);
   if (!result.is_success || thread.further_turns == 0) {
     on_thread_done(*program, result.is_success);
     return;
@@ -94,6 +96,12 @@
   use_tools(program, {thread.session, turn, thread.further_turns - 1});
 }
 
+void ProgramCallers::keep(const std::string& turn) {
+  kept_turns_.push_back(turn);
+  if (kept_turns_.size() > kMaxKeptTurns)
+    kept_turns_.pop_front();
+}
+
 void ProgramCallers::start_sub_agents(const ProgramPointer& program, const std::string& previous_turn) {
   for (int i = 0; i < kSubAgents; ++i) {
     ++program->open_threads;
--- a/tests/platform_stub/program_callers.hpp
+++ b/tests/platform_stub/program_callers.hpp
@@ -1,5 +1,7 @@
 #pragma once
 // Agents: programs of several turns with tools and sub-agents.
+#include <deque>
+
 #include "platform_stub/callers.hpp"
 
 namespace mosskeel::platform_stub {
@@ -34,6 +36,7 @@
     int further_turns = 0;
   };
 
+  void keep(const std::string& turn);
   ProgramPointer make_program(bool is_history_kept, uint64_t token_budget);
   std::shared_ptr<CallerRequest> make_turn(const Program& program, const std::string& previous_turn,
                                            const std::string& session);
@@ -47,8 +50,8 @@
 
   Environment& environment_;
   Callers& callers_;
-  /// Turns that succeeded and are kept.
-  std::vector<std::string> kept_turns_;
+  /// The last turns that succeeded and are kept.
+  std::deque<std::string> kept_turns_;
 };
 
 }  // namespace mosskeel::platform_stub
--- a/tests/platform_stub/scenario.cpp
+++ b/tests/platform_stub/scenario.cpp
@@ -205,11 +205,7 @@
 }
 
 void Scenario::repeat(Duration interval, const std::function<void()>& function) {
-  if (monotonic_now() > traffic_begin_ + traffic_duration_)
-    return;
-  function();
-  auto jitter = Duration(environment_.random_below(static_cast<uint64_t>(interval.count())));
-  environment_.loop.run_after(interval / 2 + jitter, [this, interval, function] { repeat(interval, function); });
+  environment_.repeat(interval, traffic_begin_ + traffic_duration_, function);
 }
 
 void Scenario::run_at_tenth(int tenths, std::function<void()> function) {
--- /dev/null
+++ b/tests/soak/machines.cpp
@@ -0,0 +1,136 @@
+#include "soak/machines.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <string_view>
+
+namespace mosskeel::soak {
+
+namespace {
+
+/// Bytes at the end of each log that are printed.
+constexpr size_t kPrintedLogBytes = 1500;
+
+std::string read_file(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+}  // namespace
+
+std::string name(MachineId machine) {
+  const char* const class_names[] = {"core", "storage", "front"};
+  return std::string(class_names[static_cast<int>(machine.machine_class)]) + "-" + std::to_string(machine.index + 1);
+}
+
+std::vector<std::string> Machines::programs_of(MachineClass machine_class) {
+  switch (machine_class) {
+    case MachineClass::core:
+      return {"controller"};
+    case MachineClass::storage:
+      return {"store"};
+    case MachineClass::front:
+      return {"agent", "gateway"};
+  }
+  return {};
+}
+
+Machines::Machines(const std::string& programs, const std::string& folder) : folder_(folder) {
+  platform_stub::write_settings(folder);
+  addresses_ = platform_stub::read_addresses(folder).value();
+  for (auto machine_class : kMachineClasses) {
+    for (int index = 0; index < platform_stub::kZones; ++index) {
+      for (const auto& program : programs_of(machine_class)) {
+        auto daemon = program + std::to_string(index + 1);
+        auto log = folder + "/" + daemon + ".log";
+        auto process = std::make_unique<DaemonProcess>(programs + "/" + program, settings_path(daemon), log);
+        daemons_[{machine_class, index}].push_back({daemon, std::move(process)});
+      }
+    }
+  }
+}
+
+std::string Machines::settings_path(const std::string& daemon) const {
+  return folder_ + "/" + daemon + ".toml";
+}
+
+void Machines::start_all() {
+  for (auto& [machine, daemons] : daemons_) {
+    for (auto& daemon : daemons)
+      daemon.process->start();
+  }
+}
+
+void Machines::mark_started(const Daemon& daemon) const {
+  constexpr std::string_view first_start = "FirstStart = true";
+  auto path = settings_path(daemon.name);
+  auto text = read_file(path);
+  auto found = text.find(first_start);
+  if (found == std::string::npos)
+    return;
+  text.replace(found, first_start.size(), "FirstStart = false");
+  std::ofstream(path) << text;
+}
+
+void Machines::start(MachineId machine) {
+  for (auto& daemon : daemons(machine)) {
+    mark_started(daemon);
+    daemon.process->start();
+  }
+}
+
+void Machines::send_signal(MachineId machine, int signal_number) {
+  for (auto& daemon : daemons(machine))
+    daemon.process->send_signal(signal_number);
+}
+
+void Machines::kill(MachineId machine) {
+  for (auto& daemon : daemons(machine))
+    daemon.process->kill();
+}
+
+void Machines::lose_disk(MachineId machine) {
+  for (const auto& daemon : daemons(machine)) {
+    auto data = folder_ + "/data/" + daemon.name;
+    std::filesystem::remove_all(data);
+    std::filesystem::create_directories(data);
+  }
+}
+
+bool Machines::is_running(MachineId machine) {
+  auto& of_machine = daemons(machine);
+  return std::any_of(of_machine.begin(), of_machine.end(), [](Daemon& daemon) { return daemon.process->is_running(); });
+}
+
+size_t Machines::resident_bytes(MachineClass machine_class) {
+  size_t bytes = 0;
+  for (auto& [machine, daemons] : daemons_) {
+    for (auto& daemon : daemons)
+      bytes += machine.machine_class == machine_class ? daemon.process->resident_bytes() : 0;
+  }
+  return bytes;
+}
+
+size_t Machines::open_descriptors(MachineClass machine_class) {
+  size_t descriptors = 0;
+  for (auto& [machine, daemons] : daemons_) {
+    for (auto& daemon : daemons)
+      descriptors += machine.machine_class == machine_class ? daemon.process->open_descriptors() : 0;
+  }
+  return descriptors;
+}
+
+void Machines::print_logs() const {
+  for (const auto& [machine, daemons] : daemons_) {
+    for (const auto& daemon : daemons) {
+      auto text = read_file(daemon.process->log());
+      auto begin = text.size() - std::min(text.size(), kPrintedLogBytes);
+      printf("==> %s\n%s\n", daemon.name.c_str(), text.substr(begin).c_str());
+    }
+  }
+}
+
+}  // namespace mosskeel::soak
--- /dev/null
+++ b/tests/soak/machines.hpp
@@ -0,0 +1,69 @@
+#pragma once
+// The machines of the fleet under test, each with its daemons.
+#include <memory>
+#include <vector>
+
+#include "platform_stub/fleet_addresses.hpp"
+#include "soak/daemon_process.hpp"
+
+namespace mosskeel::soak {
+
+enum class MachineClass { core, storage, front };
+
+/// All classes, in the order in which their machines are started.
+inline constexpr MachineClass kMachineClasses[] = {MachineClass::core, MachineClass::storage, MachineClass::front};
+
+/// Which machine of the fleet.
+struct MachineId {
+  MachineClass machine_class = MachineClass::core;
+  /// Its zone, counted from 0.
+  int index = 0;
+  auto operator<=>(const MachineId&) const = default;
+};
+
+/// As in "storage-2".
+std::string name(MachineId machine);
+
+/// Three machines of each class, one in each zone. Signals, starts and losses concern all daemons of a machine.
+class Machines {
+ public:
+  /// Writes the settings of all daemons into the folder.
+  /// @param programs the folder of the programs.
+  Machines(const std::string& programs, const std::string& folder);
+
+  /// The first start of the whole fleet.
+  void start_all();
+  /// Starts a machine on what its disk holds.
+  void start(MachineId machine);
+  void send_signal(MachineId machine, int signal_number);
+  void kill(MachineId machine);
+  /// Empties the disk of a machine that does not run.
+  void lose_disk(MachineId machine);
+  /// Whether any daemon of the machine runs or is frozen.
+  bool is_running(MachineId machine);
+  const platform_stub::FleetAddresses& addresses() const { return addresses_; }
+
+  /// The sums of all daemons of one class.
+  size_t resident_bytes(MachineClass machine_class);
+  size_t open_descriptors(MachineClass machine_class);
+  /// The last lines of all logs, for a run that failed.
+  void print_logs() const;
+
+ private:
+  /// A daemon by its name, a program and a digit as in "store2".
+  struct Daemon {
+    std::string name;
+    std::unique_ptr<DaemonProcess> process;
+  };
+  static std::vector<std::string> programs_of(MachineClass machine_class);
+  std::vector<Daemon>& daemons(MachineId machine) { return daemons_.at(machine); }
+  /// Every start but the first one is no first start.
+  void mark_started(const Daemon& daemon) const;
+  std::string settings_path(const std::string& daemon) const;
+
+  const std::string folder_;
+  platform_stub::FleetAddresses addresses_;
+  std::map<MachineId, std::vector<Daemon>> daemons_;
+};
+
+}  // namespace mosskeel::soak
