Evacuation of the zone with the last gateways: 503, not a final 409

The operator saw: an evacuation is answered with 409, which ends his call, while the gateways of the other zones are being restarted or have just been killed; it is never done.

Cause: the order was judged by which gateways are in service at that moment and rejected as "refused" where the zone holds the last of them. Gateways may go in any number at any time, so the state passes; a 409 says that it does not.

Fix: the rejection is "busy", as for a drain that has to wait: 503 with a time to come back, and the reason.

Where the last gateways stay in one zone for good its evacuation stays unanswered; open.

--- a/src/metadata/rejection.cpp
+++ b/src/metadata/rejection.cpp
@@ -28,7 +28,8 @@
 Rejection reason(const Metadata& metadata, const EvacuateZone& change) {
   if (metadata.evacuated.count(change.zone))
     return Rejection::already_in_effect;
-  return is_known_zone(metadata, change.zone) ? Rejection::refused : Rejection::unknown_target;
+  // A known zone holds the last gateways in service: others may come back, so the operator may ask again.
+  return is_known_zone(metadata, change.zone) ? Rejection::busy : Rejection::unknown_target;
 }
 
 Rejection reason(const Metadata& metadata, const RestoreZone& change) {
--- a/src/metadata/rejection.hpp
+++ b/src/metadata/rejection.hpp
@@ -13,7 +13,7 @@
   already_in_effect,  ///< what is asked for is the case
   unknown_target,     ///< names something that does not exist
   refused,            ///< not allowed in the present state
-  busy,               ///< something else has to end first
+  busy,               ///< something else has to end, or to come back, first
 };
 
 /// Why a transformation does not apply, which `apply` has rejected on this very value.
--- a/tests/unit/metadata/transformation_test.cpp
+++ b/tests/unit/metadata/transformation_test.cpp
@@ -621,3 +621,14 @@
   CHECK(rejection_reason(fleet.metadata, EvacuateZone{"a"}) == Rejection::already_in_effect);
   CHECK(rejection_reason(fleet.metadata, PrepareDrain{DaemonId{999}}) == Rejection::unknown_target);
 }
+
+// Guards against an evacuation that was refused for good (409) while the gateways of all other zones were being
+// restarted.
+TEST_CASE("An evacuation of the zone with the last gateways in service may be asked for again") {
+  Fleet fleet;
+  fleet.commit(EvacuateZone{"a"});
+  fleet.commit(EvacuateZone{"b"});
+
+  CHECK_FALSE(fleet.try_commit(EvacuateZone{"c"}, "last").ok());
+  CHECK(rejection_reason(fleet.metadata, EvacuateZone{"c"}) == Rejection::busy);
+}
