--- a/tests/unit/metadata/transformation_test.cpp
+++ b/tests/unit/metadata/transformation_test.cpp
@@ -627,8 +627,7 @@
 TEST_CASE("An evacuation of the zone with the last gateways in service may be asked for again") {
   Fleet fleet;
   fleet.commit(EvacuateZone{"a"});
-  fleet.commit(EvacuateZone{"b"});
 
-  CHECK_FALSE(fleet.try_commit(EvacuateZone{"c"}, "last").ok());
-  CHECK(rejection_reason(fleet.metadata, EvacuateZone{"c"}) == Rejection::busy);
+  CHECK_FALSE(fleet.try_commit(EvacuateZone{"b"}, "last").ok());
+  CHECK(rejection_reason(fleet.metadata, EvacuateZone{"b"}) == Rejection::busy);
 }
