--- a/tests/platform_stub/operator.cpp
+++ b/tests/platform_stub/operator.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kPatience = 15000ms;
 constexpr Duration kQuietPatience = 5000ms;
 constexpr Duration kAttemptTimeout = 1000ms;
+/// Added for each megabyte of a request.
+constexpr Duration kAttemptTimeoutPerMegabyte = 1000ms;
 constexpr Duration kRetryDelay = 150ms;
 constexpr Duration kRedirectionDelay = 1ms;
 /// Of this many redirections one is not followed, for controllers may send each other's callers in a circle.
@@ -49,7 +51,8 @@
   if (request.base_revision)
     fields.push_back({"If-Match", std::to_string(*request.base_revision)});
   UpstreamClient::Request message{address, request.method, request.path, std::move(fields), request.body};
-  environment_.send(std::move(message), kAttemptTimeout,
+  auto megabytes = static_cast<int64_t>(request.body.size() >> 20);
+  environment_.send(std::move(message), kAttemptTimeout + kAttemptTimeoutPerMegabyte * megabytes,
                     [this, call](const HttpOutcome& outcome) { on_outcome(call, outcome); });
 }
 
@@ -138,6 +141,19 @@
   call(std::move(request), [on_done = std::move(on_done)](const Response&) { on_done(); });
 }
 
+void Operator::add_routes(int count, OnDone on_done) {
+  auto base = configuration_["Revision"].get<int>();
+  Json added = Json::array();
+  for (int number = 0; number < count; ++number)
+    added.push_back(unused_route(configuration_["Routes"].size() + static_cast<size_t>(number)));
+  configuration_["Revision"] = base + 1;
+  Json patch{{"Revision", base + 1}, {"Upsert", {{"Routes", added}}}};
+  for (auto& route : added)
+    configuration_["Routes"].push_back(std::move(route));
+  Request request{"PATCH", "/v1/config", patch.dump(), base, kPatience, "an addition of routes", {200}};
+  call(std::move(request), [on_done = std::move(on_done)](const Response&) { on_done(); });
+}
+
 void Operator::race(OnDone on_done) {
   // What both changes share until both have been answered.
   struct Race {
--- a/tests/platform_stub/operator.hpp
+++ b/tests/platform_stub/operator.hpp
@@ -18,6 +18,10 @@
   void change_routes(OnDone on_done);
   /// Changes one route on top of the configuration that was applied last.
   void revise(OnDone on_done);
+  /// Adds routes on top of the configuration that was applied last; no request is sent on them.
+  void add_routes(int count, OnDone on_done);
+  /// Bytes of the configuration that was applied last.
+  size_t configuration_bytes() const { return configuration_.dump().size(); }
   /// Sends two changes on top of the same configuration at once: one of them prevails.
   void race(OnDone on_done);
   /// Sends a configuration that must be rejected.
--- a/tests/platform_stub/platform_configuration.cpp
+++ b/tests/platform_stub/platform_configuration.cpp
@@ -88,6 +88,10 @@
   return change;
 }
 
+Json unused_route(size_t number) {
+  return plain_route("unused-" + std::to_string(number), "safe", "app");
+}
+
 Json invalid_configuration(const Json& configuration) {
   auto invalid = configuration;
   invalid["Revision"] = kInvalidRevision;
--- a/tests/platform_stub/platform_configuration.hpp
+++ b/tests/platform_stub/platform_configuration.hpp
@@ -23,6 +23,9 @@
 /// Moves the route "safe" to another service, adds the route "new" and removes the route "old".
 ConfigurationChange change_routes(const nlohmann::json& configuration);
 
+/// A route on which nobody sends.
+nlohmann::json unused_route(size_t number);
+
 /// A later revision in which a route leads to a service that does not exist.
 nlohmann::json invalid_configuration(const nlohmann::json& configuration);
 
--- a/tests/soak/scenarios.cpp
+++ b/tests/soak/scenarios.cpp
@@ -1,6 +1,7 @@
 #include "soak/scenarios.hpp"
 
 #include <algorithm>
+#include <span>
 
 #include "soak/large_program.hpp"
 
@@ -61,11 +62,17 @@
 constexpr ProgramSize kSmallProgram{.lines = 4, .turns_a_line = 2, .input_bytes = 100};
 constexpr Duration kBuildTimeout = 60000ms;
 
+/// One thing that a fleet must bear.
+struct Step {
+  const char* name;
+  std::function<void(FleetUnderTest&)> play;
+};
+
 /// Programs that were served before, and must go on being served after every step.
 class Programs {
  public:
-  explicit Programs(FleetUnderTest& fleet)
-      : fleet_(fleet), large_(fleet, kLargeProgram), small_(fleet, kSmallProgram) {}
+  Programs(FleetUnderTest& fleet, ProgramSize larger)
+      : fleet_(fleet), large_(fleet, larger), small_(fleet, kSmallProgram) {}
 
   bool build() {
     bool is_built = small_.build(kBuildTimeout) && large_.build(kBuildTimeout);
@@ -73,6 +80,18 @@
       fleet_.environment.checker.report_violation("the programs' first turns are not served");
     return is_built;
   }
+  /// Plays the steps until one leaves a program unserved.
+  void play(std::span<const Step> steps) {
+    for (const auto& step : steps) {
+      step.play(fleet_);
+      if (!go_on(step.name))
+        return;
+      printf("served after %s\n", step.name);
+      fflush(stdout);
+    }
+  }
+
+ private:
   /// @param after what has happened, for the report.
   bool go_on(const std::string& after) {
     auto large_line = fleet_.environment.random_below(large_.lines());
@@ -81,7 +100,6 @@
            check("small", small_.continue_line(small_line, kRecoveryTime), after);
   }
 
- private:
   bool check(const std::string& which, bool is_served, const std::string& after) {
     if (!is_served)
       fleet_.environment.checker.report_violation("the " + which + " program is not served " +
@@ -124,11 +142,6 @@
   fleet.fleet_operator.restore(platform_stub::kZoneNames.front());
 }
 
-struct Step {
-  const char* name;
-  std::function<void(FleetUnderTest&)> play;
-};
-
 void play_large_history(FleetUnderTest& fleet) {
   const Step steps[] = {
       {"the stores lost their disks, one after the other", lose_disks_in_turn},
@@ -150,16 +163,52 @@
          crash_all(f, MachineClass::storage);
        }},
   };
-  Programs programs(fleet);
-  if (!programs.build())
-    return;
-  for (const auto& step : steps) {
-    step.play(fleet);
-    if (!programs.go_on(step.name))
-      return;
-    printf("served after %s\n", step.name);
-    fflush(stdout);
+  Programs programs(fleet, kLargeProgram);
+  if (programs.build())
+    programs.play(steps);
+}
+
+// ---- large-configuration -------------------------------------------------------------------------------------------
+
+/// Together more than a store's inbox takes beside anything else; each change is as large as a controller takes.
+constexpr int kRoutesAChange = 2000;
+constexpr size_t kLargeConfigurationBytes = 5u << 20;
+/// Of one change: each daemon takes over the whole configuration.
+constexpr Duration kChangeTimeout = 20000ms;
+
+bool grow_configuration(FleetUnderTest& fleet) {
+  while (fleet.fleet_operator.configuration_bytes() < kLargeConfigurationBytes) {
+    bool is_done = false;
+    fleet.fleet_operator.add_routes(kRoutesAChange, [&] { is_done = true; });
+    if (!fleet.run_until(kChangeTimeout, [&] { return is_done; }) || fleet.environment.checker.violations() > 0)
+      return false;
   }
+  return true;
+}
+
+void play_large_configuration(FleetUnderTest& fleet) {
+  const Step steps[] = {
+      {"the stores lost their disks, one after the other", lose_disks_in_turn},
+      {"the controllers were restarted in turn",
+       [](FleetUnderTest& f) {
+         restart_in_turn(f, MachineClass::core);
+       }},
+      {"the gateways were restarted in turn",
+       [](FleetUnderTest& f) {
+         restart_in_turn(f, MachineClass::front);
+       }},
+      {"all stores were killed",
+       [](FleetUnderTest& f) {
+         crash_all(f, MachineClass::storage);
+       }},
+  };
+  Programs programs(fleet, kSmallProgram);
+  if (!programs.build() || !grow_configuration(fleet))
+    return;
+  programs.play(steps);
+  bool is_read_back = false;
+  fleet.fleet_operator.read_back([&] { is_read_back = true; });
+  fleet.run_until(kChangeTimeout, [&] { return is_read_back; });
 }
 
 }  // namespace
@@ -170,6 +219,7 @@
        play_late_requests},
       {"large-history", "a history larger than a message held its partition on two stores, and could not be opened",
        play_large_history},
+      {"large-configuration", "a configuration larger than a message reached no store", play_large_configuration},
   };
   return all;
 }
--- a/tests/unit/platform/configuration_test.cpp
+++ b/tests/unit/platform/configuration_test.cpp
@@ -1,4 +1,5 @@
 // The operators' configuration documents: complete, patched, and invalid.
+#include <ctime>
 #include <nlohmann/json.hpp>
 
 #include "platform/configuration.hpp"
@@ -195,6 +196,45 @@
   CHECK(patch_configuration("", R"({"Revision":1,"Upsert":{"Services":[{"Name":"s"}]}})").ok());
 }
 
+namespace {
+
+Json routes_named(int first, int last) {
+  auto routes = Json::array();
+  for (int number = first; number < last; ++number) {
+    auto name = std::to_string(number);
+    routes.push_back({{"Name", "r-" + name},
+                      {"Host", "ask.example"},
+                      {"PathPrefix", "/" + name + "/"},
+                      {"RouteKind", "safe"},
+                      {"TimeoutMs", 4000},
+                      {"Service", "app"},
+                      {"MaxAttempts", 1}});
+  }
+  return routes;
+}
+
+}  // namespace
+
+// Guards against a patch whose time grew with the square of its items: no controller answered it within its 0.9 s.
+TEST_CASE("A configuration patch of thousands of items is applied well within the time of a command") {
+  constexpr int kRoutes = 15000;
+  constexpr int kAddedRoutes = 3000;
+  constexpr double kCommandSeconds = 0.9;
+  Json document{{"Routes", routes_named(0, kRoutes)}, {"Services", Json::array({{{"Name", "app"}}})}};
+  Json patch{{"Revision", 9},
+             {"Remove", {{"Routes", {"r-0", "r-1"}}}},
+             {"Upsert", {{"Routes", routes_named(kRoutes - kAddedRoutes / 2, kRoutes + kAddedRoutes / 2)}}}};
+  auto document_text = document.dump();
+  auto patch_text = patch.dump();
+
+  auto begin = std::clock();
+  auto patched = accepted(patch_configuration(document_text, patch_text));
+  auto seconds = static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+
+  CHECK(patched.configuration.paths.size() == kRoutes + kAddedRoutes / 2 - 2);
+  CHECK(seconds < kCommandSeconds);
+}
+
 TEST_CASE("Each invalid configuration patch is rejected with the location of the error") {
   const std::pair<const char*, const char*> table[] = {
       {R"({"Revision":9,"Ups)", "body"},
