--- a/tests/soak/scenarios.cpp
+++ b/tests/soak/scenarios.cpp
@@ -45,8 +45,9 @@
   const MachineId stopping{MachineClass::front, 0};
   auto gateway = fleet.environment.addresses.gateway(stopping.index);
   send_slow_requests(fleet, gateway, 0ms, "slow");
-  fleet.finish_requests();
-  if (fleet.environment.served.served() < kLateCallers)
+  bool are_served = fleet.run_until(platform_stub::kSlowRouteTimeout,
+                                    [&] { return fleet.environment.served.served() == kLateCallers; });
+  if (!are_served)
     return fleet.environment.checker.report_violation("the requests before the stop are not served");
   fleet.set_slow_execution_time(kLongWork);
   fleet.environment.loop.run_after(kFirstLateRequest,
