Soak: report processes that end by themselves, or not within the grace

The soak threw away how a process ended, so no run noticed one that ended by itself or was left to the kill at its end. Each end is now judged: SIGKILL after a kill, exit code 0 (or SIGTERM before the program has set up its signals) after SIGTERM; anything else is a violation, with the code or signal and the age of the process. At the end of a run all daemons are told to stop and must end within the grace.

--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -1,10 +1,11 @@
 #include "soak/daemon_process.hpp"
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -18,79 +19,159 @@
 
 constexpr int kCannotStart = 2;
 constexpr mode_t kLogMode = 0644;
+/// As of a shell that can't run a program.
+constexpr int kCannotExecute = 127;
 
 std::string proc_path(pid_t pid, const std::string& name) {
   return "/proc/" + std::to_string(pid) + "/" + name;
 }
 
+void set_limit(decltype(RLIMIT_AS) resource, size_t value) {
+  if (value == 0)
+    return;
+  rlimit limit{value, value};
+  ::setrlimit(resource, &limit);
+}
+
+std::string describe(int wait_status) {
+  if (WIFEXITED(wait_status))
+    return "exit code " + std::to_string(WEXITSTATUS(wait_status));
+  return std::string("signal ") + std::to_string(WTERMSIG(wait_status)) + " (" + strsignal(WTERMSIG(wait_status)) + ")";
+}
+
+size_t resident_bytes_of(pid_t pid) {
+  size_t total_pages = 0;
+  size_t resident_pages = 0;
+  std::ifstream(proc_path(pid, "statm")) >> total_pages >> resident_pages;
+  return resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
+size_t open_descriptors_of(pid_t pid) {
+  std::error_code error;
+  std::filesystem::directory_iterator entries(proc_path(pid, "fd"), error);
+  return error ? 0 : static_cast<size_t>(std::distance(begin(entries), end(entries)));
+}
+
 }  // namespace
 
-DaemonProcess::DaemonProcess(std::string program, std::string settings, std::string log)
-    : program_(std::move(program)), settings_(std::move(settings)), log_(std::move(log)) {}
+DaemonProcess::DaemonProcess(std::string program, std::string settings, std::string log, ProcessLimits limits)
+    : program_(std::move(program)), settings_(std::move(settings)), log_(std::move(log)), limits_(limits) {}
 
 DaemonProcess::~DaemonProcess() {
   kill();
 }
 
-void DaemonProcess::start() {
-  posix_spawn_file_actions_t files;
-  posix_spawn_file_actions_init(&files);
-  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
-  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-  posix_spawnattr_t attributes;
-  posix_spawnattr_init(&attributes);
+void DaemonProcess::execute() const {
+  int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  ::dup2(log, STDOUT_FILENO);
+  ::dup2(log, STDERR_FILENO);
+  ::close(log);
   // The daemon decides itself which signals it ignores.
-  sigset_t defaults;
-  sigemptyset(&defaults);
-  sigaddset(&defaults, SIGPIPE);
-  posix_spawnattr_setsigdefault(&attributes, &defaults);
-  posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGDEF);
+  ::signal(SIGPIPE, SIG_DFL);
+  set_limit(RLIMIT_AS, limits_.address_space_bytes);
+  set_limit(RLIMIT_NOFILE, limits_.descriptors);
   auto configuration = "MOSSKEEL_CONFIG=" + settings_;
   char* arguments[] = {const_cast<char*>(program_.c_str()), nullptr};
   char* environment[] = {configuration.data(), nullptr};
-  auto error = posix_spawn(&pid_, program_.c_str(), &files, &attributes, arguments, environment);
-  posix_spawnattr_destroy(&attributes);
-  posix_spawn_file_actions_destroy(&files);
-  if (error == 0)
-    return;
-  fprintf(stderr, "soak: %s: cannot start: %s\n", program_.c_str(), std::strerror(error));
-  exit(kCannotStart);
+  ::execve(program_.c_str(), arguments, environment);
+  _exit(kCannotExecute);
+}
+
+void DaemonProcess::start() {
+  auto pid = ::fork();
+  if (pid == 0)
+    execute();
+  if (pid < 0) {
+    fprintf(stderr, "soak: %s: cannot start: %s\n", program_.c_str(), std::strerror(errno));
+    exit(kCannotStart);
+  }
+  ++starts_;
+  is_newest_running_ = true;
+  children_.push_back({pid, monotonic_now()});
 }
 
 void DaemonProcess::send_signal(int signal_number) {
-  if (is_running())
-    ::kill(pid_, signal_number);
+  if (!is_running())
+    return;
+  auto& child = children_.back();
+  if (signal_number == SIGTERM || signal_number == SIGINT)
+    child.was_told_to_stop = true;
+  ::kill(child.pid, signal_number);
+}
+
+void DaemonProcess::kill_without_waiting() {
+  reap();
+  for (auto& child : children_) {
+    child.was_killed = true;
+    ::kill(child.pid, SIGKILL);
+  }
 }
 
 void DaemonProcess::kill() {
-  if (!is_running())
+  kill_without_waiting();
+  for (const auto& child : std::exchange(children_, {})) {
+    int status = 0;
+    ::waitpid(child.pid, &status, 0);
+    on_end(child, status);
+  }
+  is_newest_running_ = false;
+}
+
+void DaemonProcess::reap() {
+  auto newest = children_.empty() ? 0 : children_.back().pid;
+  std::erase_if(children_, [&](const Child& child) {
+    int status = 0;
+    if (::waitpid(child.pid, &status, WNOHANG) != child.pid)
+      return false;
+    on_end(child, status);
+    is_newest_running_ = is_newest_running_ && child.pid != newest;
+    return true;
+  });
+}
+
+void DaemonProcess::on_end(const Child& child, int wait_status) {
+  bool ended_by_kill = child.was_killed && WIFSIGNALED(wait_status) && WTERMSIG(wait_status) == SIGKILL;
+  bool stopped_in_order = child.was_told_to_stop && WIFEXITED(wait_status) && WEXITSTATUS(wait_status) == EXIT_SUCCESS;
+  // Before a program has set up its signals, SIGTERM has its default effect.
+  bool stopped_at_once = child.was_told_to_stop && WIFSIGNALED(wait_status) && WTERMSIG(wait_status) == SIGTERM;
+  if (ended_by_kill || stopped_in_order || stopped_at_once)
     return;
-  ::kill(pid_, SIGKILL);
-  ::waitpid(pid_, nullptr, 0);
-  pid_ = 0;
+  auto age = std::chrono::duration<double>(monotonic_now() - child.started_at).count();
+  char seconds[32];
+  snprintf(seconds, sizeof seconds, "%.2f s after its start", age);
+  unexpected_ends_.push_back(describe(wait_status) + ", " + seconds +
+                             (child.was_told_to_stop ? ", after SIGTERM" : ", untold"));
 }
 
 bool DaemonProcess::is_running() {
-  if (pid_ != 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_)
-    pid_ = 0;
-  return pid_ != 0;
+  reap();
+  return is_newest_running_;
+}
+
+bool DaemonProcess::has_processes() {
+  reap();
+  return !children_.empty();
 }
 
 size_t DaemonProcess::resident_bytes() {
-  if (!is_running())
-    return 0;
-  size_t total_pages = 0;
-  size_t resident_pages = 0;
-  std::ifstream(proc_path(pid_, "statm")) >> total_pages >> resident_pages;
-  return resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+  reap();
+  size_t bytes = 0;
+  for (const auto& child : children_)
+    bytes += resident_bytes_of(child.pid);
+  return bytes;
 }
 
 size_t DaemonProcess::open_descriptors() {
-  if (!is_running())
-    return 0;
-  std::error_code error;
-  std::filesystem::directory_iterator entries(proc_path(pid_, "fd"), error);
-  return error ? 0 : static_cast<size_t>(std::distance(begin(entries), end(entries)));
+  reap();
+  size_t descriptors = 0;
+  for (const auto& child : children_)
+    descriptors += open_descriptors_of(child.pid);
+  return descriptors;
+}
+
+std::vector<std::string> DaemonProcess::take_unexpected_ends() {
+  reap();
+  return std::exchange(unexpected_ends_, {});
 }
 
 }  // namespace mosskeel::soak
--- a/tests/soak/fleet_under_test.cpp
+++ b/tests/soak/fleet_under_test.cpp
@@ -8,6 +8,7 @@
 using platform_stub::ModelReplica;
 
 constexpr Duration kPollInterval = 20ms;
+constexpr Duration kProcessCheckInterval = 100ms;
 /// How long the fleet may take to its first configuration and until all gateways are ready.
 constexpr Duration kFoundingTimeout = 40000ms;
 /// From the readiness of all gateways on until the replica list has reached them.
@@ -33,6 +34,17 @@
   environment.may_lose_response = [this](const Address& gateway, MonotonicTime sent_at) {
     return may_lose_response(gateway, sent_at);
   };
+  watch_processes();
+}
+
+void FleetUnderTest::watch_processes() {
+  report_unexpected_ends();
+  environment.loop.run_after(kProcessCheckInterval, [this] { watch_processes(); });
+}
+
+void FleetUnderTest::report_unexpected_ends() {
+  for (const auto& end : machines.take_unexpected_ends())
+    environment.checker.report_violation("a process ended by itself: " + end);
 }
 
 template <class Kind>
@@ -110,6 +122,14 @@
   }
 }
 
+void FleetUnderTest::stop_in_order() {
+  machines.stop_all();
+  run_until(kShutdownGrace, [&] { return machines.running_daemons().empty(); });
+  for (const auto& daemon : machines.running_daemons())
+    environment.checker.report_violation(daemon + " has not ended at the end of the grace after SIGTERM");
+  report_unexpected_ends();
+}
+
 void FleetUnderTest::finish_requests() {
   if (!run_until(kOpenRequestTimeout, [&] { return callers.open_requests() == 0; }))
     environment.checker.report_violation("requests stay open");
--- a/tests/soak/fleet_under_test.hpp
+++ b/tests/soak/fleet_under_test.hpp
@@ -27,6 +27,8 @@
   void restart_in_order(MachineId machine);
   /// Kills machines at once and starts them again after the downtime; `loses_disk` also empties their disks.
   void crash(const std::vector<MachineId>& crashed, Duration downtime, bool loses_disk);
+  /// Tells all daemons to stop, and reports those that do not end within the grace.
+  void stop_in_order();
   /// Ends all open requests, and reports those that stay open.
   void finish_requests();
 
@@ -45,6 +47,9 @@
   Kind& add_replica(const std::string& service, int zone);
   std::vector<platform_stub::ListedReplica> list_replicas() const;
   bool may_lose_response(const Address& gateway, MonotonicTime sent_at) const;
+  /// Reports the processes that have ended by themselves, and goes on doing so.
+  void watch_processes();
+  void report_unexpected_ends();
 
   std::vector<std::unique_ptr<platform_stub::Replica>> replicas_;
   std::vector<platform_stub::AppReplica*> slow_replicas_;
--- a/tests/soak/machines.cpp
+++ b/tests/soak/machines.cpp
@@ -46,7 +46,7 @@
       for (const auto& program : programs_of(machine_class)) {
         auto daemon = program + std::to_string(index + 1);
         auto log = folder + "/" + daemon + ".log";
-        auto process = std::make_unique<DaemonProcess>(programs + "/" + program, settings_path(daemon), log);
+        auto process = std::make_unique<DaemonProcess>(programs + "/" + program, settings_path(daemon), log, ProcessLimits{});
         daemons_[{machine_class, index}].push_back({daemon, std::move(process)});
       }
     }
@@ -92,6 +92,11 @@
     daemon.process->kill();
 }
 
+void Machines::kill_without_waiting(MachineId machine) {
+  for (auto& daemon : daemons(machine))
+    daemon.process->kill_without_waiting();
+}
+
 void Machines::lose_disk(MachineId machine) {
   for (const auto& daemon : daemons(machine)) {
     auto data = folder_ + "/data/" + daemon.name;
@@ -105,6 +110,42 @@
   return std::any_of(of_machine.begin(), of_machine.end(), [](Daemon& daemon) { return daemon.process->is_running(); });
 }
 
+void Machines::stop_all() {
+  for (auto& [machine, daemons] : daemons_)
+    send_signal(machine, SIGTERM);
+}
+
+std::vector<std::string> Machines::running_daemons() {
+  std::vector<std::string> running;
+  for (auto& [machine, daemons] : daemons_) {
+    for (auto& daemon : daemons) {
+      if (daemon.process->has_processes())
+        running.push_back(daemon.name);
+    }
+  }
+  return running;
+}
+
+std::vector<std::string> Machines::take_unexpected_ends() {
+  std::vector<std::string> ends;
+  for (auto& [machine, daemons] : daemons_) {
+    for (auto& daemon : daemons) {
+      for (const auto& end : daemon.process->take_unexpected_ends())
+        ends.push_back(daemon.name + ": " + end);
+    }
+  }
+  return ends;
+}
+
+int Machines::starts() const {
+  int starts = 0;
+  for (const auto& [machine, daemons] : daemons_) {
+    for (const auto& daemon : daemons)
+      starts += daemon.process->starts();
+  }
+  return starts;
+}
+
 size_t Machines::resident_bytes(MachineClass machine_class) {
   size_t bytes = 0;
   for (auto& [machine, daemons] : daemons_) {
--- a/tests/soak/machines.hpp
+++ b/tests/soak/machines.hpp
@@ -37,10 +37,20 @@
   void start(MachineId machine);
   void send_signal(MachineId machine, int signal_number);
   void kill(MachineId machine);
+  /// Sends SIGKILL, and does not wait for the end.
+  void kill_without_waiting(MachineId machine);
   /// Empties the disk of a machine that does not run.
   void lose_disk(MachineId machine);
-  /// Whether any daemon of the machine runs or is frozen.
+  /// Whether any newest process of the machine's daemons runs or is frozen.
   bool is_running(MachineId machine);
+  /// Tells all daemons to stop.
+  void stop_all();
+  /// Daemons with a process that runs or is frozen.
+  std::vector<std::string> running_daemons();
+  /// Processes that ended by themselves, or in another way than they were told; each is returned once.
+  std::vector<std::string> take_unexpected_ends();
+  /// Starts of processes so far.
+  int starts() const;
   const platform_stub::FleetAddresses& addresses() const { return addresses_; }
 
   /// The sums of all daemons of one class.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -170,10 +170,11 @@
 
 int finish(FleetUnderTest& fleet) {
   auto& environment = fleet.environment;
+  fleet.stop_in_order();
   environment.checker.check_totals();
   environment.served.print();
-  printf("all        %4d of %4d served; %d violations\n", environment.served.served(), environment.served.requests(),
-         environment.checker.violations());
+  printf("all        %4d of %4d served; %d starts of processes; %d violations\n", environment.served.served(),
+         environment.served.requests(), fleet.machines.starts(), environment.checker.violations());
   if (environment.checker.violations() == 0)
     return kSuccess;
   fleet.machines.print_logs();
