Soak: series and overlaps of signals and restarts, true limits, larger fleets (red)

New kinds of disturbances: a start beside the process that still stops, a start right after SIGKILL, SIGHUP from the first moments of a start on, SIGTERM and SIGHUP in a series. The kernel holds each daemon to the memory (as address space) and descriptors of its settings. Fleets of up to nine machines a class.

Hypotheses: (1) signals have their default effect until main has blocked them, and what main waits for in the start cannot be interrupted; (2) a start takes any resource that another process holds for a wrong setting or damage; (3) threads and heaps are sized by the kernel's defaults and by the number of processors, which the bench hides, and a limit is noticed only as a crash. None is shown to be what the users saw.

--- a/tests/platform_stub/fleet_addresses.cpp
+++ b/tests/platform_stub/fleet_addresses.cpp
@@ -63,6 +63,7 @@
   std::string program;
   std::string machine_prefix;
   std::string (*ip_of)(int index);
+  int machines = 0;
 };
 
 std::string settings_text(const FleetAddresses& addresses, const DaemonRole& role, int index,
@@ -75,7 +76,7 @@
   std::string text;
   text += "NodeName = " + quoted(role.machine_prefix + "-" + std::to_string(index + 1)) + "\n";
   text += "Ip = " + quoted(role.ip_of(index)) + "\n";
-  text += "Zone = " + quoted(kZoneNames[static_cast<size_t>(index)]) + "\n";
+  text += "Zone = " + quoted(zone_of(index)) + "\n";
   text += "InternalPorts = [" + first_port + "," + last_port + "]\n";
   text += "SeedNodes = [" + seeds + "]\n";
   text += "FirstStart = true\n";
@@ -84,6 +85,9 @@
   text += "FrontHttp = " + quoted(addresses.gateway(index)) + "\n";
   text += "Readiness = " + quoted(addresses.readiness(index)) + "\n";
   text += "ControlPlane = " + quoted(addresses.control_plane(index)) + "\n";
+  const MachineLimits limits;
+  text += "[Limits]\nMemoryMb = " + std::to_string(limits.memory_mib) + "\n";
+  text += "FileDescriptors = " + std::to_string(limits.descriptors) + "\n";
   text += "[ToleratedLosses]\nMachines = 1\nZones = 1\n";
   text += "[CloudApi]\nAddress = " + quoted(addresses.replica_list()) + "\nRatePerS = 40.0\n";
   return text;
@@ -95,26 +99,29 @@
 
 }  // namespace
 
-void write_settings(const std::string& folder) {
-  const DaemonRole roles[] = {{"controller", "core", FleetAddresses::controller_ip},
-                              {"store", "storage", FleetAddresses::store_ip},
-                              {"gateway", "front", FleetAddresses::gateway_ip},
-                              {"agent", "front", FleetAddresses::gateway_ip}};
-  FleetAddresses addresses{find_free_base_port()};
+void write_settings(const std::string& folder, const FleetSize& size) {
+  const DaemonRole roles[] = {{"controller", "core", FleetAddresses::controller_ip, size.controllers},
+                              {"store", "storage", FleetAddresses::store_ip, size.stores},
+                              {"gateway", "front", FleetAddresses::gateway_ip, size.gateways},
+                              {"agent", "front", FleetAddresses::gateway_ip, size.gateways}};
+  FleetAddresses addresses{find_free_base_port(), size};
   for (const auto& role : roles) {
-    for (int index = 0; index < kZones; ++index) {
+    for (int index = 0; index < role.machines; ++index) {
       auto daemon = role.program + std::to_string(index + 1);
       auto data_folder = folder + "/data/" + daemon;
       std::ofstream(folder + "/" + daemon + ".toml") << settings_text(addresses, role, index, data_folder);
       std::filesystem::create_directories(data_folder);
     }
   }
-  std::ofstream(base_port_file(folder)) << addresses.base_port << "\n";
+  std::ofstream(base_port_file(folder)) << addresses.base_port << " " << size.controllers << " " << size.stores << " "
+                                        << size.gateways << "\n";
 }
 
 std::optional<FleetAddresses> read_addresses(const std::string& folder) {
   FleetAddresses addresses;
-  if (!(std::ifstream(base_port_file(folder)) >> addresses.base_port))
+  auto& size = addresses.size;
+  std::ifstream file(base_port_file(folder));
+  if (!(file >> addresses.base_port >> size.controllers >> size.stores >> size.gateways))
     return std::nullopt;
   return addresses;
 }
--- a/tests/platform_stub/fleet_addresses.hpp
+++ b/tests/platform_stub/fleet_addresses.hpp
@@ -8,10 +8,28 @@
 /// One machine of each role stands in each zone.
 inline const std::array<std::string, kZones> kZoneNames = {"zone-a", "zone-b", "zone-c"};
 
-/// Addresses of a fleet whose ports begin at `base_port`. Each machine has a loopback address of its own; the machine
-/// of a role in zone `index` is the one with that index.
+/// How many machines of each class a fleet has.
+struct FleetSize {
+  int controllers = kZones;
+  int stores = kZones;
+  int gateways = kZones;
+};
+
+/// The zone of the machine of a class with that index.
+inline const std::string& zone_of(int index) {
+  return kZoneNames[static_cast<size_t>(index % kZones)];
+}
+
+/// What a platform lets each daemon have.
+struct MachineLimits {
+  size_t memory_mib = 220;
+  size_t descriptors = 4096;
+};
+
+/// Addresses of a fleet whose ports begin at `base_port`. Each machine has a loopback address of its own.
 struct FleetAddresses {
   uint16_t base_port = 0;
+  FleetSize size;
 
   Address gateway(int index) const { return gateway_ip(index) + port(10); }
   Address readiness(int index) const { return gateway_ip(index) + port(11); }
@@ -31,7 +49,7 @@
 };
 
 /// Chooses free ports and writes a settings file and an empty data folder for each daemon of the fleet.
-void write_settings(const std::string& folder);
+void write_settings(const std::string& folder, const FleetSize& size = {});
 
 /// The addresses that `write_settings` chose; nothing where it has not been run on this folder.
 std::optional<FleetAddresses> read_addresses(const std::string& folder);
--- a/tests/platform_stub/gateway_monitor.cpp
+++ b/tests/platform_stub/gateway_monitor.cpp
@@ -13,10 +13,11 @@
 
 }  // namespace
 
-GatewayMonitor::GatewayMonitor(Environment& environment) : environment_(environment) {
-  // No gateway is ready before its first poll.
-  failed_polls_.fill(kMaxFailedPolls);
-  for (int index = 0; index < kZones; ++index)
+// No gateway is ready before its first poll.
+GatewayMonitor::GatewayMonitor(Environment& environment)
+    : environment_(environment),
+      failed_polls_(static_cast<size_t>(environment.addresses.size.gateways), kMaxFailedPolls) {
+  for (int index = 0; index < environment.addresses.size.gateways; ++index)
     poll(index);
 }
 
@@ -34,13 +35,15 @@
 }
 
 Address GatewayMonitor::choose_gateway() {
+  std::vector<int> all;
   std::vector<int> in_use;
-  for (int index = 0; index < kZones; ++index) {
+  for (int index = 0; index < environment_.addresses.size.gateways; ++index) {
+    all.push_back(index);
     if (failed_polls_[static_cast<size_t>(index)] < kMaxFailedPolls)
       in_use.push_back(index);
   }
   if (in_use.empty())
-    in_use = {0, 1, 2};
+    in_use = all;
   return environment_.addresses.gateway(in_use[environment_.random_below(in_use.size())]);
 }
 
--- a/tests/platform_stub/gateway_monitor.hpp
+++ b/tests/platform_stub/gateway_monitor.hpp
@@ -19,7 +19,7 @@
 
   Environment& environment_;
   /// Failed polls in a row, by gateway.
-  std::array<int, kZones> failed_polls_{};
+  std::vector<int> failed_polls_;
 };
 
 }  // namespace mosskeel::platform_stub
--- a/tests/platform_stub/operator.cpp
+++ b/tests/platform_stub/operator.cpp
@@ -44,8 +44,10 @@
 
 void Operator::send(const std::shared_ptr<Call>& call) {
   auto address = std::exchange(call->redirected_to, "");
-  if (address.empty())
-    address = environment_.addresses.control_plane(static_cast<int>(environment_.random_below(kZones)));
+  if (address.empty()) {
+    auto controllers = static_cast<uint64_t>(environment_.addresses.size.controllers);
+    address = environment_.addresses.control_plane(static_cast<int>(environment_.random_below(controllers)));
+  }
   const auto& request = call->request;
   HeaderFields fields{{"Host", "control"}, {"Content-Type", "application/json"}};
   if (request.base_revision)
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -39,6 +39,32 @@
   return std::string("signal ") + std::to_string(WTERMSIG(wait_status)) + " (" + strsignal(WTERMSIG(wait_status)) + ")";
 }
 
+std::string read_file(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+/// Whether a mask in the process's status, a line of hexadecimal digits, has the signal.
+bool has_signal(const std::string& status, const std::string& mask_name, int signal_number) {
+  auto found = status.find(mask_name);
+  if (found == std::string::npos)
+    return false;
+  auto mask = std::strtoull(status.c_str() + found + mask_name.size(), nullptr, 16);
+  return (mask >> (signal_number - 1) & 1) != 0;
+}
+
+/// Whether SIGHUP would not end the process.
+bool holds_hangup(pid_t pid) {
+  auto status = read_file(proc_path(pid, "status"));
+  return has_signal(status, "SigBlk:", SIGHUP) || has_signal(status, "SigIgn:", SIGHUP) ||
+         has_signal(status, "SigCgt:", SIGHUP);
+}
+
+/// Whether a library is mapped that all daemons use and no start-up needs.
+bool has_loaded_libraries(pid_t pid) {
+  return read_file(proc_path(pid, "maps")).find("libnng") != std::string::npos;
+}
+
 size_t resident_bytes_of(pid_t pid) {
   size_t total_pages = 0;
   size_t resident_pages = 0;
@@ -78,9 +104,17 @@
 }
 
 void DaemonProcess::start() {
+  // Closed by the kernel at the moment at which the program runs.
+  int until_executed[2];
+  if (::pipe2(until_executed, O_CLOEXEC) != 0)
+    exit(kCannotStart);
   auto pid = ::fork();
   if (pid == 0)
     execute();
+  ::close(until_executed[1]);
+  char byte = 0;
+  [[maybe_unused]] auto end_of_file = ::read(until_executed[0], &byte, 1);
+  ::close(until_executed[0]);
   if (pid < 0) {
     fprintf(stderr, "soak: %s: cannot start: %s\n", program_.c_str(), std::strerror(errno));
     exit(kCannotStart);
@@ -107,16 +141,45 @@
   }
 }
 
-void DaemonProcess::kill() {
-  kill_without_waiting();
-  for (const auto& child : std::exchange(children_, {})) {
+void DaemonProcess::end(std::vector<Child> children) {
+  for (auto& child : children) {
+    child.was_killed = true;
+    ::kill(child.pid, SIGKILL);
     int status = 0;
     ::waitpid(child.pid, &status, 0);
     on_end(child, status);
   }
+}
+
+void DaemonProcess::kill() {
+  reap();
+  end(std::exchange(children_, {}));
   is_newest_running_ = false;
 }
 
+bool DaemonProcess::has_older() {
+  return has_processes() && children_.size() > (is_newest_running_ ? 1u : 0u);
+}
+
+bool DaemonProcess::kill_older() {
+  if (!has_older())
+    return false;
+  auto older = std::exchange(children_, {});
+  if (is_newest_running_) {
+    children_.push_back(older.back());
+    older.pop_back();
+  }
+  end(std::move(older));
+  return true;
+}
+
+bool DaemonProcess::has_begun() {
+  if (!is_running())
+    return true;
+  auto pid = children_.back().pid;
+  return has_loaded_libraries(pid) || holds_hangup(pid);
+}
+
 void DaemonProcess::reap() {
   auto newest = children_.empty() ? 0 : children_.back().pid;
   std::erase_if(children_, [&](const Child& child) {
--- a/tests/soak/daemon_process.hpp
+++ b/tests/soak/daemon_process.hpp
@@ -37,6 +37,12 @@
   void kill();
   /// Sends SIGKILL to all processes and does not wait for their end.
   void kill_without_waiting();
+  /// Whether the newest process is past the kernel's part of its start: it holds SIGHUP, or has more than the C and C++
+  /// libraries in memory.
+  bool has_begun();
+  /// Kills the processes before the newest one and waits for their end. Whether there were any.
+  bool kill_older();
+  bool has_older();
   /// Whether the newest process runs or is frozen.
   bool is_running();
   /// Whether any process runs or is frozen.
@@ -60,6 +66,8 @@
   };
   /// Runs in the new process; does not return.
   [[noreturn]] void execute() const;
+  /// Kills processes and waits for their end.
+  void end(std::vector<Child> children);
   void reap();
   void on_end(const Child& child, int wait_status);
 
--- a/tests/soak/drawn_run.cpp
+++ b/tests/soak/drawn_run.cpp
@@ -115,13 +115,13 @@
                       {RequestKind::unsafe, "slow"}};
   auto& environment = fleet_.environment;
   const auto& use = uses[environment.random_below(std::size(uses))];
+  auto gateways = static_cast<uint64_t>(fleet_.machines.machine_count(MachineClass::front));
   auto request = std::make_shared<platform_stub::CallerRequest>();
   request->kind = use.kind;
   request->route = use.route;
   request->body = "kept " + environment.random_name();
   request->connection_use = platform_stub::ConnectionUse::kept;
-  request->only_gateway =
-      environment.addresses.gateway(static_cast<int>(environment.random_below(platform_stub::kZones)));
+  request->only_gateway = environment.addresses.gateway(static_cast<int>(environment.random_below(gateways)));
   if (request->route == "slow")
     request->timeout = platform_stub::kSlowRouteTimeout;
   fleet_.callers.send(request);
--- a/tests/soak/fault_player.cpp
+++ b/tests/soak/fault_player.cpp
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr Duration kEndPollInterval = 20ms;
+/// Signals of a series, and the time between two: through a whole start, and into a stop.
+constexpr int kSeriesSignals = 30;
+constexpr Duration kSeriesInterval = 2ms;
+constexpr Duration kStopSeriesInterval = 150ms;
 /// What slow replicas need for a request: from a moment to nearly the route's time.
 constexpr uint64_t kMaxSlowWorkMs = 5300;
 
@@ -23,7 +27,7 @@
 FaultPlayer::FaultPlayer(FleetUnderTest& fleet, RunRecord& record, uint64_t seed, const std::set<FaultKind>& only)
     : fleet_(fleet), record_(record) {
   for (auto lane : kLanes) {
-    FaultSchedule schedule(lane, seed, only);
+    FaultSchedule schedule(lane, seed, only, fleet.environment.addresses.size);
     if (!schedule.is_empty())
       lanes_.push_back(std::move(schedule));
   }
@@ -49,9 +53,8 @@
 
 void FaultPlayer::play(const Fault& fault, OnOver on_over) {
   ++counts_[fault.kind];
-  bool concerns_machine = fault.kind <= FaultKind::hangup;
   record_.write(std::string("fault   ") + name(fault.kind) +
-                (concerns_machine ? " of " + soak::name(fault.machine) : std::string()) + ", " +
+                (concerns_machine(fault.kind) ? " of " + soak::name(fault.machine) : std::string()) + ", " +
                 std::to_string(fault.duration.count()) + " ms");
   switch (fault.kind) {
     case FaultKind::restart:
@@ -64,6 +67,14 @@
     case FaultKind::hangup:
       fleet_.machines.send_signal(fault.machine, SIGHUP);
       return on_over();
+    case FaultKind::overlapping_restart:
+      return restart_overlapping(fault, std::move(on_over));
+    case FaultKind::instant_restart:
+      return restart_instantly(fault, std::move(on_over));
+    case FaultKind::early_hangups:
+      return hang_up_early(fault, std::move(on_over));
+    case FaultKind::stop_series:
+      return stop_in_series(fault, std::move(on_over));
     case FaultKind::change:
       return fleet_.fleet_operator.revise(std::move(on_over));
     case FaultKind::race:
@@ -97,8 +108,10 @@
                                       });
     return;
   }
+  if (fleet_.machines.is_running(machine))
+    report_kill_at_end_of_grace(machine);
   fleet_.machines.kill(machine);
-  record_.write("start   " + soak::name(machine) + (is_killed ? ", killed at the end of its grace" : ""));
+  record_.write("start   " + soak::name(machine));
   fleet_.machines.start(machine);
   on_over();
 }
@@ -127,6 +140,76 @@
   });
 }
 
+void FaultPlayer::report_kill_at_end_of_grace(MachineId machine) {
+  record_.write("kill    " + soak::name(machine) + " at the end of its grace");
+  fleet_.environment.checker.report_violation(soak::name(machine) + " has not ended at the end of the grace");
+}
+
+void FaultPlayer::restart_overlapping(const Fault& fault, OnOver on_over) {
+  auto now = monotonic_now();
+  fleet_.troubles.on_stop_requested(fault.machine, now);
+  fleet_.machines.send_signal(fault.machine, SIGTERM);
+  fleet_.machines.start(fault.machine);
+  await_older(fault.machine, now + kShutdownGrace, std::move(on_over));
+}
+
+void FaultPlayer::await_older(MachineId machine, MonotonicTime kill_at, OnOver on_over) {
+  if (monotonic_now() < kill_at && fleet_.machines.has_older(machine)) {
+    fleet_.environment.loop.run_after(kEndPollInterval,
+                                      [this, machine, kill_at, on_over = std::move(on_over)]() mutable {
+                                        await_older(machine, kill_at, std::move(on_over));
+                                      });
+    return;
+  }
+  if (fleet_.machines.kill_older(machine))
+    report_kill_at_end_of_grace(machine);
+  on_over();
+}
+
+void FaultPlayer::restart_instantly(const Fault& fault, OnOver on_over) {
+  fleet_.troubles.on_trouble_begun(fault.machine, monotonic_now());
+  fleet_.machines.kill_without_waiting(fault.machine);
+  fleet_.machines.start(fault.machine);
+  fleet_.troubles.on_trouble_ended(fault.machine, monotonic_now());
+  on_over();
+}
+
+void FaultPlayer::hang_up_early(const Fault& fault, OnOver on_over) {
+  fleet_.troubles.on_trouble_begun(fault.machine, monotonic_now());
+  fleet_.machines.kill(fault.machine);
+  fleet_.machines.start(fault.machine);
+  fleet_.troubles.on_trouble_ended(fault.machine, monotonic_now());
+  continue_hangups(fault.machine, kSeriesSignals, std::move(on_over));
+}
+
+void FaultPlayer::continue_hangups(MachineId machine, int left, OnOver on_over) {
+  if (fleet_.machines.have_begun(machine)) {
+    fleet_.machines.send_signal(machine, SIGHUP);
+    --left;
+  }
+  if (left == 0)
+    return on_over();
+  fleet_.environment.loop.run_after(kSeriesInterval, [this, machine, left, on_over = std::move(on_over)]() mutable {
+    continue_hangups(machine, left, std::move(on_over));
+  });
+}
+
+void FaultPlayer::stop_in_series(const Fault& fault, OnOver on_over) {
+  auto now = monotonic_now();
+  fleet_.troubles.on_stop_requested(fault.machine, now);
+  Duration delay{};
+  auto starts = fleet_.machines.starts(fault.machine);
+  for (int signal_number : {SIGHUP, SIGTERM, SIGHUP, SIGTERM, SIGHUP}) {
+    fleet_.environment.loop.run_after(delay, [this, machine = fault.machine, starts, signal_number] {
+      // None is meant for the next process.
+      if (fleet_.machines.starts(machine) == starts)
+        fleet_.machines.send_signal(machine, signal_number);
+    });
+    delay += kStopSeriesInterval;
+  }
+  await_end(fault.machine, now + kShutdownGrace, std::move(on_over));
+}
+
 void FaultPlayer::evacuate(const Fault& fault, OnOver on_over) {
   const auto& zone = platform_stub::kZoneNames[static_cast<size_t>(fault.machine.index)];
   fleet_.fleet_operator.evacuate(zone, [this, fault, zone, on_over = std::move(on_over)] {
--- a/tests/soak/fault_player.hpp
+++ b/tests/soak/fault_player.hpp
@@ -44,6 +44,15 @@
   void await_end(MachineId machine, MonotonicTime kill_at, OnOver on_over);
   void kill(const Fault& fault, OnOver on_over);
   void freeze(const Fault& fault, OnOver on_over);
+  void restart_overlapping(const Fault& fault, OnOver on_over);
+  /// Waits for the end of the processes before the newest ones, and kills them after the grace.
+  void await_older(MachineId machine, MonotonicTime kill_at, OnOver on_over);
+  void restart_instantly(const Fault& fault, OnOver on_over);
+  void hang_up_early(const Fault& fault, OnOver on_over);
+  /// Waits until the programs run, then sends what is left of a series of SIGHUP.
+  void continue_hangups(MachineId machine, int left, OnOver on_over);
+  void stop_in_series(const Fault& fault, OnOver on_over);
+  void report_kill_at_end_of_grace(MachineId machine);
   void evacuate(const Fault& fault, OnOver on_over);
   void slow_down(const Fault& fault, OnOver on_over);
   /// Calls the function once the fault's time is over.
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -23,6 +23,10 @@
                                {FaultKind::disk_loss, "disk_loss"},
                                {FaultKind::freeze, "freeze"},
                                {FaultKind::hangup, "hangup"},
+                               {FaultKind::overlapping_restart, "overlapping_restart"},
+                               {FaultKind::instant_restart, "instant_restart"},
+                               {FaultKind::early_hangups, "early_hangups"},
+                               {FaultKind::stop_series, "stop_series"},
                                {FaultKind::change, "change"},
                                {FaultKind::race, "race"},
                                {FaultKind::invalid_change, "invalid_change"},
@@ -33,10 +37,11 @@
   using enum FaultKind;
   switch (lane) {
     case Lane::counted:
-      return {restart, kill, disk_loss, freeze, hangup};
+      return {restart,         kill,          disk_loss,  freeze, hangup, overlapping_restart,
+              instant_restart, early_hangups, stop_series};
     case Lane::first_front:
     case Lane::other_fronts:
-      return {restart, kill, freeze, hangup};
+      return {restart, kill, freeze, hangup, overlapping_restart, instant_restart, early_hangups, stop_series};
     case Lane::operators:
       return {change, race, invalid_change, evacuation, slow_replicas};
   }
@@ -47,8 +52,16 @@
   return kind == FaultKind::evacuation || kind == FaultKind::slow_replicas;
 }
 
+int draw_index(std::mt19937_64& random, int count) {
+  return static_cast<int>(random() % static_cast<uint64_t>(count));
+}
+
 }  // namespace
 
+bool concerns_machine(FaultKind kind) {
+  return kind < FaultKind::change;
+}
+
 const char* name(FaultKind kind) {
   for (const auto& entry : kNames) {
     if (entry.kind == kind)
@@ -65,8 +78,9 @@
   return std::nullopt;
 }
 
-FaultSchedule::FaultSchedule(Lane lane, uint64_t seed, const std::set<FaultKind>& only)
-    : lane_(lane), random_(seed * std::size(kLanes) + static_cast<uint64_t>(lane)) {
+FaultSchedule::FaultSchedule(Lane lane, uint64_t seed, const std::set<FaultKind>& only,
+                             const platform_stub::FleetSize& size)
+    : lane_(lane), size_(size), random_(seed * std::size(kLanes) + static_cast<uint64_t>(lane)) {
   for (auto kind : kinds_of(lane)) {
     if (only.empty() || only.count(kind) > 0)
       kinds_.push_back(kind);
@@ -78,16 +92,17 @@
 }
 
 MachineId FaultSchedule::draw_machine() {
-  auto index = static_cast<int>(random_() % platform_stub::kZones);
   switch (lane_) {
     case Lane::counted:
-      return {random_() % 2 == 0 ? MachineClass::core : MachineClass::storage, index};
+      if (random_() % 2 == 0)
+        return {MachineClass::core, draw_index(random_, size_.controllers)};
+      return {MachineClass::storage, draw_index(random_, size_.stores)};
     case Lane::first_front:
       return {MachineClass::front, 0};
     case Lane::other_fronts:
-      return {MachineClass::front, 1 + index % (platform_stub::kZones - 1)};
+      return {MachineClass::front, 1 + draw_index(random_, size_.gateways - 1)};
     case Lane::operators:
-      return {MachineClass::front, index};
+      return {MachineClass::front, draw_index(random_, platform_stub::kZones)};
   }
   return {};
 }
--- a/tests/soak/fault_schedule.hpp
+++ b/tests/soak/fault_schedule.hpp
@@ -21,6 +21,14 @@
   freeze,
   /// SIGHUP, as after a change of the settings file.
   hangup,
+  /// SIGTERM, and a start beside the process that still stops.
+  overlapping_restart,
+  /// SIGKILL, and a start that does not wait for the end.
+  instant_restart,
+  /// SIGKILL, a start, and SIGHUP again and again from its first moments on.
+  early_hangups,
+  /// SIGTERM and SIGHUP in a series, and a start again.
+  stop_series,
   /// A change of the configuration.
   change,
   /// Two changes on top of one revision.
@@ -35,8 +43,14 @@
 
 /// All kinds, in the order of the enumeration.
 inline constexpr FaultKind kFaultKinds[] = {
-    FaultKind::restart, FaultKind::kill, FaultKind::disk_loss,      FaultKind::freeze,     FaultKind::hangup,
-    FaultKind::change,  FaultKind::race, FaultKind::invalid_change, FaultKind::evacuation, FaultKind::slow_replicas};
+    FaultKind::restart,         FaultKind::kill,          FaultKind::disk_loss,
+    FaultKind::freeze,          FaultKind::hangup,        FaultKind::overlapping_restart,
+    FaultKind::instant_restart, FaultKind::early_hangups, FaultKind::stop_series,
+    FaultKind::change,          FaultKind::race,          FaultKind::invalid_change,
+    FaultKind::evacuation,      FaultKind::slow_replicas};
+
+/// Whether it is something that happens to a machine.
+bool concerns_machine(FaultKind kind);
 
 /// As in "disk_loss".
 const char* name(FaultKind kind);
@@ -69,7 +83,7 @@
 class FaultSchedule {
  public:
   /// @param only the kinds that may be drawn; empty for all.
-  FaultSchedule(Lane lane, uint64_t seed, const std::set<FaultKind>& only);
+  FaultSchedule(Lane lane, uint64_t seed, const std::set<FaultKind>& only, const platform_stub::FleetSize& size);
   /// Whether the lane has any of the kinds that may be drawn.
   bool is_empty() const { return kinds_.empty(); }
   Fault next();
@@ -81,6 +95,7 @@
   MachineId draw_machine();
 
   const Lane lane_;
+  const platform_stub::FleetSize size_;
   std::mt19937_64 random_;
   std::vector<FaultKind> kinds_;
 };
--- a/tests/soak/fleet_under_test.cpp
+++ b/tests/soak/fleet_under_test.cpp
@@ -18,8 +18,8 @@
 
 }  // namespace
 
-FleetUnderTest::FleetUnderTest(const std::string& programs, const std::string& folder, uint64_t seed)
-    : machines(programs, folder),
+FleetUnderTest::FleetUnderTest(const MachinesOptions& options, uint64_t seed)
+    : machines(options),
       environment(machines.addresses(), true, seed),
       callers(environment),
       program_callers(environment, callers),
@@ -68,7 +68,7 @@
 }
 
 bool FleetUnderTest::may_lose_response(const Address& gateway, MonotonicTime sent_at) const {
-  for (int index = 0; index < platform_stub::kZones; ++index) {
+  for (int index = 0; index < machines.machine_count(MachineClass::front); ++index) {
     if (environment.addresses.gateway(index) == gateway)
       return troubles.excuses_loss({MachineClass::front, index}, sent_at, monotonic_now());
   }
--- a/tests/soak/fleet_under_test.hpp
+++ b/tests/soak/fleet_under_test.hpp
@@ -13,9 +13,7 @@
 /// Time passes, and everything happens, within `run_for` and `run_until`.
 class FleetUnderTest {
  public:
-  /// @param programs the folder of the daemons' programs.
-  /// @param folder for settings, data and logs.
-  FleetUnderTest(const std::string& programs, const std::string& folder, uint64_t seed);
+  FleetUnderTest(const MachinesOptions& options, uint64_t seed);
 
   /// Starts all machines and gives them their first configuration. Whether all gateways became ready.
   bool found();
--- a/tests/soak/machines.cpp
+++ b/tests/soak/machines.cpp
@@ -38,19 +38,38 @@
   return {};
 }
 
-Machines::Machines(const std::string& programs, const std::string& folder) : folder_(folder) {
-  platform_stub::write_settings(folder);
-  addresses_ = platform_stub::read_addresses(folder).value();
+Machines::Machines(const MachinesOptions& options) : folder_(options.folder) {
+  platform_stub::write_settings(folder_, options.size);
+  addresses_ = platform_stub::read_addresses(folder_).value();
   for (auto machine_class : kMachineClasses) {
-    for (int index = 0; index < platform_stub::kZones; ++index) {
-      for (const auto& program : programs_of(machine_class)) {
-        auto daemon = program + std::to_string(index + 1);
-        auto log = folder + "/" + daemon + ".log";
-        auto process = std::make_unique<DaemonProcess>(programs + "/" + program, settings_path(daemon), log, ProcessLimits{});
-        daemons_[{machine_class, index}].push_back({daemon, std::move(process)});
-      }
-    }
+    for (int index = 0; index < machine_count(machine_class); ++index)
+      add_machine({machine_class, index}, options);
+  }
+}
+
+void Machines::add_machine(MachineId machine, const MachinesOptions& options) {
+  const platform_stub::MachineLimits named;
+  ProcessLimits limits;
+  if (options.enforce_limits)
+    limits = {named.memory_mib << 20, named.descriptors};
+  for (const auto& program : programs_of(machine.machine_class)) {
+    auto daemon = program + std::to_string(machine.index + 1);
+    auto process = std::make_unique<DaemonProcess>(options.programs + "/" + program, settings_path(daemon),
+                                                   folder_ + "/" + daemon + ".log", limits);
+    daemons_[machine].push_back({daemon, std::move(process)});
+  }
+}
+
+int Machines::machine_count(MachineClass machine_class) const {
+  switch (machine_class) {
+    case MachineClass::core:
+      return addresses_.size.controllers;
+    case MachineClass::storage:
+      return addresses_.size.stores;
+    case MachineClass::front:
+      return addresses_.size.gateways;
   }
+  return 0;
 }
 
 std::string Machines::settings_path(const std::string& daemon) const {
@@ -87,6 +106,23 @@
     daemon.process->send_signal(signal_number);
 }
 
+bool Machines::have_begun(MachineId machine) {
+  auto& of_machine = daemons(machine);
+  return std::all_of(of_machine.begin(), of_machine.end(), [](Daemon& daemon) { return daemon.process->has_begun(); });
+}
+
+bool Machines::kill_older(MachineId machine) {
+  bool any = false;
+  for (auto& daemon : daemons(machine))
+    any = daemon.process->kill_older() || any;
+  return any;
+}
+
+bool Machines::has_older(MachineId machine) {
+  auto& of_machine = daemons(machine);
+  return std::any_of(of_machine.begin(), of_machine.end(), [](Daemon& daemon) { return daemon.process->has_older(); });
+}
+
 void Machines::kill(MachineId machine) {
   for (auto& daemon : daemons(machine))
     daemon.process->kill();
@@ -138,11 +174,16 @@
 }
 
 int Machines::starts() const {
+  int total = 0;
+  for (const auto& [machine, daemons] : daemons_)
+    total += starts(machine);
+  return total;
+}
+
+int Machines::starts(MachineId machine) const {
   int starts = 0;
-  for (const auto& [machine, daemons] : daemons_) {
-    for (const auto& daemon : daemons)
-      starts += daemon.process->starts();
-  }
+  for (const auto& daemon : daemons_.at(machine))
+    starts += daemon.process->starts();
   return starts;
 }
 
--- a/tests/soak/machines.hpp
+++ b/tests/soak/machines.hpp
@@ -16,7 +16,7 @@
 /// Which machine of the fleet.
 struct MachineId {
   MachineClass machine_class = MachineClass::core;
-  /// Its zone, counted from 0.
+  /// Counted from 0 within its class.
   int index = 0;
   auto operator<=>(const MachineId&) const = default;
 };
@@ -24,21 +24,37 @@
 /// As in "storage-2".
 std::string name(MachineId machine);
 
-/// Three machines of each class, one in each zone. Signals, starts and losses concern all daemons of a machine.
+/// How the fleet's machines are built up.
+struct MachinesOptions {
+  /// The folder of the daemons' programs.
+  std::string programs;
+  /// For settings, data and logs.
+  std::string folder;
+  platform_stub::FleetSize size;
+  /// Whether the kernel holds each daemon to the limits that its settings name. Sanitizers need more.
+  bool enforce_limits = true;
+};
+
+/// The machines of each class, spread over the zones. Signals, starts and losses concern all daemons of a machine.
 class Machines {
  public:
   /// Writes the settings of all daemons into the folder.
-  /// @param programs the folder of the programs.
-  Machines(const std::string& programs, const std::string& folder);
+  explicit Machines(const MachinesOptions& options);
 
   /// The first start of the whole fleet.
   void start_all();
   /// Starts a machine on what its disk holds.
   void start(MachineId machine);
   void send_signal(MachineId machine, int signal_number);
+  /// Whether the newest processes are past the kernel's part of their start: what a signal does is up to the program.
+  bool have_begun(MachineId machine);
   void kill(MachineId machine);
   /// Sends SIGKILL, and does not wait for the end.
   void kill_without_waiting(MachineId machine);
+  /// Kills the processes that were started before the newest ones. Whether any still ran.
+  bool kill_older(MachineId machine);
+  /// Whether processes that were started before the newest ones still run.
+  bool has_older(MachineId machine);
   /// Empties the disk of a machine that does not run.
   void lose_disk(MachineId machine);
   /// Whether any newest process of the machine's daemons runs or is frozen.
@@ -51,7 +67,9 @@
   std::vector<std::string> take_unexpected_ends();
   /// Starts of processes so far.
   int starts() const;
+  int starts(MachineId machine) const;
   const platform_stub::FleetAddresses& addresses() const { return addresses_; }
+  int machine_count(MachineClass machine_class) const;
 
   /// The sums of all daemons of one class.
   size_t resident_bytes(MachineClass machine_class);
@@ -66,6 +84,7 @@
     std::unique_ptr<DaemonProcess> process;
   };
   static std::vector<std::string> programs_of(MachineClass machine_class);
+  void add_machine(MachineId machine, const MachinesOptions& options);
   std::vector<Daemon>& daemons(MachineId machine) { return daemons_.at(machine); }
   /// Every start but the first one is no first start.
   void mark_started(const Daemon& daemon) const;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 // every promise to callers and operators is checked.
 #include <popt.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
@@ -20,10 +21,15 @@
 constexpr int kUsageError = 2;
 constexpr Duration kMinRunTime = 1000ms;
 constexpr int kMaxLoad = 20;
+/// Machines of a class: one a zone at least; the addresses have room for nine.
+constexpr int kMinMachines = 3;
+constexpr int kMaxMachines = 9;
 
 struct Options {
   /// The folder of the daemons' programs.
   std::string programs;
+  platform_stub::FleetSize size;
+  bool enforce_limits = true;
   /// A fixed course of events; nullptr for a drawn run.
   const Scenario* scenario = nullptr;
   DrawnRunOptions drawn;
@@ -88,6 +94,10 @@
     return "only: its kinds are " + kind_names();
   if (options.drawn.duration < kMinRunTime)
     return "for: must be 1 second or more";
+  const auto& size = options.size;
+  if (std::min({size.controllers, size.stores, size.gateways}) < kMinMachines ||
+      std::max({size.controllers, size.stores, size.gateways}) > kMaxMachines)
+    return "controllers, stores, gateways: must be from 3 to 9";
   if (options.drawn.load < 1 || options.drawn.load > kMaxLoad)
     return "size: must be from 1 to " + std::to_string(kMaxLoad);
   return "";
@@ -103,6 +113,8 @@
   long seed = 1;
   int seconds = 60;
   int load = 1;
+  int without_limits = 0;
+  platform_stub::FleetSize size;
   poptOption table[] = {
       {"programs", 'p', POPT_ARG_STRING, &programs, 0, "folder of the daemons' programs", "DIR"},
       {"scenario", 's', POPT_ARG_STRING, &scenario, 0, "a fixed course of events instead of a drawn one", "NAME"},
@@ -110,6 +122,10 @@
       {"for", 't', POPT_ARG_INT, &seconds, 0, "how long a drawn run disturbs the fleet, in seconds (60)", "S"},
       {"only", 'o', POPT_ARG_STRING, &only, 0, "kinds of disturbances of a drawn run, with commas between", "KINDS"},
       {"size", 'l', POPT_ARG_INT, &load, 0, "traffic of a drawn run, in multiples of the usual (1)", "N"},
+      {"controllers", 0, POPT_ARG_INT, &size.controllers, 0, "core machines (3)", "N"},
+      {"stores", 0, POPT_ARG_INT, &size.stores, 0, "storage machines (3)", "N"},
+      {"gateways", 0, POPT_ARG_INT, &size.gateways, 0, "front machines (3)", "N"},
+      {"without-limits", 0, POPT_ARG_NONE, &without_limits, 0, "the kernel holds no daemon to its limits", nullptr},
       {"record", 'r', POPT_ARG_STRING, &record, 0, "what happened, an event a line", "FILE"},
       {"plot", 'g', POPT_ARG_STRING, &plot, 0, "memory over time, as SVG", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -123,6 +139,8 @@
   options.drawn.seed = static_cast<uint64_t>(seed);
   options.drawn.duration = std::chrono::seconds(seconds);
   options.drawn.load = load;
+  options.size = size;
+  options.enforce_limits = without_limits == 0;
   bool are_kinds_known = read_kinds(take(only), options.drawn.only);
   options.record = take(record);
   options.plot = take(plot);
@@ -193,7 +211,7 @@
     return fail_usage("cannot make a temporary folder");
   // A connection that its peer has closed is an error of its own, not the end of the process.
   ::signal(SIGPIPE, SIG_IGN);
-  FleetUnderTest fleet(options.programs, folder.path(), options.drawn.seed);
+  FleetUnderTest fleet({options.programs, folder.path(), options.size, options.enforce_limits}, options.drawn.seed);
   if (fleet.found())
     play(fleet, options);
   return finish(fleet);
--- a/tests/soak/scenarios.cpp
+++ b/tests/soak/scenarios.cpp
@@ -114,7 +114,7 @@
 };
 
 void restart_in_turn(FleetUnderTest& fleet, MachineClass machine_class) {
-  for (int index = 0; index < platform_stub::kZones; ++index) {
+  for (int index = 0; index < fleet.machines.machine_count(machine_class); ++index) {
     fleet.restart_in_order({machine_class, index});
     fleet.run_for(kRestartInterval);
   }
@@ -122,14 +122,14 @@
 
 void crash_all(FleetUnderTest& fleet, MachineClass machine_class) {
   std::vector<MachineId> all;
-  for (int index = 0; index < platform_stub::kZones; ++index)
+  for (int index = 0; index < fleet.machines.machine_count(machine_class); ++index)
     all.push_back({machine_class, index});
   fleet.crash(all, kDowntime, false);
 }
 
 /// One after the other, each as soon as the one before no longer counts as lost.
 void lose_disks_in_turn(FleetUnderTest& fleet) {
-  for (int index = 0; index < platform_stub::kZones; ++index) {
+  for (int index = 0; index < fleet.machines.machine_count(MachineClass::storage); ++index) {
     fleet.crash({{MachineClass::storage, index}}, kDowntime, true);
     fleet.run_for(kCatchUpTime);
   }
