Daemons: small stacks, one heap, all descriptors; bounded whatever the processors

Cause: stacks and heaps have the kernel's and the C library's default sizes (8 MiB a thread, 64 MiB a heap, eight heaps a processor), and nng starts threads by the number of processors. Ruled out: nng's number of threads can't be set in this version.

Now: 512 KiB a stack, one heap, the soft limit of descriptors raised to the hard one. Before nng starts, as many threads as it may need are started and ended, since it does not survive a failure.

--- a/include/mosskeel/result.hpp
+++ b/include/mosskeel/result.hpp
@@ -15,6 +15,7 @@
   rejected,          ///< the input is valid, but the current state does not allow it
   corruption,        ///< stored data is damaged
   io_error,          ///< a system call failed
+  unavailable,       ///< another process holds what is needed, or the machine lacks it: it may work later
 };
 
 /// A single error.
--- a/src/daemons/agent/main.cpp
+++ b/src/daemons/agent/main.cpp
@@ -42,6 +42,7 @@
     return *exit_code;
   start_log(kProgram);
   block_signals();
+  prepare_process_resources();
   auto identity = identity_from(std::get<Settings>(parsed));
   Host host(nullptr, identity.self.address);
   auto make_machine = [&](const Recovered&, TimePoint now) {
--- a/src/daemons/controller/main.cpp
+++ b/src/daemons/controller/main.cpp
@@ -54,6 +54,7 @@
   const auto& settings = std::get<Settings>(parsed);
   start_log(kProgram);
   block_signals();
+  prepare_process_resources();
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
   auto opened_disk = open_disk(settings.data_directory);
--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -55,6 +55,7 @@
   auto& settings = std::get<Settings>(parsed);
   start_log("gateway");
   block_signals();
+  prepare_process_resources();
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
   auto identity = identity_from(settings);
--- a/src/daemons/store/main.cpp
+++ b/src/daemons/store/main.cpp
@@ -116,6 +116,7 @@
     return *exit_code;
   start_log(kProgram);
   block_signals();
+  prepare_process_resources();
   auto disk = open_disk(std::get<Settings>(settings).data_directory);
   if (auto* exit_code = std::get_if<int>(&disk))
     return *exit_code;
--- a/src/runtime/daemon.hpp
+++ b/src/runtime/daemon.hpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "net/http_server.hpp"
 #include "runtime/host.hpp"
+#include "runtime/process_resources.hpp"
 #include "runtime/settings.hpp"
 #include "runtime/signals.hpp"
 
