Agent and gateway end within the grace, whatever the core and each other do

Cause: an agent waits until its gateway has been silent for 2 s, without a limit; a gateway that can't hand its partitions over waits until 0.25 s before the kill, and its end takes longer.

Now both have the limits of the same shutdown: the agent ends 0.25 s before the kill at the latest; a gateway without open requests 0.5 s before it.

The new case of agent_shutdown_test can't be built on the code before (the call has a new argument).

--- a/src/daemons/agent/main.cpp
+++ b/src/daemons/agent/main.cpp
@@ -51,7 +51,8 @@
   if (auto errors = host.start(make_machine); !errors.empty())
     return report_start_failure(kProgram, errors);
   return run_until_stopped(host, kProgram, [&] {
-    host.ask([](StateMachine& machine, TimePoint) { static_cast<AgentMachine&>(machine).leave(); });
+    auto limits = ShutdownLimits::begin(process_now(), std::get<Settings>(parsed).shutdown_grace);
+    host.ask([&](StateMachine& machine, TimePoint) { static_cast<AgentMachine&>(machine).leave(limits); });
     return false;
   });
 }
--- a/src/programs/gateway_machine.cpp
+++ b/src/programs/gateway_machine.cpp
@@ -125,7 +125,10 @@
 
 bool GatewayMachine::must_stop(TimePoint now) const {
   // The routing thread responds to its own sessions, and needs the machine to report the outcomes of their turns.
-  return !open_routing_sessions_ && now >= context_.shutdown->ends_at + kShutdownMargin / 2;
+  if (open_routing_sessions_)
+    return false;
+  bool has_open_requests = !request_pipeline_.is_idle() || turn_client_.unanswered_requests();
+  return now >= context_.shutdown->ends_at + (has_open_requests ? kShutdownMargin / 2 : Duration::zero());
 }
 
 void GatewayMachine::begin_shutdown(const ShutdownLimits& limits) {
--- a/src/replication/agent_machine.cpp
+++ b/src/replication/agent_machine.cpp
@@ -31,14 +31,15 @@
 
 void AgentMachine::record_gateway_heartbeat(const Heartbeat& heartbeat, TimePoint now) {
   bool is_another = gateway_heartbeat_ && gateway_heartbeat_->self.incarnation != heartbeat.self.incarnation;
-  if (leaving_ && is_another)
+  if (shutdown_ && is_another)
     gateway_replaced_ = true;
   gateway_heartbeat_ = heartbeat;
   last_gateway_contact_at_ = now;
 }
 
 Actions AgentMachine::tick(TimePoint now) {
-  if (leaving_ && (gateway_replaced_ || now - last_gateway_contact_at_ > kAgentShutdownDelay))
+  bool gateway_has_gone = gateway_replaced_ || now - last_gateway_contact_at_ > kAgentShutdownDelay;
+  if (shutdown_ && (gateway_has_gone || now >= shutdown_->ends_at + kShutdownMargin / 2))
     outbox_.actions.stop = true;
   tick_follower(now);
   return outbox_.take();
--- a/src/replication/agent_machine.hpp
+++ b/src/replication/agent_machine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // The agent that runs beside a gateway and connects it to the core.
 #include "replication/follower.hpp"
+#include "runtime/shutdown_limits.hpp"
 
 namespace mosskeel {
 
@@ -13,8 +14,9 @@
   Actions tick(TimePoint now) override;
   MetadataSnapshot view() const override { return metadata_log_.view(); }
   /// Begins to shut down. The agent stops once its gateway has been silent for `kAgentShutdownDelay` or was replaced by
-  /// a newer one, because the gateway stops first and needs the connection until then.
-  void leave() { leaving_ = true; }
+  /// a newer one, because the gateway stops first and needs the connection until then; at the latest when the shutdown
+  /// has to end.
+  void leave(const ShutdownLimits& limits) { shutdown_ = limits; }
 
  private:
   /// Sends an entry that was applied to the log to the gateway.
@@ -31,8 +33,9 @@
   std::optional<Heartbeat> gateway_heartbeat_;
   TimePoint last_gateway_contact_at_{};
   TimePoint next_drain_request_at_{};
-  bool leaving_ = false;
-  /// Whether a newer gateway has replaced this agent's gateway since `leaving_` was set.
+  /// Set once this agent shuts down.
+  std::optional<ShutdownLimits> shutdown_;
+  /// Whether a newer gateway has replaced this agent's gateway since the shutdown began.
   bool gateway_replaced_ = false;
 };
 
--- a/tests/unit/replication/agent_shutdown_test.cpp
+++ b/tests/unit/replication/agent_shutdown_test.cpp
@@ -2,6 +2,7 @@
 #include "replication/agent_machine.hpp"
 #include "replication/constants.hpp"
 #include "runtime/constants.hpp"
+#include "runtime/settings.hpp"
 #include "unit/catch.hpp"
 
 using namespace mosskeel;
@@ -47,7 +48,7 @@
 TEST_CASE("An agent that shuts down keeps running while its gateway gets no CPU time for over a second") {
   TimePoint now = kProcessClockStart;
   AgentMachine agent(agent_identity(), now);
-  agent.leave();
+  agent.leave(ShutdownLimits::begin(now, kDefaultShutdownGrace));
 
   agent.step(heartbeat_of(gateway_of_incarnation(1), true, now), now);
 
@@ -59,7 +60,7 @@
   TimePoint now = kProcessClockStart;
   AgentMachine agent(agent_identity(), now);
   agent.step(heartbeat_of(gateway_of_incarnation(1), true, now), now);
-  agent.leave();
+  agent.leave(ShutdownLimits::begin(now, kDefaultShutdownGrace));
 
   CHECK_FALSE(stops_within(agent, now, 3 * kTickInterval));
 
@@ -67,3 +68,21 @@
 
   CHECK(stops_within(agent, now, 2 * kTickInterval));
 }
+
+// Guards against the agent being killed at the end of the grace, together with a gateway that uses all of it.
+TEST_CASE("An agent that shuts down stops before the end of the grace though its gateway still runs") {
+  TimePoint now = kProcessClockStart;
+  const auto began = now;
+  AgentMachine agent(agent_identity(), now);
+  agent.leave(ShutdownLimits::begin(now, kDefaultShutdownGrace));
+
+  bool has_stopped = false;
+  while (!has_stopped && now < began + kDefaultShutdownGrace) {
+    agent.step(heartbeat_of(gateway_of_incarnation(1), true, now), now);
+    has_stopped = stops_within(agent, now, kHeartbeatInterval);
+  }
+
+  CHECK(has_stopped);
+  CHECK(now - began > kDefaultShutdownGrace - kShutdownMargin);
+  CHECK(now - began < kDefaultShutdownGrace);
+}
