A repeated SIGTERM changes nothing; a write over the limit of a file's size is an error

Cause: any second signal ended the stop at once. A platform may repeat its order; only a person's second SIGINT asks for a stop at once.

--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -12,6 +12,8 @@
 constexpr int kExitDamagedData = 4;
 /// How often a daemon's main thread checks whether the host has stopped.
 constexpr Duration kSignalPollInterval = 100ms;
+/// The same while it stops: what is checked late is taken from the end of the grace period.
+constexpr Duration kStoppingPollInterval = 10ms;
 
 }  // namespace
 
@@ -56,12 +58,16 @@
   log_event(Event::started, std::string(program) + " " MOSSKEEL_VERSION);
   bool was_signalled = false;
   while (!host.stopped()) {
-    if (!wait_for_signal(kSignalPollInterval))
+    auto signal = wait_for_stop_signal(was_signalled ? kStoppingPollInterval : kSignalPollInterval);
+    if (signal == StopSignal::none)
+      continue;
+    if (was_signalled && signal == StopSignal::interrupt)
+      break;
+    if (std::exchange(was_signalled, true))
       continue;
     log_event(Event::stopping, program);
-    if (begin_shutdown() || was_signalled)
+    if (begin_shutdown())
       break;
-    was_signalled = true;
   }
   bool stopped_by_itself = host.stopped() && !was_signalled;
   host.stop();
--- a/src/runtime/daemon.hpp
+++ b/src/runtime/daemon.hpp
@@ -17,7 +17,7 @@
 
 /// Runs until a signal arrives or the state machine stops, and returns the exit code. `begin_shutdown` is called at the
 /// first signal. If it returns true, the daemon stops immediately; otherwise it runs until the state machine stops or a
-/// second signal arrives.
+/// person interrupts it. A repeated SIGTERM changes nothing.
 int run_until_stopped(Host& host, const char* program, const std::function<bool()>& begin_shutdown);
 
 /// Prints why a daemon could not start, and returns its exit code.
--- a/src/runtime/signals.cpp
+++ b/src/runtime/signals.cpp
@@ -13,9 +13,10 @@
   sigaddset(&blocked, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGXFSZ, SIG_IGN);
 }
 
-bool wait_for_signal(Duration timeout) {
+StopSignal wait_for_stop_signal(Duration timeout) {
   sigset_t awaited;
   sigemptyset(&awaited);
   sigaddset(&awaited, SIGTERM);
@@ -23,7 +24,14 @@
   auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
   std::chrono::nanoseconds remainder = timeout - seconds;
   timespec wait{seconds.count(), remainder.count()};
-  return sigtimedwait(&awaited, nullptr, &wait) > 0;
+  switch (sigtimedwait(&awaited, nullptr, &wait)) {
+    case SIGTERM:
+      return StopSignal::terminate;
+    case SIGINT:
+      return StopSignal::interrupt;
+    default:
+      return StopSignal::none;
+  }
 }
 
 }  // namespace mosskeel
