A start waits for what its predecessor still holds, and can be stopped meanwhile

While a start hangs it is deaf to SIGTERM.

Cause: the class is a resource that another process holds for a moment, taken for a lasting fault.

Now: errors say whether they may pass (ErrorCode::unavailable). Startup retries those until the grace of a predecessor and 2 s are over, logs event 104, then ends with the new exit code 3 and event 105. SIGTERM and SIGINT end a start at once with 0. The address for other daemons is taken first, so that a gateway takes no caller before its predecessor is gone. HttpServer shared its address with any other process (SO_REUSEPORT); it opens its socket as HttpListener does now.

--- a/src/base/fd.hpp
+++ b/src/base/fd.hpp
@@ -24,6 +24,8 @@
       ::close(fd_);
   }
   int get() const { return fd_; }
+  /// Gives up the descriptor without closing it.
+  int release() { return std::exchange(fd_, -1); }
   explicit operator bool() const { return fd_ >= 0; }
 
  private:
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -8,7 +8,7 @@
 
 bool needs_operator(Event event) {
   return event == Event::corrupt || event == Event::disk_failed || event == Event::disk_full ||
-         event == Event::bad_settings;
+         event == Event::bad_settings || event == Event::start_gave_up;
 }
 
 }  // namespace
--- a/src/daemons/agent/main.cpp
+++ b/src/daemons/agent/main.cpp
@@ -34,25 +34,33 @@
   return identity;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int run(int argc, const char** argv) {
   auto parsed = read_settings(argc, argv, required_settings());
   if (const auto* exit_code = std::get_if<int>(&parsed))
     return *exit_code;
+  const auto& settings = std::get<Settings>(parsed);
   start_log(kProgram);
-  block_signals();
-  prepare_process_resources();
-  auto identity = identity_from(std::get<Settings>(parsed));
+  Startup startup(kProgram, settings.shutdown_grace + kStartupMargin);
+  auto identity = identity_from(settings);
   Host host(nullptr, identity.self.address);
+  if (auto errors = listen(startup, host); !errors.empty())
+    return report_start_failure(kProgram, errors);
   auto make_machine = [&](const Recovered&, TimePoint now) {
     return std::make_unique<AgentMachine>(identity, now);
   };
   if (auto errors = host.start(make_machine); !errors.empty())
     return report_start_failure(kProgram, errors);
-  return run_until_stopped(host, kProgram, [&] {
-    auto limits = ShutdownLimits::begin(process_now(), std::get<Settings>(parsed).shutdown_grace);
+  return run_until_stopped(startup, host, kProgram, [&] {
+    auto limits = ShutdownLimits::begin(process_now(), settings.shutdown_grace);
     host.ask([&](StateMachine& machine, TimePoint) { static_cast<AgentMachine&>(machine).leave(limits); });
     return false;
   });
 }
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  block_signals();
+  prepare_process_resources();
+  return run(argc, argv);
+}
--- a/src/daemons/controller/main.cpp
+++ b/src/daemons/controller/main.cpp
@@ -45,19 +45,16 @@
   return identity;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int run(int argc, const char** argv) {
   auto parsed = read_settings(argc, argv, required_settings());
   if (auto* exit_code = std::get_if<int>(&parsed))
     return *exit_code;
   const auto& settings = std::get<Settings>(parsed);
   start_log(kProgram);
-  block_signals();
-  prepare_process_resources();
+  Startup startup(kProgram, settings.shutdown_grace + kStartupMargin);
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
-  auto opened_disk = open_disk(settings.data_directory);
+  auto opened_disk = open_disk(startup, settings.data_directory);
   if (auto* exit_code = std::get_if<int>(&opened_disk))
     return *exit_code;
   auto disk = std::get<std::shared_ptr<Disk>>(opened_disk);
@@ -65,6 +62,8 @@
 
   Host host(disk, settings.listen_address);
   LocalMailboxes mailboxes;
+  if (auto errors = listen(startup, host); !errors.empty())
+    return report_start_failure(kProgram, errors);
   host.route("local", [&](const Envelope& envelope) { mailboxes.deliver(envelope); });
   auto start_errors = host.start([&](const Recovered& recovered, TimePoint now) {
     return std::make_unique<ControllerMachine>(identity, recovered, now);
@@ -76,9 +75,11 @@
   HostControllerAccess controller(host, mailboxes, settings.commit_attempt_timeout);
   AdminApi admin_api(host, controller, settings.commit_timeout, protocol);
   auto server =
-      HttpServer::open(settings.http_address, [&](const ApiRequest& request) { return admin_api.handle(request); });
-  if (!server.ok())
+      open_server(startup, settings.http_address, [&](const ApiRequest& request) { return admin_api.handle(request); });
+  if (!server.ok()) {
+    host.stop();
     return report_start_failure(kProgram, server.errors());
+  }
   std::unique_ptr<ReplicaPoller> replica_poller;
   if (protocol && !settings.replica_list_address.empty())
     replica_poller = std::make_unique<ReplicaPoller>(controller, *protocol, settings.replica_list_address);
@@ -88,9 +89,17 @@
         [](StateMachine& machine, TimePoint now) { static_cast<ControllerMachine&>(machine).begin_shutdown(now); });
     return false;
   };
-  auto exit_code = run_until_stopped(host, kProgram, begin_shutdown);
+  auto exit_code = run_until_stopped(startup, host, kProgram, begin_shutdown);
   mailboxes.shut_down();
   replica_poller.reset();
   server.value().reset();
   return exit_code;
 }
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  block_signals();
+  prepare_process_resources();
+  return run(argc, argv);
+}
--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -39,14 +39,23 @@
     replicas.cancel(cancellation->attempt);
 }
 
+Errors start_routing(Host& host, const Settings& settings, std::unique_ptr<RoutingThread>& routing_thread) {
+  const auto* codec = find_protocol_codec(settings.platform_protocol);
+  if (!codec)
+    return {{"dialect", "'" + settings.platform_protocol + "' is unknown"}};
+  auto started = RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address);
+  if (!started.ok())
+    return started.errors();
+  routing_thread = std::move(started).value();
+  return {};
+}
+
 void wait_for_sessions(const LocalMailboxes& mailboxes) {
   for (int check = 0; check < kSessionEndChecks && mailboxes.size(); ++check)
     std::this_thread::sleep_for(kSessionEndCheckInterval);
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int run(int argc, const char** argv) {
   auto parsed = read_settings(argc, argv,
                               {"gateway", "A gateway: serves clients' requests, owns programs, calls replicas.", true,
                                true, true, true, false, false, false});
@@ -54,25 +63,22 @@
     return *exit_code;
   auto& settings = std::get<Settings>(parsed);
   start_log("gateway");
-  block_signals();
-  prepare_process_resources();
+  Startup startup("gateway", settings.shutdown_grace + kStartupMargin);
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
   auto identity = identity_from(settings);
   Host host(nullptr, settings.listen_address);
+  if (auto errors = listen(startup, host); !errors.empty())
+    return report_start_failure("gateway", errors);
   LocalMailboxes mailboxes;
   ReplicaClient replicas([&](Message message) { host.post(envelope_from_replica(std::move(message))); });
 
   // With a protocol codec configured, clients use the platform's protocol; otherwise Mosskeel's own API.
   std::unique_ptr<RoutingThread> routing_thread;
   if (!settings.platform_protocol.empty()) {
-    const auto* codec = find_protocol_codec(settings.platform_protocol);
-    if (!codec)
-      return report_start_failure("gateway", {{"dialect", "'" + settings.platform_protocol + "' is unknown"}});
-    auto started = RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address);
-    if (!started.ok())
-      return report_start_failure("gateway", started.errors());
-    routing_thread = std::move(started).value();
+    auto errors = startup.retry([&] { return start_routing(host, settings, routing_thread); });
+    if (!errors.empty())
+      return report_start_failure("gateway", errors);
   }
 
   host.route("local", [&](const Envelope& envelope) { mailboxes.deliver(envelope); });
@@ -89,13 +95,15 @@
     auto answer = [&](const ApiRequest& request) {
       return program_api.answer(request);
     };
-    auto opened = HttpServer::open(settings.http_address, answer);
-    if (!opened.ok())
+    auto opened = open_server(startup, settings.http_address, answer);
+    if (!opened.ok()) {
+      host.stop();
       return report_start_failure("gateway", opened.errors());
+    }
     http_server = std::move(opened).value();
   }
 
-  auto exit_code = run_until_stopped(host, "gateway", [&] {
+  auto exit_code = run_until_stopped(startup, host, "gateway", [&] {
     auto limits = ShutdownLimits::begin(process_now(), settings.shutdown_grace);
     if (routing_thread)
       routing_thread->begin_draining(limits);
@@ -108,3 +116,11 @@
   routing_thread.reset();
   return exit_code;
 }
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  block_signals();
+  prepare_process_resources();
+  return run(argc, argv);
+}
--- a/src/daemons/store/main.cpp
+++ b/src/daemons/store/main.cpp
@@ -83,11 +83,13 @@
   return ApiResponse::error(404, "unknown_path", request.method + " " + request.path + " is nothing here");
 }
 
-int run(const Settings& settings, const std::shared_ptr<Disk>& disk) {
+int serve(Startup& startup, const Settings& settings, const std::shared_ptr<Disk>& disk) {
   auto incarnation = disk->recovered().incarnation;
   auto identity = identity_of(settings, incarnation);
   return_large_blocks_to_system();
   Host host(disk, settings.listen_address, kStoreInboxBytes);
+  if (auto errors = listen(startup, host); !errors.empty())
+    return report_start_failure(kProgram, errors);
   host.watch(LoadMonitor(host));
   auto errors = host.start([&](Recovered recovered, TimePoint now) {
     return std::make_unique<StoreMachine>(identity, std::move(recovered), now);
@@ -96,29 +98,35 @@
     return report_start_failure(kProgram, errors);
   Result<std::unique_ptr<HttpServer>> server = std::unique_ptr<HttpServer>{};
   if (!settings.http_address.empty())
-    server = HttpServer::open(settings.http_address,
-                              [&](const ApiRequest& request) { return respond(host, incarnation, request); });
-  if (!server.ok())
+    server = open_server(startup, settings.http_address,
+                         [&](const ApiRequest& request) { return respond(host, incarnation, request); });
+  if (!server.ok()) {
+    host.stop();
     return report_start_failure(kProgram, server.errors());
-  auto exit_code = run_until_stopped(host, kProgram, [] { return true; });
-  // Destroyed before the host, because its handlers call into the host's state machine.
+  }
+  auto exit_code = run_until_stopped(startup, host, kProgram, [] { return true; });
   server.value().reset();
   return exit_code;
 }
 
-}  // namespace
-
-int main(int argc, const char** argv) {
+int run(int argc, const char** argv) {
   RequiredSettings required{
       kProgram, "A storage daemon: stores replicas of histories.", true, true, false, true, true, true, false};
   auto settings = read_settings(argc, argv, required);
   if (auto* exit_code = std::get_if<int>(&settings))
     return *exit_code;
   start_log(kProgram);
-  block_signals();
-  prepare_process_resources();
-  auto disk = open_disk(std::get<Settings>(settings).data_directory);
+  Startup startup(kProgram, std::get<Settings>(settings).shutdown_grace + kStartupMargin);
+  auto disk = open_disk(startup, std::get<Settings>(settings).data_directory);
   if (auto* exit_code = std::get_if<int>(&disk))
     return *exit_code;
-  return run(std::get<Settings>(settings), std::get<std::shared_ptr<Disk>>(disk));
+  return serve(startup, std::get<Settings>(settings), std::get<std::shared_ptr<Disk>>(disk));
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+  block_signals();
+  prepare_process_resources();
+  return run(argc, argv);
 }
--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -2,9 +2,43 @@
 
 #include <netdb.h>
 
+#include <cerrno>
 #include <cstring>
 
 namespace mosskeel {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+
+/// Whether a failure to listen may pass.
+bool may_pass(int error) {
+  switch (error) {
+    case EADDRINUSE:
+    case EADDRNOTAVAIL:
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Binds and listens. On failure, returns an empty descriptor and sets errno.
+Fd listening_socket(const Endpoint& endpoint) {
+  Fd socket(::socket(endpoint.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!socket || !set_socket_option(socket.get(), SOL_SOCKET, SO_REUSEADDR, 1)) {
+    return Fd();
+  }
+  const auto* address = reinterpret_cast<const sockaddr*>(&endpoint.storage);
+  if (::bind(socket.get(), address, endpoint.length) != 0 || ::listen(socket.get(), kListenBacklog) != 0) {
+    return Fd();
+  }
+  return socket;
+}
+
+}  // namespace
 
 std::optional<Endpoint> parse_endpoint(const Address& address) {
   auto colon = address.rfind(':');
@@ -30,6 +64,19 @@
   return endpoint;
 }
 
+Result<Fd> listen_on(const Address& address) {
+  auto endpoint = parse_endpoint(address);
+  if (!endpoint) {
+    return Errors{{address, "not a numeric address and port to listen at"}};
+  }
+  auto socket = listening_socket(*endpoint);
+  if (!socket) {
+    auto code = may_pass(errno) ? ErrorCode::unavailable : ErrorCode::io_error;
+    return Errors{{address, std::string("cannot listen: ") + std::strerror(errno), code}};
+  }
+  return socket;
+}
+
 Address bound_address(int socket) {
   Endpoint endpoint;
   endpoint.length = sizeof endpoint.storage;
--- a/src/net/endpoint.hpp
+++ b/src/net/endpoint.hpp
@@ -2,6 +2,7 @@
 // Numeric socket addresses and shared helpers for socket calls.
 #include <sys/socket.h>
 
+#include "base/fd.hpp"
 #include "mosskeel/common.hpp"
 
 namespace mosskeel {
@@ -15,6 +16,10 @@
 /// Parses "127.0.0.1:80" or "[::1]:80". Returns no value for host names, which would have to be resolved.
 std::optional<Endpoint> parse_endpoint(const Address& address);
 
+/// Listens on a numeric address. The error is `unavailable` if another process has the address or the machine lacks
+/// something, so that it may work later.
+Result<Fd> listen_on(const Address& address);
+
 /// Returns the address that a socket is bound to, including a port chosen by the system; empty on failure.
 Address bound_address(int socket);
 
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -6,7 +6,6 @@
 #include <sys/socket.h>
 
 #include <cerrno>
-#include <cstring>
 
 #include "net/endpoint.hpp"
 
@@ -14,40 +13,22 @@
 namespace {
 
 constexpr size_t kReadBufferBytes = 64 << 10;
-constexpr int kListenBacklog = 1024;
 /// Accepting is retried after this delay, when other connections may have released file descriptors.
 constexpr Duration kAcceptRetryDelay = 100ms;
 
-/// Binds and listens. On failure, returns an empty descriptor and sets errno.
-Fd listen_at(const Endpoint& endpoint) {
-  Fd socket(::socket(endpoint.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!socket || !set_socket_option(socket.get(), SOL_SOCKET, SO_REUSEADDR, 1)) {
-    return Fd();
-  }
-  const auto* address = reinterpret_cast<const sockaddr*>(&endpoint.storage);
-  if (::bind(socket.get(), address, endpoint.length) != 0 || ::listen(socket.get(), kListenBacklog) != 0) {
-    return Fd();
-  }
-  return socket;
-}
-
 }  // namespace
 
 Result<std::unique_ptr<HttpListener>> HttpListener::open(EventLoop& loop, const Address& address, Callbacks callbacks,
                                                          int send_buffer) {
-  auto endpoint = parse_endpoint(address);
-  if (!endpoint) {
-    return Errors{{address, "not a numeric address and port to listen at"}};
-  }
-  auto socket = listen_at(*endpoint);
-  if (!socket) {
-    return Errors{{address, std::string("cannot listen: ") + std::strerror(errno)}};
+  auto socket = listen_on(address);
+  if (!socket.ok()) {
+    return socket.errors();
   }
   if (send_buffer) {
     // Accepted sockets inherit this option.
-    set_socket_option(socket.get(), SOL_SOCKET, SO_SNDBUF, send_buffer);
+    set_socket_option(socket.value().get(), SOL_SOCKET, SO_SNDBUF, send_buffer);
   }
-  return std::unique_ptr<HttpListener>(new HttpListener(loop, std::move(callbacks), std::move(socket)));
+  return std::unique_ptr<HttpListener>(new HttpListener(loop, std::move(callbacks), std::move(socket).value()));
 }
 
 HttpListener::HttpListener(EventLoop& loop, Callbacks callbacks, Fd listening_socket)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,13 +1,11 @@
 #include "net/http_server.hpp"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 
 #include <nlohmann/json.hpp>
 
-#include "base/address.hpp"
 #include "net/constants.hpp"
+#include "net/endpoint.hpp"
 
 namespace mosskeel {
 namespace {
@@ -124,20 +122,6 @@
   *context = nullptr;
 }
 
-std::optional<sockaddr_in> parse_ipv4_address(const Address& address) {
-  auto parts = split_address(address);
-  if (!parts) {
-    return std::nullopt;
-  }
-  sockaddr_in parsed{};
-  parsed.sin_family = AF_INET;
-  parsed.sin_port = htons(parts->second);
-  if (inet_pton(AF_INET, parts->first.c_str(), &parsed.sin_addr) != 1) {
-    return std::nullopt;
-  }
-  return parsed;
-}
-
 }  // namespace
 
 ApiResponse ApiResponse::error(uint32_t status, const std::string& code, const Errors& errors) {
@@ -165,19 +149,21 @@
 }
 
 Result<std::unique_ptr<HttpServer>> HttpServer::open(const Address& address, Handler handler) {
-  auto parsed = parse_ipv4_address(address);
-  if (!parsed) {
-    return Errors{{address, "is no IP:port"}};
+  auto socket = listen_on(address);
+  if (!socket.ok()) {
+    return socket.errors();
   }
   std::unique_ptr<HttpServer> server(new HttpServer(std::move(handler)));
-  server->daemon_ = MHD_start_daemon(
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, ntohs(parsed->sin_port), nullptr, nullptr,
-      on_request, server.get(), MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&*parsed),
-      MHD_OPTION_NOTIFY_COMPLETED, on_request_completed, nullptr, MHD_OPTION_CONNECTION_LIMIT, kMaxHttpConnections,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_THREAD_STACK_SIZE, kConnectionStackBytes, MHD_OPTION_END);
+  server->daemon_ =
+      MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, nullptr, nullptr, on_request,
+                       server.get(), MHD_OPTION_LISTEN_SOCKET, socket.value().get(), MHD_OPTION_NOTIFY_COMPLETED,
+                       on_request_completed, nullptr, MHD_OPTION_CONNECTION_LIMIT, kMaxHttpConnections,
+                       MHD_OPTION_THREAD_STACK_SIZE, kConnectionStackBytes, MHD_OPTION_END);
   if (!server->daemon_) {
-    return Errors{{address, "cannot listen on this address"}};
+    return Errors{{address, "the HTTP server cannot start", ErrorCode::unavailable}};
   }
+  // The server closes it.
+  socket.value().release();
   return server;
 }
 
--- a/src/net/transport.cpp
+++ b/src/net/transport.cpp
@@ -21,6 +21,16 @@
 /// Only one in this many dropped messages is logged.
 constexpr uint64_t kDropsPerLogLine = 1000;
 
+/// Errors of nng that may pass: another process has the address, or the machine lacks something.
+bool may_pass(int nng_error) {
+  return nng_error == NNG_EADDRINUSE || nng_error == NNG_EADDRINVAL || nng_error == NNG_ENOMEM ||
+         nng_error == NNG_ENOFILES;
+}
+
+Errors nng_errors(const Address& address, int nng_error) {
+  return {{address, nng_strerror(nng_error), may_pass(nng_error) ? ErrorCode::unavailable : ErrorCode::io_error}};
+}
+
 std::string nng_url(const Address& address) {
   return "tcp://" + address;
 }
@@ -36,14 +46,14 @@
 Result<std::unique_ptr<Transport>> Transport::open(const Address& address, MessageCallback on_message) {
   nng_socket socket;
   if (int error = nng_pull0_open(&socket)) {
-    return Errors{{address, nng_strerror(error)}};
+    return nng_errors(address, error);
   }
   NngSocket receiver(socket.id);
   nng_socket_set_int(socket, NNG_OPT_RECVBUF, kMaxQueuedMessagesPerPeer);
   nng_socket_set_ms(socket, NNG_OPT_RECVTIMEO, kReceiveTimeout);
   nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, kMaxMessageBytes);
   if (int error = nng_listen(socket, nng_url(address).c_str(), nullptr, 0)) {
-    return Errors{{address, nng_strerror(error)}};
+    return nng_errors(address, error);
   }
   std::unique_ptr<Transport> transport(new Transport(std::move(receiver), std::move(on_message)));
   transport->thread_ = std::thread([self = transport.get()] { self->receive_messages(); });
--- a/src/runtime/constants.hpp
+++ b/src/runtime/constants.hpp
@@ -28,5 +28,8 @@
 constexpr Duration kDefaultRetryAfter = 500ms;
 /// Exit code of a daemon with invalid settings.
 constexpr int kExitBadSettings = 2;
+/// Exit code of a daemon that lacked something at its start which another process holds or a limit denies. It may be
+/// started again later.
+constexpr int kExitUnavailable = 3;
 
 }  // namespace mosskeel
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -17,19 +17,46 @@
 
 }  // namespace
 
-std::variant<std::shared_ptr<Disk>, int> open_disk(const std::string& folder) {
-  auto opened = Disk::open(folder, random_number());
-  if (!opened.ok()) {
-    for (const auto& error : opened.errors())
-      log_event(Event::corrupt, error.location + ": " + error.message);
-    return kExitDamagedData;
-  }
-  auto disk = opened.value();
+std::variant<std::shared_ptr<Disk>, int> open_disk(Startup& startup, const std::string& folder) {
+  std::shared_ptr<Disk> disk;
+  auto errors = startup.retry([&]() -> Errors {
+    auto opened = Disk::open(folder, random_number());
+    if (!opened.ok())
+      return opened.errors();
+    disk = opened.value();
+    return {};
+  });
+  bool is_held = is_unavailable(errors);
+  for (const auto& error : errors)
+    log_event(is_held ? Event::start_gave_up : Event::corrupt, error.location + ": " + error.message);
+  if (!errors.empty())
+    return is_held ? kExitUnavailable : kExitDamagedData;
   if (disk->truncated_bytes())
     log_event(Event::torn_tail, std::to_string(disk->truncated_bytes()) + " bytes in " + folder);
   return disk;
 }
 
+Errors listen(Startup& startup, Host& host) {
+  return startup.retry([&] {
+    auto errors = check_thread_capacity();
+    return errors.empty() ? host.listen() : errors;
+  });
+}
+
+Result<std::unique_ptr<HttpServer>> open_server(Startup& startup, const Address& address, HttpServer::Handler handler) {
+  std::unique_ptr<HttpServer> server;
+  auto errors = startup.retry([&]() -> Errors {
+    auto opened = HttpServer::open(address, handler);
+    if (!opened.ok())
+      return opened.errors();
+    server = std::move(opened).value();
+    return {};
+  });
+  if (!errors.empty())
+    return errors;
+  return server;
+}
+
 std::string metrics_of(const Host& host, const char* program, const std::map<std::string, double>& more) {
   std::ostringstream out;
   // All decimal digits that a double preserves, so that counters are printed as whole numbers.
@@ -54,7 +81,8 @@
   return out.str();
 }
 
-int run_until_stopped(Host& host, const char* program, const std::function<bool()>& begin_shutdown) {
+int run_until_stopped(Startup& startup, Host& host, const char* program, const std::function<bool()>& begin_shutdown) {
+  startup.finish();
   log_event(Event::started, std::string(program) + " " MOSSKEEL_VERSION);
   bool was_signalled = false;
   while (!host.stopped()) {
@@ -76,10 +104,12 @@
 }
 
 int report_start_failure(const char* program, const Errors& errors) {
+  bool may_work_later = is_unavailable(errors);
+  auto event = may_work_later ? Event::start_gave_up : Event::bad_settings;
   for (const auto& error : errors)
-    fprintf(stderr, "%s: event=%d %s: %s: %s\n", program, static_cast<int>(Event::bad_settings),
-            meaning(Event::bad_settings), error.location.c_str(), error.message.c_str());
-  return kExitBadSettings;
+    fprintf(stderr, "%s: event=%d %s: %s: %s\n", program, static_cast<int>(event), meaning(event),
+            error.location.c_str(), error.message.c_str());
+  return may_work_later ? kExitUnavailable : kExitBadSettings;
 }
 
 }  // namespace mosskeel
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -39,14 +39,22 @@
       self_(std::move(self)),
       inbox_(max_inbox_bytes) {}
 
-Errors Host::start(const MachineFactory& make_machine) {
-  machine_ = make_machine(disk_ ? disk_->take_recovered() : Recovered{}, process_now());
-  std::atomic_store(&view_, machine_->view());
+Errors Host::listen() {
   auto transport =
       Transport::open(self_, [this](Envelope message, size_t bytes) { inbox_.receive(std::move(message), bytes); });
   if (!transport.ok())
     return transport.errors();
   transport_ = std::move(transport).value();
+  return {};
+}
+
+Errors Host::start(const MachineFactory& make_machine) {
+  if (!transport_) {
+    if (auto errors = listen(); !errors.empty())
+      return errors;
+  }
+  machine_ = make_machine(disk_ ? disk_->take_recovered() : Recovered{}, process_now());
+  std::atomic_store(&view_, machine_->view());
   machine_thread_ = std::thread([this] { run_machine(); });
   if (disk_)
     disk_thread_ = std::thread([this] { run_disk(); });
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -30,9 +30,14 @@
   Host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes = SIZE_MAX);
   ~Host() { stop(); }
 
-  /// Returns errors, and starts no thread, if the process cannot listen on its address.
+  /// Listens on the address for other daemons; what arrives is queued until `start`. Returns errors if that fails; it
+  /// may be tried again.
+  Errors listen();
+  /// Creates the state machine and starts the threads. Listens if `listen` has not been called; returns errors, and
+  /// starts no thread, if that fails.
   Errors start(const MachineFactory& make_machine);
-  /// Handles everything posted before, writes the journal and ends all threads. May be called repeatedly.
+  /// Handles everything posted before, writes the journal and ends the host's threads. What arrives from other daemons
+  /// is dropped from then on. May be called repeatedly.
   void stop();
   /// Returns whether the host was stopped, the state machine requested an exit, or the disk has failed.
   bool stopped() const { return stopped_; }
@@ -80,9 +85,10 @@
   Address self_;
   /// Accessed only by `machine_thread_` once that is running.
   std::unique_ptr<StateMachine> machine_;
-  std::unique_ptr<Transport> transport_;
   std::map<std::string, MessageHandler> local_routes_;
   Inbox inbox_;
+  /// Adds to the inbox.
+  std::unique_ptr<Transport> transport_;
   Queue<Batch> disk_queue_;
   /// Accessed with the atomic functions for shared pointers.
   MetadataSnapshot view_ = std::make_shared<Metadata>();
--- a/src/storage/disk.cpp
+++ b/src/storage/disk.cpp
@@ -21,7 +21,8 @@
 
 /// Converts the errno of a failed system call.
 DiskResult result_of_errno() {
-  bool no_space = errno == ENOSPC || errno == EDQUOT;
+  // EFBIG: the process's limit of a file's size.
+  bool no_space = errno == ENOSPC || errno == EDQUOT || errno == EFBIG;
   return {no_space ? DiskResult::full : DiskResult::failed};
 }
 
--- a/src/storage/disk_recovery.cpp
+++ b/src/storage/disk_recovery.cpp
@@ -85,8 +85,10 @@
   if (error)
     return io_error(folder_, "cannot be created: " + error.message());
   lock_ = Fd(::open((folder_ + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644));
-  if (!lock_ || ::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0)
-    return io_error(folder_, "is not writable, or is locked by another daemon");
+  if (!lock_)
+    return io_error(folder_, "is not writable");
+  if (::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0)
+    return {{folder_, "is held by another process", ErrorCode::unavailable}};
   return {};
 }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,6 +33,8 @@
   /// A fixed course of events; nullptr for a drawn run.
   const Scenario* scenario = nullptr;
   DrawnRunOptions drawn;
+  /// For settings, data and logs, which stay; empty for a temporary folder.
+  std::string folder;
   /// Files to write; empty for none.
   std::string record;
   std::string plot;
@@ -108,6 +110,7 @@
   char* programs = nullptr;
   char* scenario = nullptr;
   char* only = nullptr;
+  char* folder = nullptr;
   char* record = nullptr;
   char* plot = nullptr;
   long seed = 1;
@@ -126,6 +129,7 @@
       {"stores", 0, POPT_ARG_INT, &size.stores, 0, "storage machines (3)", "N"},
       {"gateways", 0, POPT_ARG_INT, &size.gateways, 0, "front machines (3)", "N"},
       {"without-limits", 0, POPT_ARG_NONE, &without_limits, 0, "the kernel holds no daemon to its limits", nullptr},
+      {"folder", 'f', POPT_ARG_STRING, &folder, 0, "an empty folder for data and logs, which stay there", "DIR"},
       {"record", 'r', POPT_ARG_STRING, &record, 0, "what happened, an event a line", "FILE"},
       {"plot", 'g', POPT_ARG_STRING, &plot, 0, "memory over time, as SVG", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
@@ -142,6 +146,7 @@
   options.size = size;
   options.enforce_limits = without_limits == 0;
   bool are_kinds_known = read_kinds(take(only), options.drawn.only);
+  options.folder = take(folder);
   options.record = take(record);
   options.plot = take(plot);
   if (result < -1)
@@ -206,12 +211,13 @@
   if (const auto* reason = std::get_if<std::string>(&read))
     return fail_usage(*reason);
   const auto& options = std::get<Options>(read);
-  TemporaryFolder folder;
-  if (folder.path().empty())
-    return fail_usage("cannot make a temporary folder");
+  TemporaryFolder temporary;
+  auto folder = options.folder.empty() ? temporary.path() : options.folder;
+  if (!std::filesystem::is_directory(folder) || !std::filesystem::is_empty(folder))
+    return fail_usage("folder: '" + folder + "' is no empty folder");
   // A connection that its peer has closed is an error of its own, not the end of the process.
   ::signal(SIGPIPE, SIG_IGN);
-  FleetUnderTest fleet({options.programs, folder.path(), options.size, options.enforce_limits}, options.drawn.seed);
+  FleetUnderTest fleet({options.programs, folder, options.size, options.enforce_limits}, options.drawn.seed);
   if (fleet.found())
     play(fleet, options);
   return finish(fleet);
