Daemons end without closing nng's sockets

The stacks show nng's thread that ends connections waiting for a task for ever, and nng_close waiting for it.

Ruled out: closing the receiving socket first, or stopping the receiver through its asynchronous operation, hung as well (both tried, reverted).

--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -67,7 +67,7 @@
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
   auto identity = identity_from(settings);
-  Host host(nullptr, settings.listen_address);
+  auto& host = create_host(nullptr, settings.listen_address);
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure("gateway", errors);
   LocalMailboxes mailboxes;
@@ -122,5 +122,5 @@
 int main(int argc, const char** argv) {
   block_signals();
   prepare_process_resources();
-  return run(argc, argv);
+  end_process(run(argc, argv));
 }
--- a/src/daemons/store/main.cpp
+++ b/src/daemons/store/main.cpp
@@ -87,7 +87,7 @@
   auto incarnation = disk->recovered().incarnation;
   auto identity = identity_of(settings, incarnation);
   return_large_blocks_to_system();
-  Host host(disk, settings.listen_address, kStoreInboxBytes);
+  auto& host = create_host(disk, settings.listen_address, kStoreInboxBytes);
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure(kProgram, errors);
   host.watch(LoadMonitor(host));
@@ -128,5 +128,5 @@
 int main(int argc, const char** argv) {
   block_signals();
   prepare_process_resources();
-  return run(argc, argv);
+  end_process(run(argc, argv));
 }
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -1,5 +1,7 @@
 #include "runtime/daemon.hpp"
 
+#include <unistd.h>
+
 #include <sstream>
 
 #include "runtime/constants.hpp"
@@ -17,6 +19,15 @@
 
 }  // namespace
 
+Host& create_host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes) {
+  return *new Host(std::move(disk), std::move(self), max_inbox_bytes);
+}
+
+void end_process(int exit_code) {
+  fflush(nullptr);
+  ::_exit(exit_code);
+}
+
 std::variant<std::shared_ptr<Disk>, int> open_disk(Startup& startup, const std::string& folder) {
   std::shared_ptr<Disk> disk;
   auto errors = startup.retry([&]() -> Errors {
--- a/src/runtime/daemon.hpp
+++ b/src/runtime/daemon.hpp
@@ -10,6 +10,14 @@
 
 namespace mosskeel {
 
+/// Creates the daemon's host, which lives as long as the process: closing nng's sockets while other daemons connect may
+/// wait for ever or crash, and the kernel closes them in any case.
+Host& create_host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes = SIZE_MAX);
+
+/// Ends the process without running exit handlers and destructors of static objects, under which nng's threads would
+/// still run.
+[[noreturn]] void end_process(int exit_code);
+
 /// Beyond the grace period of the process before, which may hold the addresses and the data folder until its kill.
 constexpr Duration kStartupMargin = 2000ms;
 
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -71,7 +71,6 @@
   disk_queue_.close();
   if (disk_thread_.joinable())
     disk_thread_.join();
-  transport_.reset();
 }
 
 void Host::watch(Observer observer) {
