Limits.MemoryMb counts: a store sheds load by the smallest of its limits

What was seen: a store took the machine's memory (sysinfo) for its own and shed no load before it used 0.6 of that; Limits.MemoryMb was not read.

Now Settings::memory_limit, from Limits.MemoryMb or memory_mb, counts beside the machine's memory and the process's limit of addresses; the smallest wins. Gateways and controllers still shed no load by memory.

--- a/src/daemons/store/main.cpp
+++ b/src/daemons/store/main.cpp
@@ -29,7 +29,7 @@
 /// Samples the process's load periodically on the state machine's thread and passes it to the state machine.
 class LoadMonitor {
  public:
-  explicit LoadMonitor(const Host& host) : host_(host) {}
+  LoadMonitor(const Host& host, size_t memory_limit) : host_(host), memory_limit_(memory_limit) {}
 
   void operator()(StateMachine& machine, TimePoint now) {
     if (now < next_sample_at_)
@@ -37,13 +37,14 @@
     next_sample_at_ = now + kStoreLoadInterval;
     bool journal_is_blocked = host_.journal()->pending_bytes() > kMaxBytesWaitingForDisk;
     StoreLoad load;
-    load.memory_short = journal_is_blocked || process_memory().exceeds(kStoreMemoryShare);
+    load.memory_short = journal_is_blocked || process_memory(memory_limit_).exceeds(kStoreMemoryShare);
     load.disk_behind = host_.bytes_waiting_for_disk() > kMaxBytesWaitingForDisk;
     store_of(machine).set_load(load);
   }
 
  private:
   const Host& host_;
+  const size_t memory_limit_;
   TimePoint next_sample_at_{};
 };
 
@@ -90,7 +91,7 @@
   auto& host = create_host(disk, settings.listen_address, kStoreInboxBytes);
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure(kProgram, errors);
-  host.watch(LoadMonitor(host));
+  host.watch(LoadMonitor(host, settings.memory_limit));
   auto errors = host.start([&](Recovered recovered, TimePoint now) {
     return std::make_unique<StoreMachine>(identity, std::move(recovered), now);
   });
--- a/src/runtime/settings.hpp
+++ b/src/runtime/settings.hpp
@@ -50,7 +50,9 @@
   uint32_t tolerated_machines = 0;
   /// Number of zones whose simultaneous loss is tolerated.
   uint32_t tolerated_zones = 0;
-  /// For gateways: time after SIGTERM at which the process may be killed.
+  /// Bytes of memory that this process may use; 0 for as much as the machine has.
+  size_t memory_limit = 0;
+  /// Time after SIGTERM at which the process may be killed.
   Duration shutdown_grace = kUnforcedShutdownGrace;
 };
 
--- a/src/runtime/settings_file.hpp
+++ b/src/runtime/settings_file.hpp
@@ -18,7 +18,7 @@
                   (int64_t, tcm_await_ms), (int64_t, tcm_rpc_ms), (std::string, machine), (std::string, ready),
                   (std::string, dialect), (std::string, list), (bool, later_start), (uint32_t, core_most),
                   (uint32_t, copies), (uint32_t, tolerated_machines), (uint32_t, tolerated_zones),
-                  (int64_t, shutdown_grace_ms));
+                  (int64_t, shutdown_grace_ms), (uint32_t, memory_mb));
   static std::set<std::string> optional_fields() {
     return {"listen",
             "http",
@@ -38,7 +38,8 @@
             "copies",
             "tolerated_machines",
             "tolerated_zones",
-            "shutdown_grace_ms"};
+            "shutdown_grace_ms",
+            "memory_mb"};
   }
 };
 
@@ -65,6 +66,7 @@
   settings.replication_factor = file.copies;
   settings.tolerated_machines = file.tolerated_machines;
   settings.tolerated_zones = file.tolerated_zones;
+  settings.memory_limit = size_t{file.memory_mb} << 20;
   if (file.shutdown_grace_ms != 0)
     settings.shutdown_grace = Duration(file.shutdown_grace_ms);
   return settings;
--- a/tests/unit/platform/settings_test.cpp
+++ b/tests/unit/platform/settings_test.cpp
@@ -138,6 +138,17 @@
         "Bounds.GraceS");
 }
 
+// Guards against a daemon that takes the whole machine's memory for its own.
+TEST_CASE("The limit of memory is read from the platform's file, and there is none if it is missing") {
+  auto limit_of = [](const std::string& table) {
+    return accepted(parse_settings(file_with("[CloudApi]", table + "[CloudApi]"), "store")).memory_limit;
+  };
+
+  CHECK(limit_of("") == 0);
+  CHECK(limit_of("[Limits]\nMemoryMb = 230\n") == size_t{230} << 20);
+  CHECK(error_locations(file_with("[CloudApi]", "[Limits]\nMemoryMb = 0\n[CloudApi]"), "store") == "Limits.MemoryMb");
+}
+
 TEST_CASE("A start that is not the first one must not found a cluster") {
   auto file = file_with("FirstStart = true", "FirstStart = false");
 
