--- a/tools/local-cluster/main.cpp
+++ b/tools/local-cluster/main.cpp
@@ -169,7 +169,7 @@
   if (auto errors = fleet.configure(); !errors.empty())
     return fail(errors, kExitFailed);
   while (count_ready_gateways(fleet) < plan.gateways && process_now() - begun < kReadyTimeout) {
-    if (wait_for_signal(kPollInterval))
+    if (wait_for_stop_signal(kPollInterval) != StopSignal::none)
       return kExitFailed;
   }
   auto control_address = "127.0.0.1:" + std::to_string(plan.first_port - 1);
@@ -178,7 +178,7 @@
   if (!server.ok())
     return fail(server.errors(), kExitUsage);
   print_ready(fleet, plan, process_now() - begun);
-  while (!wait_for_signal(kSignalPollInterval)) {}
+  while (wait_for_stop_signal(kSignalPollInterval) == StopSignal::none) {}
   return 0;
 }
 
--- a/tools/replica-sim/main.cpp
+++ b/tools/replica-sim/main.cpp
@@ -75,6 +75,6 @@
     fprintf(stderr, "replica-sim: %s\n", to_string(server.errors()).c_str());
     return kExitUsage;
   }
-  while (!wait_for_signal(kSignalPollInterval)) {}
+  while (wait_for_stop_signal(kSignalPollInterval) == StopSignal::none) {}
   return 0;
 }
