A gateway ends within the grace though a caller's session stays open

Cause: the machine never stopped while the routing thread had an open session, so one that does not end (a request whose owner or connection is stuck) left the process to the kill.

The new case of gateway_shutdown_test states it; it was not run against the code before.

--- a/src/programs/gateway_machine.cpp
+++ b/src/programs/gateway_machine.cpp
@@ -124,9 +124,10 @@
 }
 
 bool GatewayMachine::must_stop(TimePoint now) const {
-  // The routing thread responds to its own sessions, and needs the machine to report the outcomes of their turns.
+  // The routing thread responds to its own sessions, and needs the machine to report the outcomes of their turns: they
+  // have as much of the margin as the end of the process can spare.
   if (open_routing_sessions_)
-    return false;
+    return now >= context_.shutdown->ends_at + kShutdownMargin * 4 / 5;
   bool has_open_requests = !request_pipeline_.is_idle() || turn_client_.unanswered_requests();
   return now >= context_.shutdown->ends_at + (has_open_requests ? kShutdownMargin / 2 : Duration::zero());
 }
--- a/tests/unit/programs/gateway_shutdown_test.cpp
+++ b/tests/unit/programs/gateway_shutdown_test.cpp
@@ -41,3 +41,17 @@
   CHECK_FALSE(stops_within(gateway, now, kShutdownGracePeriod));
   CHECK(stops_within(gateway, now, 10 * kTickInterval));
 }
+
+// Guards against a gateway that is killed at the end of the grace because a caller does not read its response.
+TEST_CASE("A gateway that shuts down stops before the end of the grace though sessions stay open") {
+  TimePoint now = kProcessClockStart;
+  const auto begun = now;
+  GatewayMachine gateway(unregistered_gateway(), now);
+  gateway.set_open_routing_sessions(1);
+  gateway.begin_shutdown(ShutdownLimits::begin(now, kDefaultShutdownGrace));
+
+  REQUIRE(stops_within(gateway, now, kDefaultShutdownGrace));
+
+  CHECK(now - begun > kDefaultShutdownGrace - kShutdownMargin);
+  CHECK(now - begun < kDefaultShutdownGrace);
+}
