--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -9,8 +9,8 @@
   X(stopping, 101, "a daemon is stopping in order")                                                              \
   X(stopped, 102, "a daemon has stopped")                                                                        \
   X(bad_settings, 103, "settings are wrong; every finding is listed")                                            \
-  X(start_waits, 104, "a start waits for what another process still holds")                                       \
-  X(start_gave_up, 105, "a daemon can't start now; it may be started again later")                                \
+  X(start_waits, 104, "a start waits for what another process still holds")                                      \
+  X(start_gave_up, 105, "a daemon can't start now; it may be started again later")                               \
   X(torn_tail, 110, "a torn log tail was cut")                                                                   \
   X(corrupt, 111, "a log or checkpoint is damaged; the daemon stops")                                            \
   X(checkpointed, 112, "a checkpoint was written and the log behind it dropped")                                 \
--- a/tests/unit/runtime/startup_test.cpp
+++ b/tests/unit/runtime/startup_test.cpp
@@ -14,8 +14,8 @@
 #include "runtime/process_resources.hpp"
 #include "runtime/signals.hpp"
 #include "silent_machine.hpp"
-#include "storage/data_folder.hpp"
 #include "unit/catch.hpp"
+#include "unit/storage/data_folder.hpp"
 
 using namespace mosskeel;
 
