Review case 8: controllers end for their memory once fronts are gone for good

Cause: each change goes whole into the queue of every daemon that has not left, absent ones included, and the queues are bounded by a number of messages only.

--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -175,9 +175,9 @@
 
 
 class Fleet:
-    """Three core, three storage and three front machines, one of each in each of three zones."""
+    """Three core and three storage machines, one of each in each of three zones, and front machines in turn in the zones."""
 
-    def __init__(self, record):
+    def __init__(self, record, fronts=3):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="mosskeel-review-")
         self.network = free_network()
@@ -187,7 +187,7 @@
         self.cloud = f"{self.network}.100:8142"
         self.list = ReplicaList(self.cloud)
         self.controllers = [f"{self.network}.{n}:8144" for n in (1, 2, 3)]
-        self.fronts = [f"{self.network}.{n}:8149" for n in (21, 22, 23)]
+        self.fronts = [f"{self.network}.{n}:8149" for n in range(21, 21 + fronts)]
         for program in ("controller", "gateway", "agent", "store"):
             if not os.access(os.path.join(BIN, program), os.X_OK):
                 raise CouldNotRun(f"{program} is not built in {BIN}")
@@ -199,8 +199,8 @@
         path = os.path.join(self.folder, name + ".toml")
         with open(path, "w", encoding="utf-8") as file:
             file.write(SETTINGS.format(
-                name=f"{machine_class}-{ZONES[number - 1]}-1", role=program, machine_class=machine_class, serves=serves,
-                ip=f"{self.network}.{host}", zone=ZONES[number - 1], first_start="true" if first_start else "false",
+                name=f"{machine_class}-{ZONES[(number - 1) % 3]}-{(number + 2) // 3}", role=program, machine_class=machine_class, serves=serves,
+                ip=f"{self.network}.{host}", zone=ZONES[(number - 1) % 3], first_start="true" if first_start else "false",
                 counted="false" if machine_class == "front" else "true", data_dir=data, cloud=self.cloud, memory=MEMORY_MB[machine_class],
                 seeds=",".join(f'"{address}"' for address in self.controllers)))
         return path
@@ -219,13 +219,14 @@
     def start(self, config, timeout=30):
         """Starts all processes, gives the first configuration and waits until all gateways are ready."""
         for program in ("controller", "store", "agent", "gateway"):
-            for number in (1, 2, 3):
+            machines = len(self.fronts) if program in ("agent", "gateway") else 3
+            for number in range(1, machines + 1):
                 self.start_process(f"{program}{number}", first_start=True)
         deadline = time.monotonic() + timeout
         self.order("PUT", "/v1/config", config, {"If-Match": "0"}, deadline)
         while time.monotonic() < deadline:
             if all(self.is_ready(front) for front in self.fronts):
-                self.record("fleet: all three gateways are ready")
+                self.record("fleet: all gateways are ready")
                 return
             time.sleep(0.1)
         raise CouldNotRun("the gateways are not ready")
