Bound the entries that wait for a missing one in bytes, not by their number

Cause: a metadata log kept up to 512 entries that had arrived before a missing one.

Change: the waiting entries are bounded by kLogBytesKept (2 MiB) as well; a single one always fits, so that the gap before it is noticed and the missing entries are requested.

Evidence: metadata_log_test fails with the bound by number alone (97 entries of 300 KiB wait, 29 MB) and passes with it.

--- a/src/replication/metadata_log.cpp
+++ b/src/replication/metadata_log.cpp
@@ -6,11 +6,13 @@
   std::vector<Entry> applied;
   if (entry.epoch <= epoch())
     return applied;
-  if (out_of_order_entries_.size() < kLogEntriesKept || entry.epoch == next(epoch()))
-    out_of_order_entries_[entry.epoch] = entry;
+  auto bytes = codec::encode(entry).size();
+  if (entry.epoch == next(epoch()) || has_room_for(bytes)) {
+    if (out_of_order_entries_.try_emplace(entry.epoch, WaitingEntry{entry, bytes}).second)
+      out_of_order_bytes_ += bytes;
+  }
   while (!out_of_order_entries_.empty() && out_of_order_entries_.begin()->first <= next(epoch())) {
-    auto first = std::move(out_of_order_entries_.begin()->second);
-    out_of_order_entries_.erase(out_of_order_entries_.begin());
+    auto first = take_waiting(out_of_order_entries_.begin()).entry;
     if (first.epoch != next(epoch()))
       continue;
     if (!apply_next(first))
@@ -20,6 +22,20 @@
   return applied;
 }
 
+bool MetadataLog::has_room_for(size_t entry_bytes) const {
+  bool is_within_limits =
+      out_of_order_entries_.size() < kLogEntriesKept && out_of_order_bytes_ + entry_bytes <= kLogBytesKept;
+  // One always fits, so that the gap before it is noticed.
+  return is_within_limits || out_of_order_entries_.empty();
+}
+
+MetadataLog::WaitingEntry MetadataLog::take_waiting(WaitingEntries::iterator waiting) {
+  auto taken = std::move(waiting->second);
+  out_of_order_entries_.erase(waiting);
+  out_of_order_bytes_ -= taken.bytes;
+  return taken;
+}
+
 bool MetadataLog::apply_next(const Entry& entry) {
   auto result = apply(*view_, entry);
   if (!result.ok())
@@ -51,7 +67,8 @@
   recent_entries_.clear();
   recent_sizes_.clear();
   recent_bytes_ = 0;
-  out_of_order_entries_.erase(out_of_order_entries_.begin(), out_of_order_entries_.upper_bound(metadata.epoch));
+  while (!out_of_order_entries_.empty() && out_of_order_entries_.begin()->first <= metadata.epoch)
+    take_waiting(out_of_order_entries_.begin());
   return true;
 }
 
--- a/src/replication/metadata_log.hpp
+++ b/src/replication/metadata_log.hpp
@@ -31,6 +31,9 @@
   /// Whether entries are waiting for a missing earlier one.
   bool has_gap() const { return !out_of_order_entries_.empty(); }
 
+  /// Encoded bytes of the entries that are waiting for a missing earlier one.
+  size_t waiting_bytes() const { return out_of_order_bytes_; }
+
   /// What a daemon at epoch `known` lacks.
   LogUpdates updates_since(Epoch known) const;
   /// The same if it is at most `kMaxHeartbeatReplyBytes`, otherwise nothing; a daemon that lacks more requests it.
@@ -39,9 +42,20 @@
   const std::deque<Entry>& recent_entries() const { return recent_entries_; }
 
  private:
+  /// An entry that waits for missing earlier ones.
+  struct WaitingEntry {
+    Entry entry;
+    /// Its encoded size in bytes.
+    size_t bytes = 0;
+  };
+  using WaitingEntries = std::map<Epoch, WaitingEntry>;
+
   /// Returns false if the entry cannot be applied; a decided entry always can.
   bool apply_next(const Entry& entry);
   void keep_recent(const Entry& entry);
+  /// Whether an entry that is not the next one may wait for those before it.
+  bool has_room_for(size_t entry_bytes) const;
+  WaitingEntry take_waiting(WaitingEntries::iterator waiting);
 
   MetadataSnapshot view_ = std::make_shared<Metadata>();
   /// The last applied entries, limited by `kLogEntriesKept` and `kLogBytesKept`.
@@ -49,8 +63,9 @@
   /// Encoded size in bytes of each of `recent_entries_`, and their sum.
   std::deque<size_t> recent_sizes_;
   size_t recent_bytes_ = 0;
-  /// Entries that wait for missing earlier ones.
-  std::map<Epoch, Entry> out_of_order_entries_;
+  /// Limited by `kLogEntriesKept` and `kLogBytesKept`, except for a single entry and for the next one.
+  WaitingEntries out_of_order_entries_;
+  size_t out_of_order_bytes_ = 0;
 };
 
 }  // namespace mosskeel
