Send no large entries to daemons that are known to be down

Cause: a decided entry was encoded and sent to every daemon of the directory that had not left. A front that is gone for good stays down in the directory, so each change of a configuration of 0.8 MB was put into a queue for each of them.

Change: entries of over 64 KiB, which the replies to heartbeats leave out as well, are not sent to daemons that are down. Once they are back, those replies tell them the newest epoch, and they ask for it. Small entries still go to their addresses, where a successor may wait to hear that it may register.

--- a/src/consensus/metadata_journal.cpp
+++ b/src/consensus/metadata_journal.cpp
@@ -23,9 +23,13 @@
   outbox_.write(codec::encode(ControllerRecord{DecidedRecord{entry}}));
 }
 
+/// The address of a daemon that is down may be that of its successor, which waits to hear that it may register.
 void MetadataJournal::broadcast(const Entry& entry) {
+  bool is_large = codec::encode(entry).size() > kMaxHeartbeatReplyBytes;
   for (const auto& [id, daemon] : metadata_log_.view()->directory) {
-    if (daemon.state == DaemonState::left || daemon.self.incarnation == outbox_.id().self.incarnation)
+    bool is_self = daemon.self.incarnation == outbox_.id().self.incarnation;
+    bool must_request = is_large && daemon.state == DaemonState::down;
+    if (is_self || must_request || daemon.state == DaemonState::left)
       continue;
     const Address& agent = daemon.self.agent_address;
     outbox_.send(agent.empty() ? daemon.self.address : agent, Decided{entry});
--- a/src/consensus/metadata_journal.hpp
+++ b/src/consensus/metadata_journal.hpp
@@ -20,8 +20,9 @@
   /// Makes subsequent messages carry the log's present cluster and epoch.
   void stamp_messages();
 
-  /// Adds an entry decided by this controller's own proposal and broadcasts it once to every daemon; a daemon that
-  /// misses it catches up later.
+  /// Adds an entry decided by this controller's own proposal and broadcasts it once to every daemon, but for large
+  /// entries and daemons that are down. A daemon that misses it catches up: the replies to its heartbeats tell it the
+  /// newest epoch.
   void add_decided(const Entry& entry);
   /// Adds entries or a snapshot received from other daemons. Returns whether the cluster id has changed.
   bool apply_updates(const Entries& entries, const std::optional<Metadata>& snapshot);
--- a/tests/simulation/world.cpp
+++ b/tests/simulation/world.cpp
@@ -348,6 +348,8 @@
   if (envelope.to.starts_with("replica:"))
     return replica ? replica(node, envelope) : void();
   ++messages;
+  if (sending)
+    sending(envelope);
   if (envelope.to == node.id.self.address)
     return at(now(), [this, envelope] { deliver(envelope); });
   if (net.cuts.count({node.name, envelope.to}) || chance(net.loss))
--- a/tests/simulation/world.hpp
+++ b/tests/simulation/world.hpp
@@ -167,6 +167,8 @@
   std::function<void(Node&)> died;
   /// Called for each message to a running process just before its delivery.
   std::function<void(const Envelope&)> arriving;
+  /// Called with each message to another process, whether it arrives or not.
+  std::function<void(const Envelope&)> sending;
 
  private:
   std::unique_ptr<StateMachine> make_machine(const Node& node);
--- a/tests/unit/replication/catchup_test.cpp
+++ b/tests/unit/replication/catchup_test.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kMaxCatchUpTime = 1500ms;
 /// The limit for a daemon with an empty disk, which has to discover the core and register first.
 constexpr Duration kMaxNewDaemonCatchUpTime = 4000ms;
+/// Until a silent daemon is marked as down.
+constexpr Duration kDetectionTime = 6000ms;
 /// Minimum number of changes committed while a daemon catches up.
 constexpr int kChangesMeanwhile = 8;
 /// Number of changes after which the test stops waiting for a daemon to catch up.
@@ -102,6 +104,22 @@
     return cost;
   }
 
+  /// Freezes a daemon, commits changes once it is known to be down, and wakes it.
+  /// @return the number of entries that were sent to it unasked.
+  int count_entries_sent_while_down(const std::string& name, int changes) {
+    begin_absence(name, Absence::frozen);
+    world_.run(kDetectionTime);
+    int entries = 0;
+    world_.sending = [&](const Envelope& envelope) {
+      entries += envelope.to == name && std::holds_alternative<Decided>(envelope.body) ? 1 : 0;
+    };
+    commit_changes(changes);
+    world_.sending = nullptr;
+    end_absence(name, Absence::frozen);
+    CHECK(world_.until(kMaxCatchUpTime, [&] { return epoch_of(name) == newest()->epoch; }));
+    return entries;
+  }
+
  private:
   static constexpr size_t kAttemptsPerController = 4;
 
@@ -248,3 +266,12 @@
   for (auto* name : {"controller2", "store2", "agent2"})
     check_catch_up(2000, name, Absence::isolated, 20);
 }
+
+// Guards against review case 8: whole configurations were encoded and queued for daemons that were known to be down.
+TEST_CASE("A daemon that is down is sent no entry of a large configuration unasked, and catches up when it returns") {
+  Fleet small(20);
+  Fleet large(2000);
+
+  CHECK(small.count_entries_sent_while_down("agent2", 5) >= 5);
+  CHECK(large.count_entries_sent_while_down("agent2", 5) == 0);
+}
