--- a/src/daemons/agent/main.cpp
+++ b/src/daemons/agent/main.cpp
@@ -42,7 +42,7 @@
   start_log(kProgram);
   Startup startup(kProgram, settings.shutdown_grace + kStartupMargin);
   auto identity = identity_from(settings);
-  auto& host = create_host(nullptr, identity.self.address);
+  auto& host = create_host(nullptr, settings);
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure(kProgram, errors);
   auto make_machine = [&](const Recovered&, TimePoint now) {
--- a/src/daemons/controller/main.cpp
+++ b/src/daemons/controller/main.cpp
@@ -60,7 +60,7 @@
   auto disk = std::get<std::shared_ptr<Disk>>(opened_disk);
   const auto identity = make_identity(settings, disk->recovered().incarnation);
 
-  auto& host = create_host(disk, settings.listen_address);
+  auto& host = create_host(disk, settings);
   LocalMailboxes mailboxes;
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure(kProgram, errors);
--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -67,7 +67,7 @@
   curl_global_init(CURL_GLOBAL_DEFAULT);
 
   auto identity = identity_from(settings);
-  auto& host = create_host(nullptr, settings.listen_address);
+  auto& host = create_host(nullptr, settings);
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure("gateway", errors);
   LocalMailboxes mailboxes;
--- a/src/daemons/store/main.cpp
+++ b/src/daemons/store/main.cpp
@@ -88,7 +88,7 @@
   auto incarnation = disk->recovered().incarnation;
   auto identity = identity_of(settings, incarnation);
   return_large_blocks_to_system();
-  auto& host = create_host(disk, settings.listen_address, kStoreInboxBytes);
+  auto& host = create_host(disk, settings, kStoreInboxBytes);
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure(kProgram, errors);
   host.watch(LoadMonitor(host, settings.memory_limit));
--- a/src/net/constants.hpp
+++ b/src/net/constants.hpp
@@ -8,7 +8,8 @@
 constexpr size_t kMaxHttpBodyBytes = 1u << 20;
 /// Maximum connections of one HttpServer, which uses one thread per connection.
 constexpr unsigned kMaxHttpConnections = 2000;
-/// Queue length, in messages, of each peer's send socket and of the receive socket; messages beyond it are dropped.
-constexpr int kMaxQueuedMessagesPerPeer = 1024;
+/// Messages from other daemons that nng holds until the receiving thread takes them; further ones wait at their
+/// senders.
+constexpr int kMaxReceivedMessages = 1024;
 
 }  // namespace mosskeel
--- a/src/runtime/daemon.cpp
+++ b/src/runtime/daemon.cpp
@@ -4,6 +4,7 @@
 
 #include <sstream>
 
+#include "base/memory.hpp"
 #include "runtime/constants.hpp"
 
 namespace mosskeel {
@@ -19,8 +20,10 @@
 
 }  // namespace
 
-Host& create_host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes) {
-  return *new Host(std::move(disk), std::move(self), max_inbox_bytes);
+Host& create_host(std::shared_ptr<Disk> disk, const Settings& settings, size_t max_inbox_bytes) {
+  auto available_bytes = process_memory(settings.memory_limit).total;
+  HostLimits limits{max_inbox_bytes, SendQueueLimits::for_memory(available_bytes)};
+  return *new Host(std::move(disk), settings.listen_address, limits);
 }
 
 void end_process(int exit_code) {
@@ -80,6 +83,7 @@
   add("revision", static_cast<double>(view->revision.value()));
   add("messages_sent", static_cast<double>(host.sent()));
   add("messages_unsent", static_cast<double>(host.dropped()));
+  add("messages_queued_bytes", static_cast<double>(host.bytes_waiting_for_peers()));
   add("messages_foreign", static_cast<double>(host.foreign_messages()));
   add("syncs", static_cast<double>(host.syncs()));
   if (const auto* journal = host.journal()) {
--- a/src/runtime/daemon.hpp
+++ b/src/runtime/daemon.hpp
@@ -12,7 +12,9 @@
 
 /// Creates the daemon's host, which lives as long as the process: closing nng's sockets while other daemons connect may
 /// wait for ever or crash, and the kernel closes them in any case.
-Host& create_host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes = SIZE_MAX);
+/// @param disk null for a daemon without a journal.
+/// @param max_inbox_bytes limits the messages that are queued for the state machine.
+Host& create_host(std::shared_ptr<Disk> disk, const Settings& settings, size_t max_inbox_bytes = SIZE_MAX);
 
 /// Ends the process without running exit handlers and destructors of static objects, under which nng's threads would
 /// still run.
--- a/src/runtime/host.cpp
+++ b/src/runtime/host.cpp
@@ -33,15 +33,16 @@
   return kProcessClockStart + duration_cast<Duration>(steady_clock::now() - start);
 }
 
-Host::Host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes)
+Host::Host(std::shared_ptr<Disk> disk, Address self, HostLimits limits)
     : disk_(std::move(disk)),
       journal_(disk_ ? std::make_unique<JournalWriter>(*disk_) : nullptr),
       self_(std::move(self)),
-      inbox_(max_inbox_bytes) {}
+      send_limits_(limits.send_queues),
+      inbox_(limits.inbox_bytes) {}
 
 Errors Host::listen() {
-  auto transport =
-      Transport::open(self_, [this](Envelope message, size_t bytes) { inbox_.receive(std::move(message), bytes); });
+  auto transport = Transport::open(
+      self_, send_limits_, [this](Envelope message, size_t bytes) { inbox_.receive(std::move(message), bytes); });
   if (!transport.ok())
     return transport.errors();
   transport_ = std::move(transport).value();
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -11,6 +11,15 @@
 /// Returns this process's time by the steady clock. Times of different processes are not comparable.
 TimePoint process_now();
 
+/// Limits in bytes of what a host holds in memory.
+struct HostLimits {
+  /// Of messages queued for the state machine; beyond it, further messages that are not small are dropped as if lost in
+  /// transit.
+  size_t inbox_bytes = SIZE_MAX;
+  /// Of messages queued for other daemons.
+  SendQueueLimits send_queues = SendQueueLimits::for_memory(0);
+};
+
 /// Uses three threads: one runs the state machine, one writes its journal (only with a disk), and the transport's
 /// thread receives messages. Messages that depend on the journal are sent by the disk thread once it is durable.
 ///
@@ -25,9 +34,8 @@
   /// Called with the state machine, on its thread.
   using Observer = std::function<void(StateMachine&, TimePoint)>;
 
-  /// `disk` may be null for a daemon without a journal. If more than `max_inbox_bytes` of messages are queued for the
-  /// state machine, further messages that are not small are dropped as if lost in transit.
-  Host(std::shared_ptr<Disk> disk, Address self, size_t max_inbox_bytes = SIZE_MAX);
+  /// `disk` may be null for a daemon without a journal.
+  Host(std::shared_ptr<Disk> disk, Address self, HostLimits limits = {});
   ~Host() { stop(); }
 
   /// Listens on the address for other daemons; what arrives is queued until `start`. Returns errors if that fails; it
@@ -60,6 +68,8 @@
   uint64_t syncs() const { return disk_ ? disk_->sync_count() : 0; }
   uint64_t sent() const { return transport_ ? transport_->sent() : 0; }
   uint64_t dropped() const { return transport_ ? transport_->dropped() : 0; }
+  /// Bytes of the messages that wait for their peers.
+  size_t bytes_waiting_for_peers() const { return transport_ ? transport_->queued_bytes() : 0; }
   uint64_t foreign_messages() const { return transport_ ? transport_->foreign() : 0; }
   /// Bytes of records and checkpoints not yet on disk, and of the messages that depend on them.
   size_t bytes_waiting_for_disk() const { return bytes_waiting_for_disk_; }
@@ -83,6 +93,7 @@
   std::shared_ptr<Disk> disk_;
   std::unique_ptr<JournalWriter> journal_;
   Address self_;
+  const SendQueueLimits send_limits_;
   /// Accessed only by `machine_thread_` once that is running.
   std::unique_ptr<StateMachine> machine_;
   std::map<std::string, MessageHandler> local_routes_;
--- a/tests/soak/scenarios.cpp
+++ b/tests/soak/scenarios.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <span>
 
+#include "soak/absent_fronts.hpp"
 #include "soak/large_program.hpp"
 
 namespace mosskeel::soak {
@@ -221,6 +222,8 @@
       {"large-history", "a history larger than a message held its partition on two stores, and could not be opened",
        play_large_history},
       {"large-configuration", "a configuration larger than a message reached no store", play_large_configuration},
+      {"absent-fronts", "each change of a configuration cost a controller memory for each front that was away",
+       play_absent_fronts},
   };
   return all;
 }
--- a/tools/scale/controller_client.cpp
+++ b/tools/scale/controller_client.cpp
@@ -13,7 +13,8 @@
 }
 
 Errors ControllerClient::open() {
-  auto transport = Transport::open(address_, [this](Envelope message, size_t) { received_.push(std::move(message)); });
+  auto transport = Transport::open(address_, SendQueueLimits::for_memory(0),
+                                   [this](Envelope message, size_t) { received_.push(std::move(message)); });
   if (!transport.ok())
     return transport.errors();
   transport_ = std::move(transport).value();
--- a/tools/scale/hollow_daemons.cpp
+++ b/tools/scale/hollow_daemons.cpp
@@ -66,7 +66,7 @@
       auto receive = [this, index](Envelope message, size_t) {
         inputs_.push(MessageForDaemon{index, std::move(message)});
       };
-      auto transport = Transport::open(daemons_[index]->address, receive);
+      auto transport = Transport::open(daemons_[index]->address, SendQueueLimits::for_memory(0), receive);
       if (!transport.ok())
         return transport.errors();
       daemons_[index]->transport = std::move(transport).value();
