--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -27,6 +27,7 @@
   request_ = id;
   request_bytes_ = std::move(bytes);
   possibly_sent_ = false;
+  send_error_ = 0;
   reader_.begin(request.method == "HEAD");
   reusable_ = !has_token(request.fields, "Connection", "close");
   previous_tag_ = std::exchange(tag_, request.tag);
@@ -153,7 +154,8 @@
       break;
     }
     if (sent <= 0) {
-      // The replica may have responded before it closed the connection; the next read shows that.
+      // The replica may have sent a response with a length before that; the next read shows it.
+      send_error_ = sent < 0 ? errno : EPIPE;
       reusable_ = false;
       sent_bytes_ = request_bytes_.size();
       break;
@@ -187,6 +189,10 @@
 }
 
 void UpstreamConnection::on_end_of_stream() {
+  if (send_error_) {
+    fail(std::string("send: ") + std::strerror(send_error_));
+    return;
+  }
   // The close completes neither a skipped response to an earlier request nor the response to a request that was not
   // sent completely.
   bool may_complete = !skipping_ && request_bytes_.empty();
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -130,6 +130,9 @@
   size_t sent_bytes_ = 0;
   /// Set once the kernel has accepted the first byte.
   bool possibly_sent_ = false;
+  /// The error that ended the sending of the request; 0 if there was none. The socket reports an error only once, so
+  /// that a read after it takes a reset for an orderly close.
+  int send_error_ = 0;
   HttpResponseReader reader_;
   bool reading_paused_ = false;
   bool skipping_ = false;
--- a/tests/unit/net/replica_client_test.cpp
+++ b/tests/unit/net/replica_client_test.cpp
@@ -1,5 +1,7 @@
 // Tests that ReplicaClient sends no request twice and reports no broken response as complete.
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -82,6 +84,38 @@
   std::thread thread_;
 };
 
+/// A replica on its own thread that answers one request before it has read it, and closes the connection with the rest
+/// of the request unread, which resets it.
+class ResettingReplica {
+ public:
+  explicit ResettingReplica(const std::string& response)
+      : listening_socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    // Small, so that a part of the request stays unsent.
+    set_socket_option(listening_socket_.get(), SOL_SOCKET, SO_RCVBUF, 16 << 10);
+    set_socket_option(listening_socket_.get(), IPPROTO_TCP, TCP_MAXSEG, 1460);
+    auto endpoint = parse_endpoint("127.0.0.1:0");
+    REQUIRE(::bind(listening_socket_.get(), reinterpret_cast<sockaddr*>(&endpoint->storage), endpoint->length) == 0);
+    REQUIRE(::listen(listening_socket_.get(), 1) == 0);
+    url = "http://" + bound_address(listening_socket_.get());
+    thread_ = std::thread([this, response] { serve(response); });
+  }
+  ~ResettingReplica() { thread_.join(); }
+
+  std::string url;
+
+ private:
+  void serve(const std::string& response) {
+    Fd connection(::accept4(listening_socket_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    char buffer[1024];
+    [[maybe_unused]] auto received = ::recv(connection.get(), buffer, sizeof buffer, 0);
+    [[maybe_unused]] auto sent = ::send(connection.get(), response.data(), response.size(), MSG_NOSIGNAL);
+    std::this_thread::sleep_for(100ms);
+  }
+
+  Fd listening_socket_;
+  std::thread thread_;
+};
+
 struct ReplicaClientFixture {
   Queue<Message> messages;
   ReplicaClient client{[this](Message message) {
@@ -89,9 +123,10 @@
   }};
   int last_attempt = 0;
 
-  ReplicaCallResponse call(const std::string& url, bool idempotent, const std::string& kind = "app") {
+  ReplicaCallResponse call(const std::string& url, bool idempotent, const std::string& kind = "app",
+                           const std::string& body = "{}") {
     auto attempt = "a" + std::to_string(++last_attempt);
-    client.send({attempt, kind, url, idempotent ? "GET" : "POST", idempotent ? "" : "{}", 5000, idempotent});
+    client.send({attempt, kind, url, idempotent ? "GET" : "POST", idempotent ? "" : body, 5000, idempotent});
     while (true) {
       auto message = messages.pop(20000ms);
       REQUIRE(message);
@@ -164,3 +199,17 @@
 
   CHECK_FALSE(fixture.call(replica.url + "/turn", false, "model").complete);
 }
+
+// Guards against review case 7 on the product's own interface.
+TEST_CASE("ReplicaClient reports no response without a length as complete that was reset while its request was sent") {
+  auto kind = GENERATE(as<std::string>{}, "app", "model");
+  auto body = GENERATE(as<std::string>{}, "", "ok");
+  CAPTURE(kind, body);
+  ResettingReplica replica("HTTP/1.1 200 OK\r\nConnection: close\r\nX-Seal: " + hex(digest("ok")) + "\r\n\r\n" + body);
+  ReplicaClientFixture fixture;
+
+  auto response = fixture.call(replica.url + "/count", false, kind, std::string(8 << 20, 'x'));
+
+  CHECK(response.request_sent);
+  CHECK_FALSE(response.complete);
+}
--- a/tests/unit/net/upstream_client_test.cpp
+++ b/tests/unit/net/upstream_client_test.cpp
@@ -361,6 +361,63 @@
   CHECK(fixture.wait_for_outcome(id).completions == 0);
 }
 
+// Guards against review case 7: the error of a reset was lost to the sending of the request, and the end of the
+// connection then passed as an orderly close that completes a response without a length.
+TEST_CASE("UpstreamClient reports no response as complete if a reset cuts it while its request is on its way") {
+  UpstreamClientFixture fixture;
+  std::string events = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: 1\n\n";
+  auto response = GENERATE_COPY(
+      as<std::string>{}, "HTTP/1.1 200 OK\r\n\r\nabc", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", events, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", "HTTP/1.1 200 OK\r\n", "");
+  // A replica that dies, or closes the connection, with a part of the request unread resets the connection, too.
+  bool with_unread_request = GENERATE(true, false);
+  bool is_paused = GENERATE(true, false);
+  CAPTURE(response, with_unread_request, is_paused);
+  auto request = fixture.make_request();
+  request.body = std::string(32 << 20, 'x');
+
+  auto id = fixture.client.send_request(std::move(request));
+  REQUIRE(run_until(fixture.loop, [&] { return fixture.replica.requests() == 1; }));
+  auto& connection = fixture.responding_connection();
+  connection.send(response);
+  run_iterations(fixture.loop, 20);
+  if (is_paused) {
+    fixture.client.pause_reading(id);
+  }
+  if (with_unread_request) {
+    connection.close();
+  } else {
+    connection.close_with_reset();
+  }
+  run_iterations(fixture.loop, 20);
+  fixture.client.resume_reading(id);
+
+  auto& outcome = fixture.wait_for_outcome(id);
+  CHECK(outcome.completions == 0);
+  CHECK(outcome.delivery == UpstreamClient::Delivery::possibly_sent);
+  CHECK(outcome.reason.find("reset") != std::string::npos);
+  CHECK(fixture.client.idle_connections() == 0);
+}
+
+TEST_CASE("UpstreamClient reports a response that is complete by its own framing even if its request is reset") {
+  UpstreamClientFixture fixture;
+  auto response = GENERATE(as<std::string>{}, "HTTP/1.1 413 Big\r\nContent-Length: 3\r\n\r\nabc",
+                           "HTTP/1.1 413 Big\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  auto request = fixture.make_request();
+  request.body = std::string(32 << 20, 'x');
+
+  auto id = fixture.client.send_request(std::move(request));
+  REQUIRE(run_until(fixture.loop, [&] { return fixture.replica.requests() == 1; }));
+  auto& connection = fixture.responding_connection();
+  connection.send(response);
+  connection.close();
+
+  auto& outcome = fixture.wait_for_outcome(id);
+  CHECK(outcome.completions == 1);
+  CHECK(outcome.body == "abc");
+}
+
 TEST_CASE("UpstreamClient fails a request whose connection ends with a late response to an earlier one") {
   UpstreamClientFixture fixture;
   fixture.heads_to_skip = 1;
