Dial a peer without the lock that nng's callbacks take

Cause: open_peer dialled under the mutex that on_connected takes. nng calls it on threads of its own, as far as seen; a callback on the dialling thread would wait for itself for ever. By reading, not seen.

Change: the lock is released before the dial. http-tests' transport cases pass, also under ThreadSanitizer (no finding).

--- a/src/net/message_sender.cpp
+++ b/src/net/message_sender.cpp
@@ -76,7 +76,7 @@
 }
 
 MessageSender::Peer* MessageSender::open_peer(const Address& address) {
-  std::lock_guard lock(mutex_);
+  std::unique_lock lock(mutex_);
   auto found = peers_.find(address);
   if (found != peers_.end()) {
     return found->second.get();
@@ -87,7 +87,8 @@
   }
   auto* opened = peer.get();
   peers_.emplace(address, std::move(peer));
-  // The last step, since callbacks come from now on.
+  lock.unlock();
+  // The last step and without the lock, since callbacks, which take it, come from now on.
   nng_dial(nng_socket{opened->socket.id()}, nng_url(address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
   return opened;
 }
