--- a/tests/soak/drawn_run.cpp
+++ b/tests/soak/drawn_run.cpp
@@ -54,6 +54,7 @@
 }
 
 void DrawnRun::play() {
+  grow_configuration();
   build_large_programs();
   auto end = monotonic_now() + options_.duration;
   fleet_.environment.repeat(kSampleInterval, end, [this] { report_.sample(fleet_.machines); });
@@ -72,6 +73,15 @@
   printf("\n");
 }
 
+void DrawnRun::grow_configuration() {
+  if (options_.routes == 0)
+    return;
+  bool is_done = false;
+  fleet_.fleet_operator.add_routes(options_.routes, [&] { is_done = true; });
+  if (!fleet_.run_until(kFaultTimeout, [&] { return is_done; }))
+    fleet_.environment.checker.report_violation("the addition of routes does not end");
+}
+
 void DrawnRun::build_large_programs() {
   for (int number = 0; number < kLargePrograms; ++number) {
     auto size = draw_size(fleet_.environment);
--- a/tests/soak/drawn_run.hpp
+++ b/tests/soak/drawn_run.hpp
@@ -14,6 +14,8 @@
   std::set<FaultKind> only;
   /// Traffic in multiples of the usual.
   int load = 1;
+  /// Routes that are added to the configuration before the first request; 2,800 make 0.8 MB.
+  int routes = 0;
 };
 
 /// Traffic of all kinds, on fresh and on kept connections, goes on through drawn disturbances. Afterwards, once
@@ -29,6 +31,7 @@
   void begin_kept_connections(MonotonicTime end);
   void begin_programs(MonotonicTime end);
   void send_on_kept_connection();
+  void grow_configuration();
   void build_large_programs();
   void check_recovered();
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -21,6 +21,8 @@
 constexpr int kUsageError = 2;
 constexpr Duration kMinRunTime = 1000ms;
 constexpr int kMaxLoad = 20;
+/// What one change may bring: a controller takes up to 1 MiB.
+constexpr int kMaxAddedRoutes = 2800;
 /// Machines of a class: one a zone at least; the addresses have room for nine.
 constexpr int kMinMachines = 3;
 constexpr int kMaxMachines = 9;
@@ -102,6 +104,8 @@
     return "controllers, stores, gateways: must be from 3 to 9";
   if (options.drawn.load < 1 || options.drawn.load > kMaxLoad)
     return "size: must be from 1 to " + std::to_string(kMaxLoad);
+  if (options.drawn.routes < 0 || options.drawn.routes > kMaxAddedRoutes)
+    return "routes: must be from 0 to " + std::to_string(kMaxAddedRoutes);
   return "";
 }
 
@@ -116,6 +120,7 @@
   long seed = 1;
   int seconds = 60;
   int load = 1;
+  int routes = 0;
   int without_limits = 0;
   platform_stub::FleetSize size;
   poptOption table[] = {
@@ -125,6 +130,7 @@
       {"for", 't', POPT_ARG_INT, &seconds, 0, "how long a drawn run disturbs the fleet, in seconds (60)", "S"},
       {"only", 'o', POPT_ARG_STRING, &only, 0, "kinds of disturbances of a drawn run, with commas between", "KINDS"},
       {"size", 'l', POPT_ARG_INT, &load, 0, "traffic of a drawn run, in multiples of the usual (1)", "N"},
+      {"routes", 0, POPT_ARG_INT, &routes, 0, "routes added to the configuration of a drawn run before it (0)", "N"},
       {"controllers", 0, POPT_ARG_INT, &size.controllers, 0, "core machines (3)", "N"},
       {"stores", 0, POPT_ARG_INT, &size.stores, 0, "storage machines (3)", "N"},
       {"gateways", 0, POPT_ARG_INT, &size.gateways, 0, "front machines (3)", "N"},
@@ -143,6 +149,7 @@
   options.drawn.seed = static_cast<uint64_t>(seed);
   options.drawn.duration = std::chrono::seconds(seconds);
   options.drawn.load = load;
+  options.drawn.routes = routes;
   options.size = size;
   options.enforce_limits = without_limits == 0;
   bool are_kinds_known = read_kinds(take(only), options.drawn.only);
