--- a/tests/unit/net/http_frontend_faults_test.cpp
+++ b/tests/unit/net/http_frontend_faults_test.cpp
@@ -3,8 +3,7 @@
 #include <sys/epoll.h>
 
 #include "faulty_replica.hpp"
-#include "routing/http_frontend.hpp"
-#include "unit/routing/request_router_fixture.hpp"
+#include "frontend_fixture.hpp"
 
 using namespace mosskeel;
 
@@ -32,7 +31,6 @@
   ReplicaRunLog log;
   std::mt19937_64 random;
   std::vector<std::unique_ptr<FaultyReplica>> replicas;
-  std::shared_ptr<RoutingSnapshot> snapshot;
   std::unique_ptr<HttpFrontend> frontend;
   /// By the request id of `callers`.
   std::map<uint64_t, Attempt> attempts;
@@ -62,12 +60,7 @@
     for (auto& path : metadata.configuration.paths) {
       path.timeout_ms = kPathTimeout.count();
     }
-    snapshot = std::make_shared<RoutingSnapshot>(
-        RoutingSnapshot{std::make_shared<Metadata>(metadata), DaemonId{1}, TimePoint::max(), true});
-    auto opened = HttpFrontend::open(
-        loop, *find_protocol_codec("platform"), "127.0.0.1:0", [this] { return snapshot; }, [](Message) {});
-    REQUIRE(opened.ok());
-    frontend = std::move(opened).value();
+    frontend = test::open_frontend(loop, metadata);
     tick();
     for (int i = 0; i < kConcurrentCallers; ++i) {
       begin_next_request();
--- a/tests/unit/net/reset_answers_test.cpp
+++ b/tests/unit/net/reset_answers_test.cpp
@@ -2,9 +2,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-#include "routing/http_frontend.hpp"
+#include "frontend_fixture.hpp"
 #include "socket_peer.hpp"
-#include "unit/routing/request_router_fixture.hpp"
 
 using namespace mosskeel;
 
@@ -42,7 +41,6 @@
 struct FrontendFixture {
   EventLoop loop;
   StalledReplica replica;
-  std::shared_ptr<RoutingSnapshot> snapshot;
   std::unique_ptr<HttpFrontend> frontend;
   uint32_t status = 0;
   std::string body;
@@ -62,12 +60,7 @@
       listed.url = "http://" + replica.address();
     for (auto& path : metadata.configuration.paths)
       path.attempts = 1;
-    snapshot = std::make_shared<RoutingSnapshot>(
-        RoutingSnapshot{std::make_shared<Metadata>(metadata), DaemonId{1}, TimePoint::max(), true});
-    auto opened = HttpFrontend::open(
-        loop, *find_protocol_codec("platform"), "127.0.0.1:0", [this] { return snapshot; }, [](Message) {});
-    REQUIRE(opened.ok());
-    frontend = std::move(opened).value();
+    frontend = test::open_frontend(loop, metadata);
     tick();
   }
   void tick() {
--- a/tests/unit/net/upstream_client_test.cpp
+++ b/tests/unit/net/upstream_client_test.cpp
@@ -81,6 +81,13 @@
     return id;
   }
 
+  /// Sends a request that is too long for the kernel's buffers, so that a part of it stays unsent.
+  uint64_t begin_long_request() {
+    auto request = make_request();
+    request.body = std::string(32 << 20, 'x');
+    return send(std::move(request));
+  }
+
   /// Sends a request and sends `response` on the connection that the replica received it on.
   uint64_t exchange(const std::string& response, const std::string& method = "POST") {
     auto request = send(make_request(method));
@@ -349,11 +356,7 @@
 
 TEST_CASE("UpstreamClient reports no response without a length as complete if its request was not sent to its end") {
   UpstreamClientFixture fixture;
-  auto request = fixture.make_request();
-  request.body = std::string(32 << 20, 'x');
-
-  auto id = fixture.client.send_request(std::move(request));
-  REQUIRE(run_until(fixture.loop, [&] { return fixture.replica.requests() == 1; }));
+  auto id = fixture.begin_long_request();
   fixture.responding_connection().send("HTTP/1.1 200 OK\r\n\r\nabc");
   REQUIRE(run_until(fixture.loop, [&] { return fixture.outcomes[id].body == "abc"; }));
   fixture.responding->shut_down_sending();
@@ -374,11 +377,7 @@
   bool with_unread_request = GENERATE(true, false);
   bool is_paused = GENERATE(true, false);
   CAPTURE(response, with_unread_request, is_paused);
-  auto request = fixture.make_request();
-  request.body = std::string(32 << 20, 'x');
-
-  auto id = fixture.client.send_request(std::move(request));
-  REQUIRE(run_until(fixture.loop, [&] { return fixture.replica.requests() == 1; }));
+  auto id = fixture.begin_long_request();
   auto& connection = fixture.responding_connection();
   connection.send(response);
   run_iterations(fixture.loop, 20);
@@ -404,11 +403,7 @@
   UpstreamClientFixture fixture;
   auto response = GENERATE(as<std::string>{}, "HTTP/1.1 413 Big\r\nContent-Length: 3\r\n\r\nabc",
                            "HTTP/1.1 413 Big\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
-  auto request = fixture.make_request();
-  request.body = std::string(32 << 20, 'x');
-
-  auto id = fixture.client.send_request(std::move(request));
-  REQUIRE(run_until(fixture.loop, [&] { return fixture.replica.requests() == 1; }));
+  auto id = fixture.begin_long_request();
   auto& connection = fixture.responding_connection();
   connection.send(response);
   connection.close();
