Keep nng from sending on a connection that it has freed

Cause: nng 1.5 puts a connection of a PUSH socket back into the list of free ones if a send on it completes just after it was closed, then frees it, and later sends on it.

Change: at nng's notice of a connection's end, which comes before the connection is freed and before the next one is made, a message of one byte takes it out of the list, three times at 1 ms for a send that completes late.

--- a/src/net/message_sender.cpp
+++ b/src/net/message_sender.cpp
@@ -3,6 +3,8 @@
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include <thread>
+
 #include "base/log.hpp"
 
 namespace mosskeel {
@@ -12,6 +14,9 @@
 /// milliseconds, like all of nng's durations.
 constexpr nng_duration kMinReconnectDelay = 50;
 constexpr nng_duration kMaxReconnectDelay = 200;
+/// How often, and at which interval, a connection that has ended is looked for in nng's list of free ones.
+constexpr int kForgetRounds = 3;
+constexpr Duration kForgetInterval = 1ms;
 /// Only one in this many dropped messages is logged.
 constexpr uint64_t kDropsPerLogLine = 1000;
 
@@ -187,6 +192,18 @@
     peer.connected = false;
   }
   nng_aio_cancel(peer.operation);
+  forget_closed_connection(peer);
+}
+
+/// nng 1.5 puts a connection back into its list of free ones if a send on it completes just after it was closed. It
+/// then frees the connection, and later sends on it. Here it is not freed yet: a message takes it out of the list, and
+/// fails on it. The next connection is made only after this notice, so that the message reaches nobody.
+void MessageSender::forget_closed_connection(const Peer& peer) {
+  for (int round = 0; round < kForgetRounds; ++round) {
+    std::this_thread::sleep_for(kForgetInterval);
+    char byte = 0;
+    nng_send(nng_socket{peer.socket.id()}, &byte, sizeof byte, NNG_FLAG_NONBLOCK);
+  }
 }
 
 void MessageSender::count_dropped(size_t messages, const Address& peer) {
--- a/src/net/message_sender.hpp
+++ b/src/net/message_sender.hpp
@@ -55,6 +55,8 @@
   void on_sent(Peer& peer);
   void on_connected(Peer& peer);
   void on_disconnected(Peer& peer);
+  /// Makes nng forget a connection that is about to be freed. To be called from nng's notice of its end.
+  static void forget_closed_connection(const Peer& peer);
   void count_dropped(size_t messages, const Address& peer);
 
   mutable std::mutex mutex_;
--- a/tests/unit/net/message_sender_test.cpp
+++ b/tests/unit/net/message_sender_test.cpp
@@ -1,7 +1,11 @@
 // Tests of sending messages to peers that are away, return or do not read.
 #include "net/message_sender.hpp"
 
+#include <malloc.h>
+#include <sched.h>
+
 #include <deque>
+#include <filesystem>
 #include <thread>
 
 #include "net/transport.hpp"
@@ -16,6 +20,9 @@
 constexpr size_t kLargeMessageBytes = 200u << 10;
 constexpr Duration kDeliveryTimeout = 10000ms;
 
+/// With which nng's PULL socket begins a connection.
+constexpr char kPullHeader[] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
+
 bool wait_until(const std::function<bool()>& holds) {
   for (auto deadline = monotonic_now() + kDeliveryTimeout; !holds();) {
     if (monotonic_now() >= deadline)
@@ -65,6 +72,67 @@
   }
 };
 
+/// Runs all threads of the process on one processor, so that they are interrupted at any point.
+class OneProcessor {
+ public:
+  OneProcessor() {
+    ::sched_getaffinity(0, sizeof allowed_, &allowed_);
+    cpu_set_t one;
+    CPU_ZERO(&one);
+    for (int processor = 0; processor < CPU_SETSIZE && CPU_COUNT(&one) == 0; ++processor) {
+      if (CPU_ISSET(processor, &allowed_))
+        CPU_SET(processor, &one);
+    }
+    set_all(one);
+  }
+  ~OneProcessor() { set_all(allowed_); }
+  OneProcessor(const OneProcessor&) = delete;
+
+ private:
+  static void set_all(const cpu_set_t& processors) {
+    for (const auto& thread : std::filesystem::directory_iterator("/proc/self/task"))
+      ::sched_setaffinity(std::stoi(thread.path().filename()), sizeof processors, &processors);
+  }
+
+  cpu_set_t allowed_;
+};
+
+/// A peer that takes connections and resets each after some milliseconds, in the middle of what it is sent.
+class ResettingPeer {
+ public:
+  ResettingPeer() : thread_([this] { run(); }) {}
+  ~ResettingPeer() {
+    stop_requested_ = true;
+    thread_.join();
+  }
+  Address address() const { return bound_address(listener_.get()); }
+  int connections() const { return connections_; }
+
+ private:
+  void run() {
+    while (!stop_requested_) {
+      std::this_thread::sleep_for(1ms);
+      if (Fd accepted{::accept(listener_.get(), nullptr, nullptr)})
+        read_and_reset(std::move(accepted));
+    }
+  }
+  void read_and_reset(Fd accepted) {
+    ::send(accepted.get(), kPullHeader, sizeof kPullHeader, MSG_NOSIGNAL);
+    char buffer[4096];
+    for (int piece = 0; piece < 1 + connections_ % 8; ++piece) {
+      [[maybe_unused]] auto received = ::recv(accepted.get(), buffer, sizeof buffer, MSG_DONTWAIT);
+      std::this_thread::sleep_for(1ms);
+    }
+    reset_on_close(accepted.get());
+    ++connections_;
+  }
+
+  Fd listener_ = listening_socket();
+  std::atomic<bool> stop_requested_{false};
+  std::atomic<int> connections_{0};
+  std::thread thread_;
+};
+
 std::unique_ptr<Transport> open_sender() {
   auto opened = Transport::open("127.0.0.1:0", kLimits, [](Envelope, size_t) {});
   REQUIRE(opened.ok());
@@ -109,8 +177,7 @@
     connection = Fd(::accept(listener.get(), nullptr, nullptr));
     return static_cast<bool>(connection);
   }));
-  const char header[] = {0, 'S', 'P', 0, 0, 0x51, 0, 0};
-  REQUIRE(::send(connection.get(), header, sizeof header, MSG_NOSIGNAL) == sizeof header);
+  REQUIRE(::send(connection.get(), kPullHeader, sizeof kPullHeader, MSG_NOSIGNAL) == sizeof kPullHeader);
 
   for (uint64_t epoch = 2; epoch < 200; ++epoch) {
     sender->send(entry_of_epoch(epoch, frozen, kLargeMessageBytes));
@@ -156,3 +223,33 @@
     CHECK(sender->queued_bytes() <= kLimits.peer_bytes);
   }
 }
+
+// Guards against a crash in nng 1.5, which sends on a connection that it has freed if a send on it completed as it was
+// closed.
+TEST_CASE("A transport survives connections that are reset in the middle of messages") {
+  constexpr int kPeers = 8;
+  constexpr int kResets = 1000;
+  constexpr auto kSendInterval = std::chrono::microseconds(150);
+  constexpr int kFreedMemoryPattern = 165;
+  OneProcessor one_processor;
+  auto sender = open_sender();
+  std::deque<ResettingPeer> peers(kPeers);
+  ::mallopt(M_PERTURB, kFreedMemoryPattern);
+
+  auto resets = [&] {
+    int count = 0;
+    for (const auto& peer : peers)
+      count += peer.connections();
+    return count;
+  };
+  auto deadline = monotonic_now() + 2 * kDeliveryTimeout;
+  while (resets() < kResets && monotonic_now() < deadline) {
+    for (const auto& peer : peers)
+      sender->send(entry_of_epoch(1, peer.address(), 100));
+    std::this_thread::sleep_for(kSendInterval);
+  }
+  ::mallopt(M_PERTURB, 0);
+
+  CHECK(resets() >= kResets);
+  CHECK(sender->queued_bytes() <= kLimits.total_bytes);
+}
