Log what a gateway's memory is held for when much of it is used (event 130)

Event 130 is logged at each rise above 0.5, 0.7 and 0.85 of the memory that the process may use, with the bytes of requests, chains, outputs of turns, buffered responses, bytes that callers have not taken and messages that wait for peers.

--- a/src/base/events.hpp
+++ b/src/base/events.hpp
@@ -18,6 +18,7 @@
   X(disk_full, 114, "the disk is full; what it must hold first is not answered")                                 \
   X(disk_room, 115, "the disk has room again; what was held back is on it")                                      \
   X(foreign, 120, "a foreign or damaged message was dropped")                                                    \
+  X(memory_high, 130, "a process uses much of its memory; what it is held for is listed")                        \
   X(unsent, 121, "messages to a peer were dropped because its queue is full")                                    \
   X(founding, 200, "a founding is proposed")                                                                     \
   X(founded, 201, "the cluster is founded")                                                                      \
--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -43,7 +43,8 @@
   const auto* codec = find_protocol_codec(settings.platform_protocol);
   if (!codec)
     return {{"dialect", "'" + settings.platform_protocol + "' is unknown"}};
-  auto started = RoutingThread::start(host, *codec, settings.http_address, settings.readiness_address);
+  auto started = RoutingThread::start(host, *codec,
+                                      {settings.http_address, settings.readiness_address, settings.memory_limit});
   if (!started.ok())
     return started.errors();
   routing_thread = std::move(started).value();
--- a/src/gateway/routing_thread.cpp
+++ b/src/gateway/routing_thread.cpp
@@ -1,17 +1,31 @@
 #include "gateway/routing_thread.hpp"
 
+#include "base/log.hpp"
 #include "gateway/constants.hpp"
 #include "runtime/constants.hpp"
 
 namespace mosskeel {
 
+namespace {
+
+constexpr size_t kKibibyte = 1024;
+
+std::string kibibytes(size_t bytes) {
+  return std::to_string(bytes / kKibibyte) + " KiB";
+}
+
+}  // namespace
+
+RoutingThread::RoutingThread(Host& host, const ProtocolCodec& codec, size_t memory_limit)
+    : host_(host), codec_(codec), memory_monitor_([memory_limit] { return process_memory(memory_limit); }) {}
+
 Result<std::unique_ptr<RoutingThread>> RoutingThread::start(Host& host, const ProtocolCodec& codec,
-                                                            const Address& callers, const Address& readiness) {
-  std::unique_ptr<RoutingThread> started(new RoutingThread(host, codec));
+                                                            const Options& options) {
+  std::unique_ptr<RoutingThread> started(new RoutingThread(host, codec, options.memory_limit));
   auto* self = started.get();
-  if (auto errors = self->listen_for_callers(callers); !errors.empty())
+  if (auto errors = self->listen_for_callers(options.callers); !errors.empty())
     return errors;
-  if (auto errors = self->listen_for_readiness(readiness); !errors.empty())
+  if (auto errors = self->listen_for_readiness(options.readiness); !errors.empty())
     return errors;
   host.route(kRoutingAddress, [self](const Envelope& envelope) {
     self->loop_.post([self, message = envelope.body]() mutable { self->on_owner_reply(std::move(message)); });
@@ -104,7 +118,22 @@
 void RoutingThread::tick() {
   loop_.run_after(kTickInterval, [this] { tick(); });
   frontend_->tick();
+  check_memory(process_now());
   continue_draining(process_now());
 }
 
+void RoutingThread::check_memory(TimePoint now) {
+  auto usage = memory_monitor_.check(now);
+  if (!usage)
+    return;
+  auto held = frontend_->router().held_bytes();
+  log_event(Event::memory_high, "uses " + kibibytes(usage->used) + " of " + kibibytes(usage->total) + ": " +
+                                    std::to_string(frontend_->router().active_requests()) +
+                                    " requests with bodies of " + kibibytes(held.requests) + " and chains of " +
+                                    kibibytes(held.chains) + "; outputs of turns " + kibibytes(held.turn_outputs) +
+                                    ", buffered responses " + kibibytes(held.buffered_responses) +
+                                    ", unsent to callers " + kibibytes(frontend_->unsent_bytes()) +
+                                    ", waiting for peers " + kibibytes(host_.bytes_waiting_for_peers()));
+}
+
 }  // namespace mosskeel
--- a/src/gateway/routing_thread.hpp
+++ b/src/gateway/routing_thread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The gateway thread that proxies callers' HTTP requests, separate from the control thread.
+#include "gateway/memory_monitor.hpp"
 #include "programs/gateway_machine.hpp"
 #include "routing/http_frontend.hpp"
 #include "runtime/host.hpp"
@@ -12,10 +13,17 @@
 /// turn messages to the host, and their replies, posted to the event loop. Must be destroyed before the host.
 class RoutingThread {
  public:
-  /// Starts listening and starts the thread. If `readiness` is empty, there is no readiness endpoint. Returns errors if
-  /// listening at an address fails.
-  static Result<std::unique_ptr<RoutingThread>> start(Host& host, const ProtocolCodec& codec, const Address& callers,
-                                                      const Address& readiness);
+  /// Where the thread listens, and what it may use.
+  struct Options {
+    /// Address for callers.
+    Address callers;
+    /// Address for the platform's probes; if it is empty, there is no readiness endpoint.
+    Address readiness;
+    /// Memory limit of the process in bytes, as the settings give it; 0 for none.
+    size_t memory_limit = 0;
+  };
+  /// Starts listening and starts the thread. Returns errors if listening at an address fails.
+  static Result<std::unique_ptr<RoutingThread>> start(Host& host, const ProtocolCodec& codec, const Options& options);
   ~RoutingThread();
   RoutingThread(const RoutingThread&) = delete;
   RoutingThread& operator=(const RoutingThread&) = delete;
@@ -26,7 +34,7 @@
   void begin_draining(const ShutdownLimits& limits);
 
  private:
-  RoutingThread(Host& host, const ProtocolCodec& codec) : host_(host), codec_(codec) {}
+  RoutingThread(Host& host, const ProtocolCodec& codec, size_t memory_limit);
   Errors listen_for_callers(const Address& address);
   Errors listen_for_readiness(const Address& address);
   /// Runs on the routing thread: handles a reply to one of the router's turn messages.
@@ -35,12 +43,15 @@
   /// Runs on the control thread after each of its steps.
   void publish_snapshot(StateMachine& machine, TimePoint now);
   void tick();
+  /// Logs what memory is held for when much of it is used.
+  void check_memory(TimePoint now);
   void continue_draining(TimePoint now);
   uint32_t readiness_status(const HttpRequest& request) const;
   std::shared_ptr<const RoutingSnapshot> snapshot() const { return std::atomic_load(&snapshot_); }
 
   Host& host_;
   const ProtocolCodec& codec_;
+  MemoryMonitor memory_monitor_;
   EventLoop loop_;
   std::unique_ptr<HttpFrontend> frontend_;
   std::unique_ptr<HttpListener> readiness_listener_;
--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -137,6 +137,14 @@
   return connection ? connection->unsent_bytes() : 0;
 }
 
+size_t HttpListener::unsent_bytes() const {
+  size_t bytes = 0;
+  for (const auto& [_, connection] : exchanges_) {
+    bytes += connection->unsent_bytes();
+  }
+  return bytes;
+}
+
 void HttpListener::drain() {
   if (std::exchange(draining_, true)) {
     return;
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -49,6 +49,8 @@
   void abort(uint64_t exchange);
   /// Bytes of the response that have not been passed to the kernel yet.
   size_t unsent_bytes(uint64_t exchange) const;
+  /// The same, summed up over all responses.
+  size_t unsent_bytes() const;
 
   /// Sends `Connection: close` with each further response and closes its connection afterwards. The listener still
   /// accepts connections, and idle connections stay open for one more request, because their callers may already be
--- a/src/routing/event_reader.hpp
+++ b/src/routing/event_reader.hpp
@@ -14,6 +14,8 @@
   uint64_t events() const { return events_; }
   /// The data collected so far; empty without `collect_data`.
   const std::string& data() const { return data_; }
+  /// Bytes that are held: of the data, and of the line and the event that are not complete.
+  size_t held_bytes() const { return data_.size() + event_data_.size() + partial_line_.size(); }
   /// The last event id as of the last complete event; empty if there was none.
   const std::string& last_id() const { return last_id_; }
 
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -36,6 +36,8 @@
   bool has_active_callers() const { return callers_->connections() > 0 || router_.active_requests() > 0; }
   const UpstreamClient& replicas() const { return *replicas_; }
   const routing::RequestRouter& router() const { return router_; }
+  /// Bytes of responses that callers have not taken yet.
+  size_t unsent_bytes() const { return callers_->unsent_bytes(); }
 
  private:
   /// Bidirectional map between the upstream client's request ids and the router's attempt numbers. 0 stands for none.
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -36,6 +36,8 @@
   /// Ends requests that have timed out, then dispatches queued requests.
   Actions tick(TimePoint now);
   size_t active_requests() const { return requests_.size(); }
+  /// What is held for the active requests.
+  HeldBytes held_bytes() const { return requests_.held_bytes(); }
 
  private:
   /// An error response that this gateway generates itself.
--- a/src/routing/request_table.cpp
+++ b/src/routing/request_table.cpp
@@ -38,6 +38,20 @@
   requests_.erase(id);
 }
 
+HeldBytes RequestTable::held_bytes() const {
+  HeldBytes held;
+  for (auto& [id, request] : requests_) {
+    held.requests += request.request.body.size();
+    if (request.attempt)
+      held.buffered_responses += request.attempt->buffered_body.size();
+    if (request.turn) {
+      held.chains += request.turn->chain.size();
+      held.turn_outputs += request.turn->events.held_bytes();
+    }
+  }
+  return held;
+}
+
 std::vector<RequestId> RequestTable::ids() const {
   std::vector<RequestId> ids;
   ids.reserve(requests_.size());
--- a/src/routing/request_table.hpp
+++ b/src/routing/request_table.hpp
@@ -7,6 +7,18 @@
 
 namespace mosskeel::routing {
 
+/// Bytes that are held for active requests.
+struct HeldBytes {
+  /// Bodies of callers' requests.
+  size_t requests = 0;
+  /// Texts of the turns before a turn.
+  size_t chains = 0;
+  /// Responses that are not forwarded before they are complete.
+  size_t buffered_responses = 0;
+  /// Outputs of turns that are to be kept.
+  size_t turn_outputs = 0;
+};
+
 /// Owns the active requests. Holds at most one request per attempt id if the request may run only once, and remembers
 /// the ids of such requests that may have run for some time after they end.
 class RequestTable {
@@ -23,6 +35,8 @@
   /// In order of arrival.
   std::vector<RequestId> ids() const;
   size_t size() const { return requests_.size(); }
+  /// Sums up over all requests.
+  HeldBytes held_bytes() const;
 
  private:
   std::map<RequestId, ActiveRequest> requests_;
