--- a/tests/platform_stub/environment.cpp
+++ b/tests/platform_stub/environment.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr Duration kMinTimeout = 1ms;
+/// More of a body is read and not kept, for some replicas send bodies without end.
+constexpr size_t kMaxKeptBodyBytes = 32u << 20;
 
 }  // namespace
 
@@ -23,7 +25,9 @@
     outcome.fields = std::move(head.fields);
   };
   callbacks.on_body = [this](uint64_t request, std::string_view bytes) {
-    exchanges_.at(request).outcome.body += bytes;
+    auto& body = exchanges_.at(request).outcome.body;
+    if (body.size() < kMaxKeptBodyBytes)
+      body += bytes;
   };
   callbacks.on_complete = [this](uint64_t request) {
     finish(request, true, false);
--- a/tests/platform_stub/listed_replica.hpp
+++ b/tests/platform_stub/listed_replica.hpp
@@ -24,6 +24,8 @@
   /// Where it is about to leave.
   std::optional<MonotonicTime> draining_since;
   MonotonicTime cold_until{};
+  /// Requests that it executes at once.
+  uint32_t slots = kReplicaCapacity;
 
   /// From when on it is gone, and no new request may reach it.
   std::optional<MonotonicTime> gone_from() const {
--- a/tests/platform_stub/operator.cpp
+++ b/tests/platform_stub/operator.cpp
@@ -144,14 +144,22 @@
 }
 
 void Operator::add_routes(int count, OnDone on_done) {
-  auto base = configuration_["Revision"].get<int>();
   Json added = Json::array();
   for (int number = 0; number < count; ++number)
     added.push_back(unused_route(configuration_["Routes"].size() + static_cast<size_t>(number)));
+  add(added, Json::array(), std::move(on_done));
+}
+
+void Operator::add(const Json& routes, const Json& services, OnDone on_done) {
+  auto base = configuration_["Revision"].get<int>();
   configuration_["Revision"] = base + 1;
-  Json patch{{"Revision", base + 1}, {"Upsert", {{"Routes", added}}}};
-  for (auto& route : added)
-    configuration_["Routes"].push_back(std::move(route));
+  Json patch{{"Revision", base + 1}, {"Upsert", {{"Routes", routes}}}};
+  if (!services.empty())
+    patch["Upsert"]["Services"] = services;
+  for (const auto& route : routes)
+    configuration_["Routes"].push_back(route);
+  for (const auto& service : services)
+    configuration_["Services"].push_back(service);
   Request request{"PATCH", "/v1/config", patch.dump(), base, kPatience, "an addition of routes", {200}};
   call(std::move(request), [on_done = std::move(on_done)](const Response&) { on_done(); });
 }
--- a/tests/platform_stub/operator.hpp
+++ b/tests/platform_stub/operator.hpp
@@ -20,6 +20,8 @@
   void revise(OnDone on_done);
   /// Adds routes on top of the configuration that was applied last; no request is sent on them.
   void add_routes(int count, OnDone on_done);
+  /// Adds these routes and services to the configuration that was applied last.
+  void add(const nlohmann::json& routes, const nlohmann::json& services, OnDone on_done);
   /// Routes of the configuration that was applied last.
   size_t route_count() const { return configuration_["Routes"].size(); }
   /// Bytes of the configuration that was applied last.
--- a/tests/platform_stub/platform_configuration.cpp
+++ b/tests/platform_stub/platform_configuration.cpp
@@ -53,21 +53,34 @@
           {"ColdPerS", kColdRequestsPerSecond}};
 }
 
-Json model_service() {
-  auto model = service("model");
+}  // namespace
+
+Json model_service(const std::string& name) {
+  auto model = service(name);
   model["Runtime"] = {
       {"SlotCount", kReplicaCapacity}, {"CacheTokens", kCacheTokens}, {"TokensPerEvent", kTokensPerEvent}};
   return model;
 }
 
-}  // namespace
+Json route_for(const std::string& name, RequestKind kind, const std::string& service) {
+  auto route = streaming_route(name);
+  route["Service"] = service;
+  route["Retained"] = kind == RequestKind::turn;
+  route["Resumable"] = kind == RequestKind::resumable;
+  if (kind == RequestKind::safe)
+    route["RouteKind"] = "safe";
+  if (kind == RequestKind::unsafe)
+    route["RouteKind"] = "unsafe";
+  return route;
+}
 
 Json first_configuration() {
   auto routes =
       Json::array({plain_route("safe", "safe", "app"), plain_route("unsafe", "unsafe", "app"),
                    plain_route("old", "safe", "app"), plain_route("rogue", "safe", "rogue"), streaming_route("stream"),
                    streaming_route("resume"), streaming_route("turn"), streaming_route("brief"), slow_route()});
-  auto services = Json::array({service("app"), service("app2"), service("slow"), service("rogue"), model_service()});
+  auto services =
+      Json::array({service("app"), service("app2"), service("slow"), service("rogue"), model_service("model")});
   Json limits{
       {"MaxHeaderBytes", 16384}, {"MaxBodyBytes", 4194304}, {"HeaderTimeoutMs", 3000}, {"IdleTimeoutMs", 15000}};
   return {{"Revision", kFirstRevision}, {"Routes", routes}, {"Services", services}, {"Limits", limits}};
--- a/tests/platform_stub/platform_configuration.hpp
+++ b/tests/platform_stub/platform_configuration.hpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "platform_stub/request_kind.hpp"
+
 namespace mosskeel::platform_stub {
 
 inline constexpr int kFirstRevision = 5;
@@ -26,6 +28,12 @@
 /// A route on which nobody sends.
 nlohmann::json unused_route(size_t number);
 
+/// A route "r-NAME" with the prefix "/NAME/", of the kind that requests of this kind need.
+nlohmann::json route_for(const std::string& name, RequestKind kind, const std::string& service);
+
+/// A service of models.
+nlohmann::json model_service(const std::string& name);
+
 /// A later revision in which a route leads to a service that does not exist.
 nlohmann::json invalid_configuration(const nlohmann::json& configuration);
 
--- a/tests/platform_stub/replica_list_server.cpp
+++ b/tests/platform_stub/replica_list_server.cpp
@@ -29,7 +29,7 @@
           {"Address", replica.address},
           {"Zone", replica.zone},
           {"Revision", "v1"},
-          {"SlotCount", kReplicaCapacity},
+          {"SlotCount", replica.slots},
           {"State", replica.draining_since ? "draining" : "ready"},
           {"ColdLeftMs", cold_left.count()}};
 }
--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -72,6 +72,14 @@
   return resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE));
 }
 
+size_t peak_resident_bytes_of(pid_t pid) {
+  constexpr std::string_view field = "VmHWM:";
+  constexpr size_t kKibibyte = 1024;
+  auto status = read_file(proc_path(pid, "status"));
+  auto found = status.find(field);
+  return found == std::string::npos ? 0 : std::strtoull(status.c_str() + found + field.size(), nullptr, 10) * kKibibyte;
+}
+
 size_t open_descriptors_of(pid_t pid) {
   std::error_code error;
   std::filesystem::directory_iterator entries(proc_path(pid, "fd"), error);
@@ -224,6 +232,14 @@
   return bytes;
 }
 
+size_t DaemonProcess::peak_resident_bytes() {
+  return is_running() ? peak_resident_bytes_of(children_.back().pid) : 0;
+}
+
+std::optional<pid_t> DaemonProcess::process() {
+  return is_running() ? std::optional(children_.back().pid) : std::nullopt;
+}
+
 size_t DaemonProcess::open_descriptors() {
   reap();
   size_t descriptors = 0;
--- a/tests/soak/daemon_process.hpp
+++ b/tests/soak/daemon_process.hpp
@@ -3,6 +3,7 @@
 #include <sys/types.h>
 
 #include <csignal>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,10 @@
   bool has_processes();
   /// Bytes of memory that the processes hold.
   size_t resident_bytes();
+  /// The most bytes that the newest process has held at any time.
+  size_t peak_resident_bytes();
+  /// The newest process; nothing where it has ended.
+  std::optional<pid_t> process();
   /// Descriptors that the processes have open.
   size_t open_descriptors();
   /// Starts so far.
--- a/tests/soak/fleet_under_test.cpp
+++ b/tests/soak/fleet_under_test.cpp
@@ -47,12 +47,29 @@
     environment.checker.report_violation("a process ended by itself: " + end);
 }
 
-template <class Kind>
-Kind& FleetUnderTest::add_replica(const std::string& service, int zone) {
+platform_stub::ListedReplica FleetUnderTest::list_replica(const std::string& service, int zone) {
   platform_stub::ListedReplica listed;
   listed.id = "i-" + environment.random_name();
   listed.service = service;
   listed.zone = platform_stub::kZoneNames[static_cast<size_t>(zone)];
+  return listed;
+}
+
+platform_stub::EndlessReplica& FleetUnderTest::add_endless_replica(const std::string& service, int zone, uint32_t slots,
+                                                                   platform_stub::EndlessAnswer answer) {
+  auto listed = list_replica(service, zone);
+  listed.slots = slots;
+  endless_replicas_.push_back(std::make_unique<platform_stub::EndlessReplica>(std::move(listed), answer));
+  return *endless_replicas_.back();
+}
+
+void FleetUnderTest::add_model_replica(const std::string& service, int zone) {
+  add_replica<ModelReplica>(service, zone);
+}
+
+template <class Kind>
+Kind& FleetUnderTest::add_replica(const std::string& service, int zone) {
+  auto listed = list_replica(service, zone);
   listed.address = environment.addresses.replica(static_cast<int>(replicas_.size()));
   auto replica = std::make_unique<Kind>(environment, std::move(listed));
   auto& added = *replica;
@@ -64,6 +81,8 @@
   std::vector<platform_stub::ListedReplica> listed;
   for (const auto& replica : replicas_)
     listed.push_back(replica->listed);
+  for (const auto& replica : endless_replicas_)
+    listed.push_back(replica->listed);
   return listed;
 }
 
--- a/tests/soak/fleet_under_test.hpp
+++ b/tests/soak/fleet_under_test.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // A fleet of real processes with the platform's stand-ins around it.
 #include "platform_stub/app_replica.hpp"
+#include "platform_stub/endless_replica.hpp"
 #include "platform_stub/model_replica.hpp"
 #include "platform_stub/operator.hpp"
 #include "platform_stub/program_callers.hpp"
@@ -30,6 +31,11 @@
   /// Ends all open requests, and reports those that stay open.
   void finish_requests();
 
+  /// Adds a replica that answers without end; lasts as long as the fleet.
+  platform_stub::EndlessReplica& add_endless_replica(const std::string& service, int zone, uint32_t slots,
+                                                     platform_stub::EndlessAnswer answer);
+  void add_model_replica(const std::string& service, int zone);
+
   /// How long the requests to the service "slow" take from now on.
   void set_slow_execution_time(Duration time);
 
@@ -41,6 +47,8 @@
   TroubleLog troubles;
 
  private:
+  /// What the list says of a new replica, but for its address.
+  platform_stub::ListedReplica list_replica(const std::string& service, int zone);
   template <class Kind>
   Kind& add_replica(const std::string& service, int zone);
   std::vector<platform_stub::ListedReplica> list_replicas() const;
@@ -51,6 +59,7 @@
 
   std::vector<std::unique_ptr<platform_stub::Replica>> replicas_;
   std::vector<platform_stub::AppReplica*> slow_replicas_;
+  std::vector<std::unique_ptr<platform_stub::EndlessReplica>> endless_replicas_;
   std::unique_ptr<platform_stub::ReplicaListServer> list_server_;
 };
 
--- a/tests/soak/machines.cpp
+++ b/tests/soak/machines.cpp
@@ -146,6 +146,11 @@
   return std::any_of(of_machine.begin(), of_machine.end(), [](Daemon& daemon) { return daemon.process->is_running(); });
 }
 
+bool Machines::are_all_running(MachineId machine) {
+  auto& of_machine = daemons(machine);
+  return std::all_of(of_machine.begin(), of_machine.end(), [](Daemon& daemon) { return daemon.process->is_running(); });
+}
+
 void Machines::stop_all() {
   for (auto& [machine, daemons] : daemons_)
     send_signal(machine, SIGTERM);
@@ -196,6 +201,36 @@
   return bytes;
 }
 
+size_t Machines::largest_resident_bytes(MachineClass machine_class) {
+  size_t bytes = 0;
+  for_each(machine_class, [&](DaemonProcess& process) { bytes = std::max(bytes, process.resident_bytes()); });
+  return bytes;
+}
+
+size_t Machines::peak_resident_bytes(MachineClass machine_class) {
+  size_t bytes = 0;
+  for_each(machine_class, [&](DaemonProcess& process) { bytes = std::max(bytes, process.peak_resident_bytes()); });
+  return bytes;
+}
+
+std::vector<pid_t> Machines::processes(MachineClass machine_class) {
+  std::vector<pid_t> processes;
+  for_each(machine_class, [&](DaemonProcess& process) {
+    if (auto running = process.process())
+      processes.push_back(*running);
+  });
+  return processes;
+}
+
+void Machines::for_each(MachineClass machine_class, const std::function<void(DaemonProcess&)>& function) {
+  for (auto& [machine, daemons] : daemons_) {
+    if (machine.machine_class != machine_class)
+      continue;
+    for (auto& daemon : daemons)
+      function(*daemon.process);
+  }
+}
+
 size_t Machines::open_descriptors(MachineClass machine_class) {
   size_t descriptors = 0;
   for (auto& [machine, daemons] : daemons_) {
--- a/tests/soak/machines.hpp
+++ b/tests/soak/machines.hpp
@@ -1,5 +1,6 @@
 #pragma once
 // The machines of the fleet under test, each with its daemons.
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -74,10 +75,19 @@
   /// The sums of all daemons of one class.
   size_t resident_bytes(MachineClass machine_class);
   size_t open_descriptors(MachineClass machine_class);
+  /// Whether the newest process of each daemon runs.
+  bool are_all_running(MachineId machine);
+  /// Bytes of memory that the largest process holds.
+  size_t largest_resident_bytes(MachineClass machine_class);
+  /// The most bytes that a process which runs has held at any time.
+  size_t peak_resident_bytes(MachineClass machine_class);
+  /// The processes that run.
+  std::vector<pid_t> processes(MachineClass machine_class);
   /// The last lines of all logs, for a run that failed.
   void print_logs() const;
 
  private:
+  void for_each(MachineClass machine_class, const std::function<void(DaemonProcess&)>& function);
   /// A daemon by its name, a program and a digit as in "store2".
   struct Daemon {
     std::string name;
--- a/tests/soak/scenarios.cpp
+++ b/tests/soak/scenarios.cpp
@@ -4,6 +4,7 @@
 #include <span>
 
 #include "soak/absent_fronts.hpp"
+#include "soak/endless_answers.hpp"
 #include "soak/large_program.hpp"
 
 namespace mosskeel::soak {
@@ -224,6 +225,10 @@
       {"large-configuration", "a configuration larger than a message reached no store", play_large_configuration},
       {"absent-fronts", "each change of a configuration cost a controller memory for each front that was away",
        play_absent_fronts},
+      {"endless-answers", "a back end that sent bytes without end took all of a gateway's memory",
+       play_endless_answers},
+      {"endless-answers-half-core", "the same, and a gateway with half a core served nobody else meanwhile",
+       play_endless_answers_on_half_a_core},
   };
   return all;
 }
