Bound what a gateway holds of replicas' answers, for one turn and for all

What callers saw: a back end that sent bytes without end to turns of a retained route ended the gateway within seconds (std::bad_alloc, 220 MiB), and the requests of all other callers there with it.

Cause: EventReader keeps the data of a turn that is to be kept, and bounded neither a line, nor an event, nor their sum; an outside party chose how much the gateway holds. Turns whose output is not kept held their lines all the same. The class: a bound for one answer, or none, where many at once share one process's memory. Buffered answers (256 KiB each) had no bound together either.

Change: ResponseLimits are shares of the process's memory: 4 MiB (M / 32 at most) for the output of one turn, M / 16 for all that is held. HeldResponses counts it; beyond the sum the largest holder gives way: passed on if it may be, else cut off. A turn that is cut off is reset (502 before its head), committed as 502 and never sent again, whatever its path allows. Buffers shrink to 16 KiB while much is held. A turn that puts out more than twice the events that its caller allows, and 16 more, is cut off as well. Without a kept output only the beginning of a line is held.

--- a/src/gateway/routing_thread.cpp
+++ b/src/gateway/routing_thread.cpp
@@ -17,7 +17,10 @@
 }  // namespace
 
 RoutingThread::RoutingThread(Host& host, const ProtocolCodec& codec, size_t memory_limit)
-    : host_(host), codec_(codec), memory_monitor_([memory_limit] { return process_memory(memory_limit); }) {}
+    : host_(host),
+      codec_(codec),
+      memory_bytes_(process_memory(memory_limit).total),
+      memory_monitor_([memory_limit] { return process_memory(memory_limit); }) {}
 
 Result<std::unique_ptr<RoutingThread>> RoutingThread::start(Host& host, const ProtocolCodec& codec,
                                                             const Options& options) {
@@ -47,7 +50,7 @@
 Errors RoutingThread::listen_for_callers(const Address& address) {
   auto opened = HttpFrontend::open(
       loop_, codec_, address, [this] { return snapshot(); },
-      [this](Message message) { send_to_owner(std::move(message)); });
+      [this](Message message) { send_to_owner(std::move(message)); }, memory_bytes_);
   if (!opened.ok())
     return opened.errors();
   frontend_ = std::move(opened).value();
--- a/src/gateway/routing_thread.hpp
+++ b/src/gateway/routing_thread.hpp
@@ -51,6 +51,8 @@
 
   Host& host_;
   const ProtocolCodec& codec_;
+  /// What the process may use; 0 if that is unknown.
+  const size_t memory_bytes_;
   MemoryMonitor memory_monitor_;
   EventLoop loop_;
   std::unique_ptr<HttpFrontend> frontend_;
--- a/src/routing/active_request.cpp
+++ b/src/routing/active_request.cpp
@@ -6,6 +6,13 @@
 #include "routing/route_table.hpp"
 
 namespace mosskeel::routing {
+namespace {
+
+/// A turn that puts out far more events than its caller has said is a replica's fault; a little more is not.
+constexpr uint64_t kEventMarginFactor = 2;
+constexpr uint64_t kEventMargin = 16;
+
+}  // namespace
 
 bool ActiveRequest::runs_once() const {
   return turn || !is_idempotent(*path);
@@ -20,10 +27,22 @@
   service = selected ? *selected : "";
 }
 
-uint64_t ActiveRequest::streamed_tokens() const {
+uint64_t ActiveRequest::tokens_per_event() const {
   auto* configured_service = view->configuration.service(service);
-  auto tokens_per_event = configured_service && configured_service->event_tokens ? configured_service->event_tokens : 1;
-  return turn->events.events() * tokens_per_event;
+  return configured_service && configured_service->event_tokens ? configured_service->event_tokens : 1;
+}
+
+uint64_t ActiveRequest::streamed_tokens() const {
+  return turn->events.events() * tokens_per_event();
+}
+
+uint64_t ActiveRequest::max_events() const {
+  auto tokens = headers.max_output_tokens;
+  return tokens ? tokens / tokens_per_event() * kEventMarginFactor + kEventMargin : UINT64_MAX;
+}
+
+size_t ActiveRequest::held_response_bytes() const {
+  return (attempt ? attempt->buffered_body.size() : 0) + (turn ? turn->events.held_bytes() : 0);
 }
 
 ActiveRequest make_active_request(RequestReceived&& event, const RequestHeaders& headers, const Path& path,
--- a/src/routing/active_request.hpp
+++ b/src/routing/active_request.hpp
@@ -36,6 +36,8 @@
   };
   Phase phase = Phase::reserving;
   EventReader events;
+  /// The response may have no more events; see `ActiveRequest::max_events`. Valid from the arrival of its headers.
+  uint64_t max_events = UINT64_MAX;
   /// Text of the preceding turns, prepended to the body that is sent to the replica.
   std::string chain;
 };
@@ -70,6 +72,13 @@
   void route_to(const Path& new_path, const MetadataSnapshot& new_view);
   /// Number of the turn's tokens that were forwarded to the caller.
   uint64_t streamed_tokens() const;
+  /// More events than the turn may put out by its caller's word, with a margin; requests may say nothing about it.
+  uint64_t max_events() const;
+  /// Bytes that are held of the response.
+  size_t held_response_bytes() const;
+
+ private:
+  uint64_t tokens_per_event() const;
 };
 
 /// Creates the state of a request on arrival: routed, with its deadlines set, and not sent yet.
--- a/src/routing/constants.hpp
+++ b/src/routing/constants.hpp
@@ -20,6 +20,8 @@
 constexpr Duration kLostResponseBackoff = 300ms;
 /// Responses up to this size are buffered completely before they are forwarded.
 constexpr size_t kMaxBufferedResponseBytes = 256u << 10;
+/// The same while much is held of other responses.
+constexpr size_t kMinBufferedResponseBytes = 16u << 10;
 /// Factor applied to a gateway's share of a replica's capacity, because load is not spread evenly over the gateways.
 constexpr double kCapacityShareFactor = 1.5;
 /// Fraction of the permitted rate that the one gateway in charge of a warming replica uses.
--- a/src/routing/event_reader.cpp
+++ b/src/routing/event_reader.cpp
@@ -1,6 +1,14 @@
 #include "routing/event_reader.hpp"
 
+#include <algorithm>
+
 namespace mosskeel {
+namespace {
+
+/// Enough for a field's name and for the id of an event.
+constexpr size_t kMaxLineBeginBytes = 1024;
+
+}  // namespace
 
 void EventReader::finish_event() {
   if (event_has_data_) {
@@ -37,22 +45,29 @@
   event_has_data_ = true;
 }
 
-void EventReader::read(std::string_view bytes) {
+void EventReader::append_to_line(std::string_view bytes) {
+  if (!collect_data_)
+    bytes = bytes.substr(0, kMaxLineBeginBytes - std::min(kMaxLineBeginBytes, partial_line_.size()));
+  partial_line_ += bytes;
+}
+
+bool EventReader::read(std::string_view bytes) {
   while (!bytes.empty()) {
     auto line_feed = bytes.find('\n');
     if (line_feed == std::string_view::npos) {
-      partial_line_ += bytes;
-      return;
+      append_to_line(bytes);
+      break;
     }
     if (partial_line_.empty()) {
       read_line(bytes.substr(0, line_feed));
     } else {
-      partial_line_ += bytes.substr(0, line_feed);
+      append_to_line(bytes.substr(0, line_feed));
       read_line(partial_line_);
       partial_line_.clear();
     }
     bytes.remove_prefix(line_feed + 1);
   }
+  return !collect_data_ || held_bytes() <= max_bytes_;
 }
 
 }  // namespace mosskeel
--- a/src/routing/http_frontend.cpp
+++ b/src/routing/http_frontend.cpp
@@ -26,15 +26,19 @@
   return attempt;
 }
 
-HttpFrontend::HttpFrontend(EventLoop& loop, const ProtocolCodec& codec, Snapshot snapshot, SendToOwner send_to_owner)
-    : snapshot_(std::move(snapshot)), send_to_owner_(std::move(send_to_owner)), router_(codec) {
+HttpFrontend::HttpFrontend(EventLoop& loop, const ProtocolCodec& codec, Snapshot snapshot, SendToOwner send_to_owner,
+                           size_t memory_bytes)
+    : snapshot_(std::move(snapshot)),
+      send_to_owner_(std::move(send_to_owner)),
+      router_(codec, routing::ResponseLimits::for_memory(memory_bytes)) {
   replicas_ = std::make_unique<UpstreamClient>(loop, replica_callbacks());
 }
 
 Result<std::unique_ptr<HttpFrontend>> HttpFrontend::open(EventLoop& loop, const ProtocolCodec& codec,
                                                          const Address& address, Snapshot snapshot,
-                                                         SendToOwner send_to_owner) {
-  std::unique_ptr<HttpFrontend> frontend(new HttpFrontend(loop, codec, std::move(snapshot), std::move(send_to_owner)));
+                                                         SendToOwner send_to_owner, size_t memory_bytes) {
+  std::unique_ptr<HttpFrontend> frontend(
+      new HttpFrontend(loop, codec, std::move(snapshot), std::move(send_to_owner), memory_bytes));
   auto callers = HttpListener::open(loop, address, frontend->caller_callbacks());
   if (!callers.ok())
     return callers.errors();
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -17,8 +17,10 @@
   /// Returns the newest routing snapshot, never null; called before each event and tick.
   using Snapshot = std::function<std::shared_ptr<const RoutingSnapshot>()>;
   /// Starts listening for callers at `address`. Returns errors if that fails.
+  /// @param memory_bytes what the process may use, which the limits of held responses depend on; 0 if that is unknown.
   static Result<std::unique_ptr<HttpFrontend>> open(EventLoop& loop, const ProtocolCodec& codec, const Address& address,
-                                                    Snapshot snapshot, SendToOwner send_to_owner);
+                                                    Snapshot snapshot, SendToOwner send_to_owner,
+                                                    size_t memory_bytes = 0);
   /// Passes an event to the router and performs the resulting actions.
   void step(routing::Event event);
   /// Advances the router's timers; must be called at least once per `kTickInterval`.
@@ -54,7 +56,8 @@
     std::unordered_map<routing::AttemptNumber, uint64_t> upstream_id_by_attempt_;
   };
 
-  HttpFrontend(EventLoop& loop, const ProtocolCodec& codec, Snapshot snapshot, SendToOwner send_to_owner);
+  HttpFrontend(EventLoop& loop, const ProtocolCodec& codec, Snapshot snapshot, SendToOwner send_to_owner,
+               size_t memory_bytes);
   HttpListener::Callbacks caller_callbacks();
   UpstreamClient::Callbacks replica_callbacks();
   void update_router();
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -24,6 +24,20 @@
 /// Status of the response to a request that was sent to the wrong replica.
 constexpr uint32_t kMisdirectedRequest = 421;
 
+const char* describe(ResponseRelay::Refusal refusal) {
+  switch (refusal) {
+    case ResponseRelay::Refusal::error_too_large:
+      return "the replica's failure is too large";
+    case ResponseRelay::Refusal::output_too_large:
+      return "the turn's output is too large to be kept";
+    case ResponseRelay::Refusal::too_many_events:
+      return "the turn puts out more than its caller allows";
+    case ResponseRelay::Refusal::none:
+      break;
+  }
+  return "";
+}
+
 }  // namespace
 
 void RequestRouter::begin_shutdown(const ShutdownLimits& limits) {
@@ -75,6 +89,8 @@
     if (duplicate == RequestTable::Duplicate::may_have_run)
       return send_error(id, {502, "this attempt may have run here already"});
   }
+  if (request.turn)
+    request.turn->events = EventReader(path->kept, limits_.turn_output_bytes);
   auto& added = requests_.add(std::move(request));
   if (added.turn)
     actions_.push_back(SendToOwner{make_reservation(added, now)});
@@ -155,10 +171,37 @@
 
 void RequestRouter::on(ResponseDataReceived& event, TimePoint now) {
   auto* request = find_by_attempt(event.attempt);
-  if (!request || relay_.on_data(*request, std::move(event.bytes)))
+  if (!request)
     return;
-  actions_.push_back(CancelAttempt{event.attempt});
-  on_attempt_failed(*request, Outcome::unknown, "the replica's failure is too large", now);
+  auto refusal = relay_.on_data(*request, std::move(event.bytes));
+  if (refusal != ResponseRelay::Refusal::none)
+    return cut_off(*request, describe(refusal));
+  limit_held_responses();
+}
+
+void RequestRouter::limit_held_responses() {
+  // A turn whose outcome is being committed is counted, but no longer cut off.
+  auto is_in_progress = [this](RequestId id) {
+    auto* request = requests_.find(id);
+    return request && request->attempt;
+  };
+  while (held_responses_.exceeds_limit()) {
+    auto* largest = requests_.find(held_responses_.largest(is_in_progress));
+    if (!largest)
+      return;
+    if (!relay_.release(*largest))
+      cut_off(*largest, "too much is held of replicas' answers");
+  }
+}
+
+void RequestRouter::cut_off(ActiveRequest& request, const std::string& reason) {
+  actions_.push_back(CancelAttempt{request.attempt->number});
+  bool response_started = request.attempt->streaming;
+  dispatcher_.end_attempt(request);
+  request.retry.on_failure(Outcome::unknown);
+  if (response_started)
+    return reset(request);
+  reject(request, {request.retry.error_status(), reason});
 }
 
 void RequestRouter::on(const ResponseCompleted& event, TimePoint now) {
@@ -198,6 +241,8 @@
   send_outcome(request, 200);
   dispatcher_.end_attempt(request);
   if (request.path->kept) {
+    // The outcome has a copy of the data, which counts as held until it is committed.
+    request.turn->events.discard_data();
     request.turn->phase = Turn::Phase::committing;
     return;
   }
@@ -220,6 +265,7 @@
                                       TimePoint now) {
   bool response_started = request.attempt && request.attempt->streaming;
   dispatcher_.end_attempt(request);
+  held_responses_.update(request.id, request.held_response_bytes());
   request.retry.on_failure(executed);
   if (response_started)
     return reset(request);
@@ -303,6 +349,7 @@
 }
 
 void RequestRouter::finish(ActiveRequest& request) {
+  held_responses_.update(request.id, 0);
   dispatcher_.forget(request);
   requests_.remove(request);
 }
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -21,7 +21,12 @@
 /// All calls must be made on the routing thread.
 class RequestRouter {
  public:
-  explicit RequestRouter(const ProtocolCodec& codec) : codec_(codec), dispatcher_(codec), relay_(actions_) {}
+  explicit RequestRouter(const ProtocolCodec& codec, const ResponseLimits& limits = ResponseLimits::for_memory(0))
+      : codec_(codec),
+        dispatcher_(codec),
+        limits_(limits),
+        held_responses_(limits.total_bytes),
+        relay_(actions_, held_responses_) {}
   RequestRouter(const RequestRouter&) = delete;
   RequestRouter& operator=(const RequestRouter&) = delete;
 
@@ -62,6 +67,10 @@
   void dispatch_queued(TimePoint now);
   void on_plain_response(ActiveRequest& request, TimePoint now);
   void on_turn_response(ActiveRequest& request);
+  /// Cuts off a turn whose response cannot be forwarded any further. The turn may have run, and is not sent again.
+  void cut_off(ActiveRequest& request, const std::string& reason);
+  /// Releases the largest responses until all that are held are within the limit.
+  void limit_held_responses();
   /// Handles an attempt that ended without a response to forward: retries or rejects the request. `executed` tells
   /// whether the replica has run it.
   void on_attempt_failed(ActiveRequest& request, Outcome executed, const std::string& reason, TimePoint now);
@@ -84,6 +93,8 @@
   Actions actions_;
   RequestTable requests_;
   AttemptDispatcher dispatcher_;
+  const ResponseLimits limits_;
+  HeldResponses held_responses_;
   ResponseRelay relay_;
 };
 
--- a/src/routing/response_relay.cpp
+++ b/src/routing/response_relay.cpp
@@ -40,6 +40,8 @@
   auto& attempt = *request.attempt;
   attempt.status = event.status;
   attempt.fields = std::move(event.fields);
+  if (request.turn)
+    request.turn->max_events = request.max_events();
   attempt.events_last_until_close = event.lasts_until_close && (request.turn || is_event_stream(attempt));
   if (is_streamed(request, attempt))
     start_streaming(request);
@@ -51,25 +53,51 @@
   actions_.push_back(SendResponseHeaders{request.id, attempt.status, std::move(attempt.fields)});
 }
 
-bool ResponseRelay::on_data(ActiveRequest& request, std::string&& bytes) {
+ResponseRelay::Refusal ResponseRelay::on_data(ActiveRequest& request, std::string&& bytes) {
   auto& attempt = *request.attempt;
   if (!attempt.streaming) {
     attempt.buffered_body += bytes;
-    if (attempt.buffered_body.size() <= kMaxBufferedResponseBytes)
-      return true;
-    if (request.turn && attempt.status >= kFirstErrorStatus)
-      return false;
-    start_streaming(request);
-    bytes = std::move(attempt.buffered_body);
+    auto max_bytes = held_.is_scarce() ? kMinBufferedResponseBytes : kMaxBufferedResponseBytes;
+    if (attempt.buffered_body.size() > max_bytes && !release(request))
+      return Refusal::error_too_large;
+    update_held(request);
+    return Refusal::none;
   }
-  if (request.turn)
-    request.turn->events.read(bytes);
+  if (request.turn) {
+    bool within_limit = request.turn->events.read(bytes);
+    update_held(request);
+    if (!within_limit)
+      return Refusal::output_too_large;
+    if (request.turn->events.events() > request.turn->max_events)
+      return Refusal::too_many_events;
+  }
+  forward(request, std::move(bytes));
+  return Refusal::none;
+}
+
+void ResponseRelay::forward(ActiveRequest& request, std::string&& bytes) {
+  auto& attempt = *request.attempt;
   if (attempt.events_last_until_close)
     attempt.trailing_line_feeds = count_trailing_line_feeds(attempt.trailing_line_feeds, bytes);
   actions_.push_back(SendResponseData{request.id, std::move(bytes), attempt.number});
+}
+
+bool ResponseRelay::release(ActiveRequest& request) {
+  // The response to a turn is buffered only if its status is an error.
+  if (request.turn || !request.attempt)
+    return false;
+  if (request.attempt->streaming)
+    return true;
+  start_streaming(request);
+  forward(request, std::exchange(request.attempt->buffered_body, {}));
+  update_held(request);
   return true;
 }
 
+void ResponseRelay::update_held(const ActiveRequest& request) {
+  held_.update(request.id, request.held_response_bytes());
+}
+
 bool ResponseRelay::ended_inside_event(const UpstreamAttempt& attempt) {
   return attempt.streaming && attempt.events_last_until_close && attempt.trailing_line_feeds < kLineFeedsAfterEvent;
 }
--- a/tests/unit/routing/event_reader_test.cpp
+++ b/tests/unit/routing/event_reader_test.cpp
@@ -20,8 +20,8 @@
   for (size_t split = 0; split <= kStream.size(); ++split) {
     EventReader reader(true);
 
-    reader.read(kStream.substr(0, split));
-    reader.read(kStream.substr(split));
+    CHECK(reader.read(kStream.substr(0, split)));
+    CHECK(reader.read(kStream.substr(split)));
 
     CHECK(reader.events() == 3);
     CHECK(reader.data() == kData);
@@ -33,7 +33,7 @@
   EventReader reader(true);
 
   for (char byte : kStream)
-    reader.read(std::string_view(&byte, 1));
+    CHECK(reader.read(std::string_view(&byte, 1)));
 
   CHECK(reader.data() == kData);
 }
@@ -41,8 +41,37 @@
 TEST_CASE("EventReader stores no data when it only counts events") {
   EventReader reader;
 
-  reader.read(kStream);
+  CHECK(reader.read(kStream));
 
   CHECK(reader.events() == 3);
   CHECK(reader.data().empty());
 }
+
+TEST_CASE("EventReader refuses lines, events and data without end, which took all of a gateway's memory") {
+  constexpr size_t kMaxBytes = 10000;
+  const std::string endless_forms[] = {std::string(100, 'x'), "data: a line of an event that never ends\n",
+                                       "data: an event\n\n", "data\n\n", "id: " + std::string(100, 'i')};
+  for (const auto& unit : endless_forms) {
+    INFO("repeated: " << unit);
+    EventReader reader(true, kMaxBytes);
+
+    size_t read = 0;
+    while (read < 100 * kMaxBytes && reader.read(unit))
+      read += unit.size();
+
+    CHECK(read < 100 * kMaxBytes);
+    CHECK(reader.held_bytes() <= kMaxBytes + unit.size());
+  }
+}
+
+TEST_CASE("EventReader that only counts events holds no more than the beginning of a line") {
+  EventReader reader;
+
+  CHECK(reader.read("data: "));
+  for (int piece = 0; piece < 1000; ++piece)
+    CHECK(reader.read(std::string(1000, 'x')));
+  CHECK(reader.held_bytes() < 2000);
+  CHECK(reader.read("\n\n"));
+
+  CHECK(reader.events() == 1);
+}
--- a/tests/unit/routing/request_router_test.cpp
+++ b/tests/unit/routing/request_router_test.cpp
@@ -219,6 +219,31 @@
   CHECK(fixture.all<EndResponse>().size() == 1);
 }
 
+TEST_CASE("RequestRouter buffers little of each response while it holds much of others, and loses none") {
+  RouterFixture fixture;
+  fixture.metadata.configuration.paths[0].timeout_ms = 100000;
+  for (auto& [name, replica] : fixture.metadata.replicas)
+    replica.capacity = 1000;
+  fixture.metadata.epoch = Epoch{6};
+  fixture.publish();
+  const std::string piece(200 << 10, 'x');
+
+  size_t most_held = 0;
+  size_t streamed = 0;
+  for (int request = 0; request < 600; ++request) {
+    auto sent = fixture.receive_and_send("safe");
+    fixture.respond(sent, 200);
+    fixture.handle(ResponseDataReceived{sent.attempt, piece});
+    streamed += fixture.all<SendResponseHeaders>().size();
+    most_held = std::max(most_held, fixture.router.held_bytes().buffered_responses);
+    CHECK(fixture.none<ResetResponse>());
+  }
+
+  CHECK(most_held <= ResponseLimits::for_memory(0).total_bytes);
+  CHECK(streamed > 200);
+  CHECK(fixture.router.active_requests() == 600);
+}
+
 TEST_CASE("RequestRouter treats a stream that lasts until the close as complete only if it ends after an event") {
   RouterFixture fixture;
   auto sent = fixture.receive_and_send("stream");
--- a/tests/unit/routing/turn_request_test.cpp
+++ b/tests/unit/routing/turn_request_test.cpp
@@ -103,6 +103,96 @@
   CHECK(fixture.actions.empty());
 }
 
+/// Streams data without a line feed until the router does anything but forward it. Returns the bytes streamed.
+size_t stream_until_cut_off(RouterFixture& fixture, const SendToReplica& sent, size_t max_bytes) {
+  const std::string piece(16 << 10, 'x');
+  size_t streamed = 0;
+  while (streamed < max_bytes) {
+    fixture.handle(ResponseDataReceived{sent.attempt, piece});
+    streamed += piece.size();
+    if (!fixture.none<ResetResponse>())
+      break;
+  }
+  return streamed;
+}
+
+TEST_CASE("A turn whose output has no end is cut off, which took all of a gateway's memory, and does not run again") {
+  RouterFixture fixture;
+  auto limits = ResponseLimits::for_memory(0);
+  auto sent = fixture.receive_and_send("turn");
+  fixture.respond_with_stream(sent);
+
+  auto streamed = stream_until_cut_off(fixture, sent, 10 * limits.turn_output_bytes);
+
+  CHECK(streamed <= limits.turn_output_bytes + (16 << 10));
+  fixture.one<ResetResponse>();
+  CHECK(fixture.one<CancelAttempt>().attempt == sent.attempt);
+  CHECK(fixture.none<SendToReplica>());
+  CHECK(fixture.outcome().status == 502);
+  CHECK_FALSE(fixture.outcome().keep_output);
+  CHECK(fixture.router.active_requests() == 0);
+  CHECK(fixture.router.held_bytes().turn_outputs == 0);
+}
+
+TEST_CASE("A turn with a large output that ends is kept whole") {
+  RouterFixture fixture;
+  auto sent = fixture.receive_and_send("turn");
+  fixture.respond_with_stream(sent);
+  const std::string data(3 << 20, 'x');
+
+  fixture.handle(ResponseDataReceived{sent.attempt, "data: " + data + "\n\n"});
+  fixture.handle(ResponseCompleted{sent.attempt});
+
+  CHECK(fixture.outcome().output == data + "\n");
+}
+
+TEST_CASE("Many turns with outputs without end are held within one limit, the largest of them cut off first") {
+  RouterFixture fixture;
+  auto limits = ResponseLimits::for_memory(0);
+  std::vector<SendToReplica> turns;
+  for (int turn = 0; turn < 20; ++turn) {
+    turns.push_back(fixture.receive_and_send("turn"));
+    fixture.respond_with_stream(turns.back());
+  }
+  fixture.handle(ResponseDataReceived{turns[0].attempt, "data: small\n\n"});
+
+  const std::string piece(1 << 20, 'x');
+  size_t most_held = 0;
+  for (int round = 0; round < 4; ++round) {
+    for (size_t turn = 1; turn < turns.size(); ++turn) {
+      fixture.handle(ResponseDataReceived{turns[turn].attempt, piece});
+      most_held = std::max(most_held, fixture.router.held_bytes().turn_outputs);
+    }
+  }
+
+  CHECK(most_held <= limits.total_bytes);
+  CHECK(fixture.router.active_requests() < turns.size());
+  fixture.handle(ResponseCompleted{turns[0].attempt});
+  CHECK(fixture.outcome().output == "small\n");
+}
+
+TEST_CASE("A turn that puts out far more events than its caller allows is cut off") {
+  for (std::string path : {"turn", "brief"}) {
+    RouterFixture fixture;
+    auto sent = fixture.receive_and_send(path);
+    fixture.respond_with_stream(sent);
+    // 40 tokens in events of 4.
+    fixture.stream_events(sent, 0, 20);
+    CHECK(fixture.none<ResetResponse>());
+
+    fixture.handle(ResponseDataReceived{sent.attempt, std::string(10000, 'x') + "\n\n"});
+    CHECK(fixture.none<ResetResponse>());
+    std::string events;
+    for (int event = 0; event < 100; ++event)
+      events += "data: x\n\n";
+    fixture.handle(ResponseDataReceived{sent.attempt, events});
+
+    fixture.one<ResetResponse>();
+    fixture.one<CancelAttempt>();
+    CHECK(fixture.outcome().status == 502);
+  }
+}
+
 TEST_CASE("A turn without kept history ends at once and reports its tokens") {
   RouterFixture fixture;
   auto sent = fixture.receive_and_send("brief");
