--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -200,6 +200,12 @@
   }
 }
 
+void UpstreamClient::on_malformed(uint64_t request) {
+  if (callbacks_.on_malformed) {
+    callbacks_.on_malformed(request);
+  }
+}
+
 void UpstreamClient::on_closed(UpstreamConnection& connection) {
   pool_.remove(connection);
   connections_.erase(&connection);
--- a/src/net/upstream_client.hpp
+++ b/src/net/upstream_client.hpp
@@ -25,6 +25,9 @@
     std::function<void(uint64_t request)> on_complete;
     /// The request has failed; there will be no complete response.
     std::function<void(uint64_t request, Delivery delivery, std::string reason)> on_failure;
+    /// Called right before `on_failure` if the replica's bytes are no response, or have no end where a limit is due.
+    /// May be empty.
+    std::function<void(uint64_t request)> on_malformed;
   };
   UpstreamClient(EventLoop& loop, Callbacks callbacks);
   ~UpstreamClient();
@@ -63,6 +66,7 @@
   void on_body(uint64_t request, std::string_view bytes) override;
   void on_complete(uint64_t request) override;
   void on_failure(uint64_t request, Delivery delivery, std::string reason) override;
+  void on_malformed(uint64_t request) override;
   void on_idle(std::shared_ptr<UpstreamConnection> connection) override { pool_.add(std::move(connection)); }
   void on_closed(UpstreamConnection& connection) override;
 
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -221,6 +221,7 @@
     case HttpResponseReader::Progress::complete:
       return on_response_complete();
     case HttpResponseReader::Progress::malformed:
+      owner_.on_malformed(request_);
       fail(reader_.error());
       return false;
   }
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -53,6 +53,8 @@
   virtual void on_complete(uint64_t request) = 0;
   /// The request failed; the connection is already closed.
   virtual void on_failure(uint64_t request, UpstreamDelivery delivery, std::string reason) = 0;
+  /// The response is malformed; `on_failure` follows.
+  virtual void on_malformed(uint64_t request) = 0;
   /// The connection can be given another request from now on.
   virtual void on_idle(std::shared_ptr<UpstreamConnection> connection) = 0;
   virtual void on_closed(UpstreamConnection& connection) = 0;
--- a/src/routing/active_request.hpp
+++ b/src/routing/active_request.hpp
@@ -22,6 +22,8 @@
   bool events_last_until_close = false;
   /// Number of line feeds at the end of the forwarded bytes, at most two; two of them end an event.
   size_t trailing_line_feeds = 0;
+  /// Bytes of the body that were forwarded.
+  uint64_t forwarded_bytes = 0;
   /// Whether a stale response was already skipped on this connection; a second one is an error.
   bool skipped_stale_response = false;
 };
--- a/src/routing/attempt_dispatcher.hpp
+++ b/src/routing/attempt_dispatcher.hpp
@@ -41,6 +41,9 @@
   void forget(const ActiveRequest& request);
   /// Sends nothing to the replica until the given time.
   void back_off(const std::string& replica, TimePoint until) { load_balancer_.back_off(replica, until); }
+  /// See LoadBalancer.
+  Duration eject(const std::string& replica, TimePoint now) { return load_balancer_.eject(replica, now); }
+  void on_response_completed(const std::string& replica) { load_balancer_.on_response_completed(replica); }
   /// The queued requests, the most urgent first, then the oldest.
   std::vector<RequestId> queued() const;
 
--- a/src/routing/constants.hpp
+++ b/src/routing/constants.hpp
@@ -18,6 +18,11 @@
 constexpr Duration kReplicaFullBackoff = 60ms;
 /// Backoff after a replica's response was lost.
 constexpr Duration kLostResponseBackoff = 300ms;
+/// How long a replica gets no requests after it has broken the protocol; doubled with each further time.
+constexpr Duration kEjectionTime = 500ms;
+constexpr Duration kMaxEjectionTime = 16000ms;
+/// A response that is not complete at its deadline although this many bytes of it were forwarded has no end.
+constexpr size_t kEndlessResponseBytes = 8u << 20;
 /// Responses up to this size are buffered completely before they are forwarded.
 constexpr size_t kMaxBufferedResponseBytes = 256u << 10;
 /// The same while much is held of other responses.
--- a/src/routing/http_frontend.cpp
+++ b/src/routing/http_frontend.cpp
@@ -1,5 +1,6 @@
 #include "routing/http_frontend.hpp"
 
+#include "base/log.hpp"
 #include "runtime/host.hpp"
 
 namespace mosskeel {
@@ -75,9 +76,13 @@
   };
   auto on_failed = [this](uint64_t upstream_id, UpstreamClient::Delivery delivery, std::string reason) {
     bool possibly_sent = delivery == UpstreamClient::Delivery::possibly_sent;
-    step(routing::AttemptFailed{attempts_.remove(upstream_id), possibly_sent, std::move(reason)});
+    bool is_malformed = std::exchange(malformed_request_, 0) == upstream_id;
+    step(routing::AttemptFailed{attempts_.remove(upstream_id), possibly_sent, std::move(reason), is_malformed});
   };
-  return {on_head, on_body, on_complete, on_failed};
+  auto on_malformed = [this](uint64_t upstream_id) {
+    malformed_request_ = upstream_id;
+  };
+  return {on_head, on_body, on_complete, on_failed, on_malformed};
 }
 
 void HttpFrontend::update_router() {
@@ -164,4 +169,9 @@
   send_to_owner_(std::move(action.message));
 }
 
+void HttpFrontend::perform(const routing::ReportEjection& action) {
+  log_event(Event::replica_ejected,
+            action.replica + " for " + std::to_string(action.time.count()) + " ms: " + action.reason);
+}
+
 }  // namespace mosskeel
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -72,6 +72,7 @@
   void perform(routing::CancelAttempt& action);
   void perform(routing::SkipStaleResponse& action);
   void perform(routing::SendToOwner& action);
+  static void perform(const routing::ReportEjection& action);
 
   Snapshot snapshot_;
   SendToOwner send_to_owner_;
@@ -80,6 +81,8 @@
   std::unique_ptr<UpstreamClient> replicas_;
   std::unique_ptr<Backpressure> backpressure_;
   AttemptMap attempts_;
+  /// The upstream request whose response was just found to be malformed; 0 for none.
+  uint64_t malformed_request_ = 0;
   /// Revision of the configuration whose limits were last applied to the listener.
   Revision limits_revision_{};
 };
--- a/src/routing/load_balancer.cpp
+++ b/src/routing/load_balancer.cpp
@@ -150,4 +150,34 @@
     found->second.backed_off_until = std::max(found->second.backed_off_until, until);
 }
 
+bool LoadBalancer::are_most_ejected(const ReplicaState& state, TimePoint now) const {
+  if (!state.eligible)
+    return false;
+  auto& replicas = replicas_by_service_.at(state.replica->service);
+  auto ejected = std::count_if(replicas.begin(), replicas.end(),
+                               [now](const ReplicaState* other) { return now < other->ejected_until; });
+  return 2 * static_cast<size_t>(ejected) > replicas.size();
+}
+
+Duration LoadBalancer::eject(const std::string& replica, TimePoint now) {
+  auto found = replicas_.find(replica);
+  if (found == replicas_.end() || now < found->second.ejected_until)
+    return Duration::zero();
+  auto& state = found->second;
+  auto time = kEjectionTime;
+  for (uint32_t earlier = 0; earlier < state.ejections && time < kMaxEjectionTime; ++earlier)
+    time *= 2;
+  ++state.ejections;
+  state.ejected_until = now + kEjectionTime;
+  if (!are_most_ejected(state, now))
+    state.ejected_until = now + std::min(time, kMaxEjectionTime);
+  back_off(replica, state.ejected_until);
+  return state.ejected_until - now;
+}
+
+void LoadBalancer::on_response_completed(const std::string& replica) {
+  if (auto found = replicas_.find(replica); found != replicas_.end() && found->second.ejections > 0)
+    --found->second.ejections;
+}
+
 }  // namespace mosskeel
--- a/src/routing/load_balancer.hpp
+++ b/src/routing/load_balancer.hpp
@@ -39,6 +39,13 @@
   void on_attempt_finished(const std::string& replica);
   /// Sends nothing to the replica until the given time.
   void back_off(const std::string& replica, TimePoint until);
+  /// The replica has broken the protocol: sends nothing to it for `kEjectionTime`, and for longer if it does so again
+  /// and again. Does nothing while it is ejected already, as many requests may end with the same fault. Where more than
+  /// half of a service's replicas are ejected, none is for longer than `kEjectionTime`.
+  /// @return the time of the ejection; 0 if it was ejected already.
+  Duration eject(const std::string& replica, TimePoint now);
+  /// The replica has responded in order.
+  void on_response_completed(const std::string& replica);
 
  private:
   struct ReplicaState {
@@ -53,6 +60,9 @@
     /// Maximum number of concurrent requests from this gateway.
     uint32_t capacity = 1;
     TimePoint backed_off_until{};
+    TimePoint ejected_until{};
+    /// Ejections, less the responses in order since.
+    uint32_t ejections = 0;
     TokenBucket slow_start;
     /// The epoch at which the replica's current health was recorded.
     Epoch health_since{};
@@ -67,6 +77,8 @@
   };
   Gateways gateways() const;
   void update_replica(ReplicaState& state, const Replica& replica, const Gateways& gateways, TimePoint now);
+  /// Whether more than half of the replicas of this one's service are ejected.
+  bool are_most_ejected(const ReplicaState& state, TimePoint now) const;
   static bool has_capacity(ReplicaState& state, TimePoint now);
 
   MetadataSnapshot view_;
--- a/src/routing/request_router.cpp
+++ b/src/routing/request_router.cpp
@@ -175,11 +175,18 @@
     return;
   auto refusal = relay_.on_data(*request, std::move(event.bytes));
   if (refusal != ResponseRelay::Refusal::none)
-    return cut_off(*request, describe(refusal));
-  limit_held_responses();
+    return cut_off(*request, describe(refusal), now);
+  limit_held_responses(now);
 }
 
-void RequestRouter::limit_held_responses() {
+void RequestRouter::eject_replica(const ActiveRequest& request, const std::string& reason, TimePoint now) {
+  auto& replica = request.attempt->replica;
+  auto time = dispatcher_.eject(replica, now);
+  if (time > Duration::zero())
+    actions_.push_back(ReportEjection{replica, reason, time});
+}
+
+void RequestRouter::limit_held_responses(TimePoint now) {
   // A turn whose outcome is being committed is counted, but no longer cut off.
   auto is_in_progress = [this](RequestId id) {
     auto* request = requests_.find(id);
@@ -190,11 +197,12 @@
     if (!largest)
       return;
     if (!relay_.release(*largest))
-      cut_off(*largest, "too much is held of replicas' answers");
+      cut_off(*largest, "too much is held of replicas' answers", now);
   }
 }
 
-void RequestRouter::cut_off(ActiveRequest& request, const std::string& reason) {
+void RequestRouter::cut_off(ActiveRequest& request, const std::string& reason, TimePoint now) {
+  eject_replica(request, reason, now);
   actions_.push_back(CancelAttempt{request.attempt->number});
   bool response_started = request.attempt->streaming;
   dispatcher_.end_attempt(request);
@@ -210,6 +218,7 @@
     return;
   if (ResponseRelay::ended_inside_event(*request->attempt))
     return on_attempt_failed(*request, Outcome::unknown, "the stream ended inside an event", now);
+  dispatcher_.on_response_completed(request->attempt->replica);
   if (request->turn)
     on_turn_response(*request);
   else
@@ -254,6 +263,8 @@
   auto* request = find_by_attempt(event.attempt);
   if (!request)
     return;
+  if (event.is_malformed)
+    eject_replica(*request, event.reason, now);
   auto backoff = event.possibly_sent ? kLostResponseBackoff : kConnectFailureBackoff;
   dispatcher_.back_off(request->attempt->replica, now + backoff);
   if (!event.possibly_sent)
@@ -311,6 +322,8 @@
     if (!expired)
       return;
     actions_.push_back(CancelAttempt{request.attempt->number});
+    if (request.attempt->forwarded_bytes > kEndlessResponseBytes)
+      eject_replica(request, "an answer did not end", now);
     if (request.attempt->streaming)
       return on_attempt_failed(request, Outcome::unknown, "", now);
     request.retry.on_failure(Outcome::unknown);
--- a/src/routing/request_router.hpp
+++ b/src/routing/request_router.hpp
@@ -67,10 +67,12 @@
   void dispatch_queued(TimePoint now);
   void on_plain_response(ActiveRequest& request, TimePoint now);
   void on_turn_response(ActiveRequest& request);
+  /// The replica of the request's attempt has broken the protocol: it gets no requests for a time.
+  void eject_replica(const ActiveRequest& request, const std::string& reason, TimePoint now);
   /// Cuts off a turn whose response cannot be forwarded any further. The turn may have run, and is not sent again.
-  void cut_off(ActiveRequest& request, const std::string& reason);
+  void cut_off(ActiveRequest& request, const std::string& reason, TimePoint now);
   /// Releases the largest responses until all that are held are within the limit.
-  void limit_held_responses();
+  void limit_held_responses(TimePoint now);
   /// Handles an attempt that ended without a response to forward: retries or rejects the request. `executed` tells
   /// whether the replica has run it.
   void on_attempt_failed(ActiveRequest& request, Outcome executed, const std::string& reason, TimePoint now);
--- a/src/routing/response_relay.cpp
+++ b/src/routing/response_relay.cpp
@@ -77,6 +77,7 @@
 
 void ResponseRelay::forward(ActiveRequest& request, std::string&& bytes) {
   auto& attempt = *request.attempt;
+  attempt.forwarded_bytes += bytes.size();
   if (attempt.events_last_until_close)
     attempt.trailing_line_feeds = count_trailing_line_feeds(attempt.trailing_line_feeds, bytes);
   actions_.push_back(SendResponseData{request.id, std::move(bytes), attempt.number});
--- a/src/routing/router_messages.hpp
+++ b/src/routing/router_messages.hpp
@@ -44,6 +44,8 @@
   /// Whether any part of the request may have reached the replica.
   bool possibly_sent{};
   std::string reason;
+  /// Whether the connection was closed here, because the response is malformed.
+  bool is_malformed = false;
 };
 using Event = std::variant<RequestReceived, CallerDisconnected, ResponseHeadersReceived, ResponseDataReceived,
                            ResponseCompleted, AttemptFailed, ReserveTurnReply, CommitTurnReply>;
@@ -100,8 +102,14 @@
 struct SendToOwner {
   Message message;
 };
+/// Logs that nothing is sent to a replica for a while.
+struct ReportEjection {
+  std::string replica;
+  std::string reason;
+  Duration time{};
+};
 using Action = std::variant<SendResponse, SendResponseHeaders, SendResponseData, EndResponse, ResetResponse,
-                            SendToReplica, CancelAttempt, SkipStaleResponse, SendToOwner>;
+                            SendToReplica, CancelAttempt, SkipStaleResponse, SendToOwner, ReportEjection>;
 using Actions = std::vector<Action>;
 
 }  // namespace mosskeel::routing
--- a/tests/unit/routing/load_balancer_test.cpp
+++ b/tests/unit/routing/load_balancer_test.cpp
@@ -124,6 +124,46 @@
   CHECK(fixture.start_attempt().starts_with("app"));
 }
 
+TEST_CASE(
+    "LoadBalancer ejects a replica for longer each time that it breaks the protocol, and for less after responses") {
+  BalancerFixture fixture;
+  fixture.update();
+  std::vector<Duration> times;
+  for (int ejection = 0; ejection < 7; ++ejection) {
+    times.push_back(fixture.balancer.eject("app1", fixture.now));
+    CHECK(fixture.balancer.eject("app1", fixture.now) == 0ms);
+    fixture.now += times.back() - 1ms;
+    CHECK(fixture.start_attempt() != "app1");
+    fixture.now += 1ms;
+  }
+
+  CHECK(times == std::vector<Duration>{500ms, 1000ms, 2000ms, 4000ms, 8000ms, 16000ms, 16000ms});
+
+  for (int response = 0; response < 6; ++response)
+    fixture.balancer.on_response_completed("app1");
+  CHECK(fixture.balancer.eject("app1", fixture.now) == 1000ms);
+}
+
+TEST_CASE("LoadBalancer ejects no replica for long where most of a service's replicas break the protocol") {
+  BalancerFixture fixture;
+  fixture.update();
+  for (int round = 0; round < 5; ++round) {
+    for (auto* name : {"app1", "app2", "app3"})
+      fixture.balancer.eject(name, fixture.now);
+    fixture.now += 500ms;
+  }
+  CHECK(fixture.start_attempt() != "later");
+
+  // The first one is ejected for long; with the second one, most are.
+  fixture.now += kMaxEjectionTime;
+  CHECK(fixture.balancer.eject("app1", fixture.now) > kEjectionTime);
+  CHECK(fixture.balancer.eject("app2", fixture.now) == kEjectionTime);
+  CHECK(fixture.balancer.eject("app3", fixture.now) == kEjectionTime);
+  fixture.now += kEjectionTime;
+
+  CHECK(fixture.start_attempt() != "later");
+}
+
 TEST_CASE("LoadBalancer skips replicas that drain or are in an evacuated zone") {
   BalancerFixture fixture;
   fixture.metadata.replicas["app1"].health = ReplicaHealth::draining;
--- a/tests/unit/routing/request_router_test.cpp
+++ b/tests/unit/routing/request_router_test.cpp
@@ -244,6 +244,30 @@
   CHECK(fixture.router.active_requests() == 600);
 }
 
+TEST_CASE("RequestRouter sends nothing for a while to a replica whose response is malformed or has no end") {
+  enum class Fault { malformed, unending, endless_turn };
+  for (auto fault : {Fault::malformed, Fault::unending, Fault::endless_turn}) {
+    INFO("fault " << static_cast<int>(fault));
+    RouterFixture fixture;
+    auto sent = fixture.receive_and_send(fault == Fault::endless_turn ? "turn" : "unsafe");
+    fixture.respond(sent, 200);
+    if (fault == Fault::malformed) {
+      fixture.handle(AttemptFailed{sent.attempt, true, "chunk malformed", true});
+    } else if (fault == Fault::unending) {
+      fixture.handle(ResponseDataReceived{sent.attempt, std::string(kEndlessResponseBytes + 1, 'x')});
+      fixture.advance(kPathTimeout);
+    } else {
+      fixture.handle(ResponseDataReceived{sent.attempt, std::string(8 << 20, 'x')});
+    }
+    auto ejection = fixture.one<ReportEjection>();
+
+    CHECK(ejection.time == kEjectionTime);
+    fixture.now += ejection.time - 1ms;
+    for (int request = 0; request < 8; ++request)
+      CHECK(fixture.receive_and_send(fault == Fault::endless_turn ? "turn" : "unsafe").to != sent.to);
+  }
+}
+
 TEST_CASE("RequestRouter treats a stream that lasts until the close as complete only if it ends after an event") {
   RouterFixture fixture;
   auto sent = fixture.receive_and_send("stream");
