Bound the interim responses before a response, and a head at 32 KiB

Cause: 1xx responses without end were read until the request's deadline, each head of up to 64 KiB held for each of many connections.

Change: interim responses count towards the bound of the head, which is 32 KiB now. A response that exceeds it is malformed, which ejects its replica.

Evidence: upstream_client_test feeds each form without end and sees it fail within 64 KiB; the test of interim responses does not end so on the code before (read, not run).

--- a/src/net/http_response_reader.cpp
+++ b/src/net/http_response_reader.cpp
@@ -5,13 +5,15 @@
 namespace mosskeel {
 namespace {
 
-constexpr size_t kMaxResponseHeadBytes = 64 << 10;
+/// With the interim responses before it. As many heads may be incomplete at once as there are connections.
+constexpr size_t kMaxResponseHeadBytes = 32 << 10;
 
 }  // namespace
 
 void HttpResponseReader::begin(bool to_head_method) {
   to_head_method_ = to_head_method;
   in_body_ = false;
+  interim_bytes_ = 0;
 }
 
 void HttpResponseReader::discard() {
@@ -31,13 +33,14 @@
 HttpResponseReader::Progress HttpResponseReader::read_head() {
   while (true) {
     auto scan = scan_head(received_, scanned_);
-    if (scan == HeadScan::malformed || scanned_ > kMaxResponseHeadBytes) {
+    if (scan == HeadScan::malformed || interim_bytes_ + scanned_ > kMaxResponseHeadBytes) {
       return fail("head malformed or too long");
     }
     if (scan == HeadScan::incomplete) {
       return Progress::incomplete;
     }
     head_ = parse_response_head(std::string_view(received_).substr(0, scanned_));
+    interim_bytes_ += scanned_;
     received_.erase(0, std::exchange(scanned_, 0));
     if (head_.rejection_status) {
       return fail("head: " + head_.rejection_reason);
@@ -51,6 +54,7 @@
     }
   }
   in_body_ = true;
+  interim_bytes_ = 0;
   without_body_ = to_head_method_ || head_.status == 204 || head_.status == 304;
   chunked_ = head_.chunked;
   body_remaining_ = head_.content_length;
--- a/src/net/http_response_reader.hpp
+++ b/src/net/http_response_reader.hpp
@@ -50,6 +50,8 @@
   std::string received_;
   /// Offset up to which `received_` has been searched for the end of a head.
   size_t scanned_ = 0;
+  /// Bytes of the interim responses before the current response.
+  size_t interim_bytes_ = 0;
   bool to_head_method_ = false;
   bool in_body_ = false;
   bool without_body_ = false;
--- a/tests/unit/net/upstream_client_test.cpp
+++ b/tests/unit/net/upstream_client_test.cpp
@@ -332,6 +332,48 @@
   CHECK(fixture.client.idle_connections() == 0);
 }
 
+TEST_CASE("UpstreamClient fails a response whose head, chunk size or trailers have no end, within a few kilobytes") {
+  struct Endless {
+    std::string begin, repeated;
+  };
+  const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  auto endless = GENERATE_COPY(Endless{"HTTP/1.1 200 OK\r\nX: ", "h"}, Endless{"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+                               Endless{"", "HTTP/1.1 102 Processing\r\n\r\n"}, Endless{chunked, "5;x"},
+                               Endless{chunked + "0\r\n", "X: y\r\n"});
+  CAPTURE(endless.begin, endless.repeated);
+  constexpr size_t kMaxHeldBytes = 64 << 10;
+  UpstreamClientFixture fixture;
+  std::vector<uint64_t> malformed;
+  UpstreamClient client(fixture.loop, {{},
+                                       {},
+                                       {},
+                                       [&](uint64_t request, UpstreamClient::Delivery, const std::string&) {
+                                         ++fixture.outcomes[request].failures;
+                                       },
+                                       [&](uint64_t request) {
+                                         malformed.push_back(request);
+                                       }});
+  auto request = client.send_request(fixture.make_request());
+  REQUIRE(run_until(fixture.loop, [&] { return fixture.replica.requests() == 1; }));
+  auto& connection = fixture.responding_connection();
+  connection.send(endless.begin);
+
+  std::string piece;
+  while (piece.size() < 4096) {
+    piece += endless.repeated;
+  }
+  size_t sent_bytes = 0;
+  while (fixture.outcomes[request].failures == 0 && sent_bytes < 2 * kMaxHeldBytes) {
+    connection.send(piece);
+    sent_bytes += piece.size();
+    run_iterations(fixture.loop);
+  }
+
+  CHECK(fixture.outcomes[request].failures == 1);
+  CHECK(sent_bytes <= kMaxHeldBytes);
+  CHECK(malformed == std::vector<uint64_t>{request});
+}
+
 // Guards against review case 5: complete responses without a length were truncated and reported as failed.
 TEST_CASE("UpstreamClient reports a response without a length as complete at an orderly close, and never at a reset") {
   UpstreamClientFixture fixture;
