Bound replicas' answers over the product's own interface

Each chunk of a line was searched from its beginning again.

Change: a line has 1 MiB at most; a stream's pieces count with 512 bytes each towards the 8 MiB of an answer; all answers together have M / 16, beyond which the largest is given up; nothing is read while more than 2 MiB of messages wait.

--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -1,6 +1,7 @@
 // The gateway daemon: connects its state machine to clients over HTTP, to replicas and to the other daemons.
 #include <curl/curl.h>
 
+#include "base/memory.hpp"
 #include "gateway/program_api.hpp"
 #include "gateway/routing_thread.hpp"
 #include "net/replica_client.hpp"
@@ -32,6 +33,16 @@
   return envelope;
 }
 
+/// What a replica's message takes in memory.
+size_t memory_bytes_of(const Message& message) {
+  size_t text_bytes = 0;
+  if (const auto* chunk = std::get_if<ReplicaCallChunk>(&message))
+    text_bytes = chunk->text.size();
+  if (const auto* response = std::get_if<ReplicaCallResponse>(&message))
+    text_bytes = response->body.size();
+  return sizeof(Envelope) + text_bytes;
+}
+
 void send_to_replica(ReplicaClient& replicas, const Message& message) {
   if (const auto* call = std::get_if<ReplicaCall>(&message))
     replicas.send(*call);
@@ -43,8 +54,8 @@
   const auto* codec = find_protocol_codec(settings.platform_protocol);
   if (!codec)
     return {{"dialect", "'" + settings.platform_protocol + "' is unknown"}};
-  auto started = RoutingThread::start(host, *codec,
-                                      {settings.http_address, settings.readiness_address, settings.memory_limit});
+  auto started =
+      RoutingThread::start(host, *codec, {settings.http_address, settings.readiness_address, settings.memory_limit});
   if (!started.ok())
     return started.errors();
   routing_thread = std::move(started).value();
@@ -72,7 +83,12 @@
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure("gateway", errors);
   LocalMailboxes mailboxes;
-  ReplicaClient replicas([&](Message message) { host.post(envelope_from_replica(std::move(message))); });
+  auto post_to_machine = [&](Message message) {
+    auto bytes = memory_bytes_of(message);
+    host.post(envelope_from_replica(std::move(message)), bytes);
+  };
+  ReplicaClient replicas(post_to_machine, ReplicaCallLimits::for_memory(process_memory(settings.memory_limit).total),
+                         [&] { return host.inbox_bytes(); });
 
   // With a protocol codec configured, clients use the platform's protocol; otherwise Mosskeel's own API.
   std::unique_ptr<RoutingThread> routing_thread;
--- a/src/net/replica_call_transfer.cpp
+++ b/src/net/replica_call_transfer.cpp
@@ -10,15 +10,18 @@
 namespace {
 
 constexpr Duration kReplicaConnectTimeout = 1000ms;
-/// Responses may be larger than the requests of callers.
-constexpr size_t kMaxReplicaResponseBytes = kMaxHttpBodyBytes * 8;
+/// Of one piece of a model's response, in its JSON.
+constexpr size_t kMaxStreamLineBytes = 1u << 20;
+/// What a message costs in memory besides its text.
+constexpr size_t kMessageOverheadBytes = 512;
 constexpr std::string_view kSealHeader = "x-seal:";
 constexpr const char* kModelKind = "model";
 
 }  // namespace
 
-ReplicaCallTransfer::ReplicaCallTransfer(const ReplicaCall& request, const MessageCallback& on_message)
-    : request_(request), on_message_(on_message), handle_(curl_easy_init()) {
+ReplicaCallTransfer::ReplicaCallTransfer(const ReplicaCall& request, const Context& context)
+    : request_(request), context_(context), handle_(curl_easy_init()) {
+  context_.held.add(*this);
   outcome_.attempt = request_.attempt;
   set_options();
   set_headers();
@@ -57,7 +60,24 @@
 size_t ReplicaCallTransfer::on_body(char* bytes, size_t size, size_t count, void* transfer) {
   std::string_view body(bytes, size * count);
   constexpr size_t abort_request = 0;
-  return static_cast<ReplicaCallTransfer*>(transfer)->handle_body(body) ? body.size() : abort_request;
+  auto& self = *static_cast<ReplicaCallTransfer*>(transfer);
+  self.is_paused_ = !self.is_abandoned_ && self.context_.is_backlogged();
+  if (self.is_paused_)
+    return CURL_WRITEFUNC_PAUSE;
+  return self.handle_body(body) ? body.size() : abort_request;
+}
+
+void ReplicaCallTransfer::resume() {
+  is_paused_ = false;
+  curl_easy_pause(handle(), CURLPAUSE_CONT);
+}
+
+void ReplicaCallTransfer::abandon(const char* error) {
+  is_abandoned_ = true;
+  error_ = error;
+  held_bytes_ = 0;
+  std::string().swap(body_);
+  std::string().swap(incomplete_line_);
 }
 
 size_t ReplicaCallTransfer::on_header(char* bytes, size_t size, size_t count, void* transfer) {
@@ -96,30 +116,45 @@
   if (!status_) {
     curl_easy_getinfo(handle(), CURLINFO_RESPONSE_CODE, &status_);
   }
-  if (body_.size() + bytes.size() > kMaxReplicaResponseBytes) {
-    return fail("the answer is too long");
+  if (is_abandoned_ || !context_.held.count(*this, bytes.size())) {
+    return false;
   }
   if (is_model_stream()) {
     return handle_stream_bytes(bytes);
   }
+  if (body_.size() + bytes.size() > context_.limits.response_bytes) {
+    return fail("the answer is too long");
+  }
   body_ += bytes;
   return true;
 }
 
 bool ReplicaCallTransfer::handle_stream_bytes(std::string_view bytes) {
-  incomplete_line_ += bytes;
-  size_t line_begin = 0;
-  for (auto line_end = incomplete_line_.find('\n'); line_end != std::string::npos;
-       line_end = incomplete_line_.find('\n', line_begin)) {
-    if (!handle_stream_line(incomplete_line_.substr(line_begin, line_end - line_begin))) {
+  while (!bytes.empty()) {
+    auto line_end = bytes.find('\n');
+    incomplete_line_ += bytes.substr(0, line_end);
+    if (incomplete_line_.size() > kMaxStreamLineBytes) {
+      return fail("a piece of the stream is too long");
+    }
+    if (line_end == std::string_view::npos) {
+      return true;
+    }
+    bytes.remove_prefix(line_end + 1);
+    if (!count_piece() || !handle_stream_line(std::exchange(incomplete_line_, {}))) {
       return false;
     }
-    line_begin = line_end + 1;
   }
-  incomplete_line_.erase(0, line_begin);
   return true;
 }
 
+bool ReplicaCallTransfer::count_piece() {
+  stream_bytes_ += incomplete_line_.size() + kMessageOverheadBytes;
+  if (stream_bytes_ > context_.limits.response_bytes) {
+    return fail("the stream is too long");
+  }
+  return context_.held.count(*this, kMessageOverheadBytes);
+}
+
 bool ReplicaCallTransfer::handle_stream_line(const std::string& line) {
   auto json = nlohmann::json::parse(line, nullptr, false);
   if (!json.is_object()) {
@@ -136,8 +171,8 @@
     if (outcome_.complete) {
       return fail("pieces came after the seal");
     }
-    on_message_(ReplicaCallChunk{request_.attempt, json.at("n").get<uint32_t>(), json.at("text").get<std::string>(),
-                                 json.at("tokens").get<uint64_t>()});
+    context_.on_message(ReplicaCallChunk{request_.attempt, json.at("n").get<uint32_t>(),
+                                         json.at("text").get<std::string>(), json.at("tokens").get<uint64_t>()});
   } catch (const nlohmann::json::exception&) {
     return fail("a line of the stream lacks a field");
   }
--- a/src/net/replica_call_transfer.hpp
+++ b/src/net/replica_call_transfer.hpp
@@ -2,6 +2,7 @@
 // A single libcurl transfer of a request to a replica over this product's own interface.
 #include "messages/message.hpp"
 #include "net/curl_handles.hpp"
+#include "net/replica_call_limits.hpp"
 
 namespace mosskeel {
 
@@ -10,12 +11,30 @@
 class ReplicaCallTransfer {
  public:
   using MessageCallback = std::function<void(Message)>;
-  /// @param on_message called with a ReplicaCallChunk for each piece of a model's response; must outlive the transfer.
-  ReplicaCallTransfer(const ReplicaCall& request, const MessageCallback& on_message);
+  /// What a transfer shares with the other ones of its client; all of it must outlive the transfer.
+  struct Context {
+    /// Called with a ReplicaCallChunk for each piece of a model's response.
+    const MessageCallback& on_message;
+    const ReplicaCallLimits& limits;
+    HeldTransfers& held;
+    /// Whether so many messages wait for the state machine that nothing must be read.
+    std::function<bool()> is_backlogged;
+  };
+  ReplicaCallTransfer(const ReplicaCall& request, const Context& context);
+  ~ReplicaCallTransfer() { context_.held.remove(*this); }
   ReplicaCallTransfer(const ReplicaCallTransfer&) = delete;
   ReplicaCallTransfer& operator=(const ReplicaCallTransfer&) = delete;
   CURL* handle() const { return handle_.get(); }
   const std::string& attempt() const { return request_.attempt; }
+  /// Bytes that are held, or were passed on as messages.
+  size_t held_bytes() const { return held_bytes_; }
+  void add_held_bytes(size_t bytes) { held_bytes_ += bytes; }
+  /// Drops what is held; the transfer must be ended.
+  void abandon(const char* error);
+  bool is_abandoned() const { return is_abandoned_; }
+  bool is_paused() const { return is_paused_; }
+  /// Reads on.
+  void resume();
   /// Returns the outcome, once libcurl has finished the transfer.
   ReplicaCallResponse finish(CURLcode result);
 
@@ -27,19 +46,26 @@
   bool handle_body(std::string_view bytes);
   bool handle_stream_bytes(std::string_view bytes);
   bool handle_stream_line(const std::string& line);
+  /// Counts the piece in `incomplete_line_`.
+  bool count_piece();
   void read_seal(const std::string& header_line);
   bool fail(const char* error);
   void set_options();
   void set_headers();
 
   ReplicaCall request_{};
-  const MessageCallback& on_message_;
+  const Context& context_;
+  size_t held_bytes_ = 0;
+  bool is_abandoned_ = false;
+  bool is_paused_ = false;
   CurlEasyHandle handle_;
   CurlHeaderList headers_;
   /// 0 until the head has been received.
   long status_ = 0;
   /// The incomplete last line of the stream.
   std::string incomplete_line_;
+  /// The sum of the stream's pieces with what they cost in memory.
+  size_t stream_bytes_ = 0;
   std::string body_;
   /// Why the response is unusable; empty if there is no error.
   std::string error_;
--- a/src/net/replica_client.hpp
+++ b/src/net/replica_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 // A libcurl client for this product's own interface to model replicas.
 #include "messages/message.hpp"
+#include "net/replica_call_limits.hpp"
 
 namespace mosskeel {
 
@@ -11,7 +12,11 @@
   /// Called on the client's thread: with a ReplicaCallChunk for each piece of a model's response as it arrives, and
   /// with one ReplicaCallResponse for each request that was not cancelled.
   using MessageCallback = std::function<void(Message)>;
-  explicit ReplicaClient(MessageCallback on_message);
+  /// Returns the bytes of the messages that were passed to the callback and are not handled yet. Thread-safe.
+  using Backlog = std::function<size_t()>;
+  explicit ReplicaClient(
+      MessageCallback on_message, const ReplicaCallLimits& limits = ReplicaCallLimits::for_memory(0),
+      Backlog backlog = [] { return size_t{0}; });
   /// Aborts the requests in progress without reporting them.
   ~ReplicaClient();
   /// Thread-safe, like `cancel`.
--- a/src/programs/replica_dispatcher.cpp
+++ b/src/programs/replica_dispatcher.cpp
@@ -65,6 +65,7 @@
   context_.outbox.log_event(Event::replica_fault, open.replica + ": " + reason);
   context_.count("replica_faults");
   cancel_call(open);
+  replica_selector_.back_off(open.replica, now);
   turn_owner_.finish(open, {502, Outcome::unknown, reason, open.reserved_tokens}, now);
 }
 
@@ -95,6 +96,10 @@
   context_.count("replica_faults");
   auto fault = response.reason.empty() ? "status " + std::to_string(response.status) : response.reason;
   context_.outbox.log_event(Event::replica_fault, open.replica + ": " + fault);
+  // A success that is not whole: its replica sent something else, too much, or too little.
+  bool is_broken_success = response.status == 200 && !response.complete;
+  if (is_broken_success)
+    replica_selector_.back_off(open.replica, now);
   if (!response.request_sent || open.request.idempotent) {
     replica_selector_.back_off(open.replica, now);
     if (retry(open, now))
--- a/src/runtime/host.hpp
+++ b/src/runtime/host.hpp
@@ -57,7 +57,10 @@
   void watch(Observer observer);
   /// Queues a message from inside the process for the state machine. Returns false, and drops it, if the host has
   /// stopped.
-  bool post(Envelope message) { return inbox_.post(std::move(message)); }
+  /// @param bytes the message's size, if its sender observes `inbox_bytes`.
+  bool post(Envelope message, size_t bytes = 0) { return inbox_.post(std::move(message), bytes); }
+  /// Bytes of the messages that wait for the state machine.
+  size_t inbox_bytes() const { return inbox_.bytes(); }
   /// Runs `function` on the state machine's thread and waits for it to return. Does not run it if the host has stopped.
   void ask(const std::function<void(StateMachine&, TimePoint)>& function);
   /// Returns the state machine's metadata as of its last batch of steps.
--- a/src/runtime/inbox.hpp
+++ b/src/runtime/inbox.hpp
@@ -18,7 +18,7 @@
   using Call = std::function<void(StateMachine&, TimePoint)>;
   struct Item {
     std::variant<Envelope, Call> content;
-    /// The size of a message as received; 0 for messages and calls from inside the process.
+    /// The size of a message as received or posted; 0 for calls.
     size_t bytes = 0;
   };
   /// Messages up to this size in bytes are always accepted: heartbeats, requests and acknowledgements.
@@ -38,7 +38,11 @@
   }
 
   /// Adds a message from inside the process, without limit. Returns false if the inbox is closed.
-  bool post(Envelope message) { return items_.push({std::move(message), 0}); }
+  /// @param bytes counted as queued until the message is released.
+  bool post(Envelope message, size_t bytes = 0) {
+    queued_bytes(bytes) += bytes;
+    return items_.push({std::move(message), bytes});
+  }
   /// Adds a call. It is dropped without being called if the inbox is closed.
   void call(Call function) { items_.push({std::move(function), 0}); }
 
