Bound the replica list as a whole; tests of endless answers to replica calls

The same cause elsewhere: a page of the platform's list was bounded at 8 MiB, but 200 pages were taken.

--- a/src/control/replica_list_client.hpp
+++ b/src/control/replica_list_client.hpp
@@ -18,7 +18,8 @@
   Result<std::vector<Replica>> read(const std::stop_token& stop);
 
  private:
-  Result<std::string> fetch(const std::string& path);
+  /// Fetches one page of at most this size.
+  Result<std::string> fetch(const std::string& path, size_t max_bytes);
 
   const ControlProtocol& protocol_;
   const Address address_;
--- a/tests/unit/net/replica_client_test.cpp
+++ b/tests/unit/net/replica_client_test.cpp
@@ -116,11 +116,66 @@
   std::thread thread_;
 };
 
+/// A replica that answers each request with a head and then sends the same bytes again and again, until the caller
+/// closes. Each connection has a thread of its own.
+class EndlessReplica {
+ public:
+  EndlessReplica(std::string head, const std::string& unit)
+      : head_(std::move(head)), listening_socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    while (repeated_.size() < (16 << 10)) {
+      repeated_ += unit;
+    }
+    auto endpoint = parse_endpoint("127.0.0.1:0");
+    REQUIRE(::bind(listening_socket_.get(), reinterpret_cast<sockaddr*>(&endpoint->storage), endpoint->length) == 0);
+    REQUIRE(::listen(listening_socket_.get(), 100) == 0);
+    url = "http://" + bound_address(listening_socket_.get());
+    acceptor_ = std::thread([this] { accept(); });
+  }
+  ~EndlessReplica() {
+    ::shutdown(listening_socket_.get(), SHUT_RDWR);
+    acceptor_.join();
+    for (auto& sender : senders_) {
+      sender.join();
+    }
+  }
+
+  std::string url;
+
+ private:
+  void accept() {
+    while (true) {
+      Fd connection(::accept4(listening_socket_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+      if (!connection) {
+        return;
+      }
+      senders_.emplace_back([this, connection = std::move(connection)] { serve(connection.get()); });
+    }
+  }
+
+  void serve(int socket) const {
+    char buffer[8192];
+    bool connected =
+        ::recv(socket, buffer, sizeof buffer, 0) > 0 && ::send(socket, head_.data(), head_.size(), MSG_NOSIGNAL) > 0;
+    while (connected) {
+      connected = ::send(socket, repeated_.data(), repeated_.size(), MSG_NOSIGNAL) > 0;
+    }
+  }
+
+  const std::string head_;
+  std::string repeated_;
+  Fd listening_socket_;
+  std::thread acceptor_;
+  std::vector<std::thread> senders_;
+};
+
 struct ReplicaClientFixture {
   Queue<Message> messages;
-  ReplicaClient client{[this](Message message) {
-    messages.push(std::move(message));
-  }};
+  std::atomic<size_t> backlog{0};
+  ReplicaCallLimits limits = ReplicaCallLimits::for_memory(0);
+  ReplicaClient client{[this](Message message) { messages.push(std::move(message)); }, limits,
+                       [this] {
+                         return backlog.load();
+                       }};
   int last_attempt = 0;
 
   ReplicaCallResponse call(const std::string& url, bool idempotent, const std::string& kind = "app",
@@ -213,3 +268,85 @@
   CHECK(response.request_sent);
   CHECK_FALSE(response.complete);
 }
+
+// Guards against the memory that an endless answer of a replica took over the product's own interface.
+TEST_CASE("ReplicaClient fails answers without end, and passes on no more than it may hold") {
+  struct Endless {
+    std::string kind, head, unit;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+  auto endless = GENERATE_COPY(
+      Endless{"app", ok + "\r\n", "x"}, Endless{"app", ok + "Content-Length: 100000000000000\r\n\r\n", "x"},
+      Endless{"app", "HTTP/1.1 500 Oops\r\n\r\n", "x"},
+      Endless{"app", ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      Endless{"app", ok + "Transfer-Encoding: chunked\r\n\r\nffffffffff\r\n", "x"}, Endless{"model", ok + "\r\n", "x"},
+      Endless{"model", ok + "\r\n", "{\"n\":0,\"text\":\"\",\"tokens\":0}\n"}, Endless{"app", ok + "X: ", "h"},
+      Endless{"model", "", "HTTP/1.1 102 Processing\r\n\r\n"});
+  CAPTURE(endless.kind, endless.head, endless.unit);
+  EndlessReplica replica(endless.head, endless.unit);
+  ReplicaClientFixture fixture;
+  fixture.client.send({"a", endless.kind, replica.url + "/x", "POST", "{}", 3000, false});
+
+  size_t passed_on_bytes = 0;
+  std::optional<ReplicaCallResponse> response;
+  while (!response) {
+    auto message = fixture.messages.pop(20000ms);
+    REQUIRE(message);
+    if (auto* chunk = std::get_if<ReplicaCallChunk>(&*message)) {
+      passed_on_bytes += sizeof(Message) + chunk->text.size();
+    } else {
+      response = std::get<ReplicaCallResponse>(*message);
+    }
+  }
+
+  CHECK_FALSE(response->complete);
+  CHECK_FALSE(response->reason.empty());
+  CHECK(passed_on_bytes + response->body.size() <= 2 * fixture.limits.response_bytes);
+}
+
+TEST_CASE("ReplicaClient abandons the largest answers when all together exceed its memory") {
+  constexpr int kCalls = 20;
+  EndlessReplica replica("HTTP/1.1 200 OK\r\n\r\n", "x");
+  Queue<Message> messages;
+  // No answer can reach its own limit.
+  ReplicaCallLimits limits{100u << 20, 4u << 20, 1u << 20};
+  ReplicaClient client([&](Message message) { messages.push(std::move(message)); }, limits);
+  for (int call = 0; call < kCalls; ++call) {
+    client.send({"a" + std::to_string(call), "app", replica.url + "/x", "POST", "{}", 20000, false});
+  }
+
+  for (int call = 0; call < kCalls; ++call) {
+    auto message = messages.pop(10000ms);
+    REQUIRE(message);
+    auto& response = std::get<ReplicaCallResponse>(*message);
+    CHECK_FALSE(response.complete);
+    CHECK(response.body.size() <= limits.total_bytes);
+  }
+}
+
+TEST_CASE("ReplicaClient passes on a large answer that ends") {
+  const std::string body(6 << 20, 'x');
+  OneResponseReplica replica("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                             "\r\nX-Seal: " + hex(digest(body)) + "\r\n\r\n" + body);
+  ReplicaClientFixture fixture;
+
+  auto response = fixture.call(replica.url + "/x", false);
+
+  CHECK(response.complete);
+  CHECK(response.body == body);
+}
+
+TEST_CASE("ReplicaClient reads nothing while too many messages wait for the state machine") {
+  const std::string body = "{\"n\":0,\"text\":\"a\",\"tokens\":1}\n";
+  OneResponseReplica replica("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  ReplicaClientFixture fixture;
+  fixture.backlog = fixture.limits.backlog_bytes + 1;
+  fixture.client.send({"a", "model", replica.url + "/x", "POST", "{}", 5000, false});
+
+  CHECK_FALSE(fixture.messages.pop(300ms));
+  fixture.backlog = 0;
+  auto message = fixture.messages.pop(3000ms);
+
+  REQUIRE(message);
+  CHECK(std::get<ReplicaCallChunk>(*message).text == "a");
+}
