--- a/src/net/http_listener.cpp
+++ b/src/net/http_listener.cpp
@@ -157,6 +157,11 @@
   }
 }
 
+bool HttpListener::count_body_bytes(size_t counted, size_t bytes) {
+  body_bytes_ = body_bytes_ - counted + bytes;
+  return bytes <= counted || body_bytes_ <= limits_.max_total_body_bytes;
+}
+
 uint64_t HttpListener::open_exchange(std::shared_ptr<HttpServerConnection> connection) {
   auto exchange = ++last_exchange_;
   exchanges_.emplace(exchange, std::move(connection));
--- a/src/net/http_listener.hpp
+++ b/src/net/http_listener.hpp
@@ -60,6 +60,8 @@
   /// crosses the close knows that it was not read. All other connections close after their response.
   void drain();
   size_t connections() const { return connections_.size(); }
+  /// Bytes of the bodies of all requests that are being read or not answered yet.
+  size_t body_bytes() const { return body_bytes_; }
 
  private:
   HttpListener(EventLoop& loop, Callbacks callbacks, Fd listening_socket);
@@ -79,6 +81,7 @@
   bool closes_after_responses() const override { return close_after_responses_; }
   bool draining() const override { return draining_; }
   std::vector<char>& read_buffer() override { return read_buffer_; }
+  bool count_body_bytes(size_t counted, size_t bytes) override;
   uint64_t open_exchange(std::shared_ptr<HttpServerConnection> connection) override;
   void close_exchange(uint64_t exchange) override { exchanges_.erase(exchange); }
   void on_request(uint64_t exchange, HttpRequest&& request) override;
@@ -93,6 +96,8 @@
   HttpListenerLimits limits_;
   bool close_after_responses_ = false;
   bool draining_ = false;
+  /// Of the requests that are being read or not answered yet.
+  size_t body_bytes_ = 0;
   uint64_t last_exchange_ = 0;
   /// Connections of the exchanges whose response is not complete.
   std::unordered_map<uint64_t, std::shared_ptr<HttpServerConnection>> exchanges_;
--- a/src/net/http_request_reader.hpp
+++ b/src/net/http_request_reader.hpp
@@ -30,6 +30,8 @@
   /// Whether there are received bytes that are not part of a completed request.
   bool has_unread_bytes() const { return !received_.empty(); }
   bool in_body() const { return in_body_; }
+  /// Bytes of the body that were received of the current request.
+  size_t body_bytes() const { return request_.body.size(); }
   /// Whether the caller waits for "100 Continue" before sending the current body; returns true only once per request.
   bool take_expects_continue() { return std::exchange(expects_continue_, false); }
   /// Properties of the last accepted request head.
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -12,6 +12,8 @@
 
 /// How long a caller may take to close its side after this side was shut down.
 constexpr Duration kLingerTimeout = 1000ms;
+/// Sent with 503: bodies are held no longer than their requests take.
+constexpr int kRetryAfterSeconds = 1;
 
 }  // namespace
 
@@ -70,7 +72,9 @@
 void HttpServerConnection::read_request() {
   using Progress = HttpRequestReader::Progress;
   auto progress = reader_.read(owner_.limits());
-  if (progress == Progress::incomplete) {
+  if (progress != Progress::rejected && !count_body(reader_.body_bytes())) {
+    reject_request(503);
+  } else if (progress == Progress::incomplete) {
     on_incomplete_request();
   } else if (progress == Progress::complete) {
     begin_exchange();
@@ -103,14 +107,24 @@
   owner_.on_request(exchange_, reader_.take_request());
 }
 
+bool HttpServerConnection::count_body(size_t bytes) {
+  bool fits = owner_.count_body_bytes(counted_body_bytes_, bytes);
+  counted_body_bytes_ = bytes;
+  return fits;
+}
+
 void HttpServerConnection::reject_request(uint32_t status) {
   constexpr std::string_view body = "refused\n";
+  HeaderFields fields{{"Content-Type", "text/plain"}};
+  if (status == 503) {
+    fields.push_back({"Retry-After", std::to_string(kRetryAfterSeconds)});
+  }
   phase_ = Phase::responding;
   keep_alive_ = false;
   reader_.discard();
   sender_.begin(false, reader_.is_head_method());
   exchange_ = owner_.open_exchange(shared_from_this());
-  send_head(status, {{"Content-Type", "text/plain"}}, body.size());
+  send_head(status, fields, body.size());
   send_body(body);
   finish_response();
 }
@@ -142,6 +156,7 @@
     return;
   }
   owner_.close_exchange(std::exchange(exchange_, 0));
+  (void)count_body(0);
   phase_ = Phase::finishing;
   deadline_.set(owner_.limits().idle_timeout);
   schedule_flush();
@@ -252,6 +267,7 @@
   if (exchange_) {
     owner_.close_exchange(exchange_);
   }
+  (void)count_body(0);
   deadline_.cancel();
   loop_.unwatch(socket_.get());
   socket_ = Fd();
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -17,6 +17,8 @@
   /// caller receives.
   Duration idle_timeout = 15000ms;
   size_t max_connections = 2000;
+  /// Of the bodies of all requests that are being read or not answered yet; a request beyond it gets 503.
+  size_t max_total_body_bytes = SIZE_MAX;
 };
 
 /// The interface that a connection uses to call its listener. All functions are called on the loop's thread.
@@ -29,6 +31,9 @@
   virtual bool draining() const = 0;
   /// A buffer to receive into; its content is valid only until the connection returns to the event loop.
   virtual std::vector<char>& read_buffer() = 0;
+  /// Replaces the bytes that one request's body is counted with.
+  /// @return false if all bodies together exceed the limit; the bytes are counted all the same.
+  [[nodiscard]] virtual bool count_body_bytes(size_t counted, size_t bytes) = 0;
   /// @return the id of a new exchange, which must be closed with `close_exchange`.
   virtual uint64_t open_exchange(std::shared_ptr<HttpServerConnection> connection) = 0;
   virtual void close_exchange(uint64_t exchange) = 0;
@@ -90,6 +95,8 @@
   void on_incomplete_request();
   void begin_exchange();
   void reject_request(uint32_t status);
+  /// Counts the body of the current request. Returns false if all bodies together exceed the limit.
+  bool count_body(size_t bytes);
   void flush();
   void on_response_sent();
   void linger();
@@ -109,6 +116,8 @@
   /// Id of the open exchange; 0 if there is none.
   uint64_t exchange_ = 0;
   HttpRequestReader reader_;
+  /// Bytes that the current request's body is counted with, until its response is complete.
+  size_t counted_body_bytes_ = 0;
   /// Whether `deadline_` is set to the timeout of the current request head.
   bool head_deadline_set_ = false;
   HttpResponseSender sender_;
--- a/src/routing/http_frontend.cpp
+++ b/src/routing/http_frontend.cpp
@@ -1,9 +1,25 @@
 #include "routing/http_frontend.hpp"
 
+#include <algorithm>
+
 #include "base/log.hpp"
 #include "runtime/host.hpp"
 
 namespace mosskeel {
+namespace {
+
+/// The share of the memory that callers' bodies may take is one in this many: each is copied to be sent.
+constexpr size_t kBodyMemoryDivisor = 8;
+/// Two bodies as large as the limit of one by default.
+constexpr size_t kMinTotalBodyBytes = 8u << 20;
+constexpr size_t kMaxTotalBodyBytes = 256u << 20;
+
+size_t max_total_body_bytes(size_t memory_bytes) {
+  size_t share = memory_bytes ? memory_bytes / kBodyMemoryDivisor : kMaxTotalBodyBytes;
+  return std::clamp(share, kMinTotalBodyBytes, kMaxTotalBodyBytes);
+}
+
+}  // namespace
 
 routing::AttemptNumber HttpFrontend::AttemptMap::attempt_of(uint64_t upstream_id) const {
   auto found = attempt_by_upstream_id_.find(upstream_id);
@@ -31,7 +47,8 @@
                            size_t memory_bytes)
     : snapshot_(std::move(snapshot)),
       send_to_owner_(std::move(send_to_owner)),
-      router_(codec, routing::ResponseLimits::for_memory(memory_bytes)) {
+      router_(codec, routing::ResponseLimits::for_memory(memory_bytes)),
+      memory_bytes_(memory_bytes) {
   replicas_ = std::make_unique<UpstreamClient>(loop, replica_callbacks());
 }
 
@@ -44,6 +61,7 @@
   if (!callers.ok())
     return callers.errors();
   frontend->callers_ = std::move(callers).value();
+  frontend->apply_limits({});
   frontend->backpressure_ = std::make_unique<Backpressure>(*frontend->callers_, *frontend->replicas_);
   return frontend;
 }
@@ -97,6 +115,7 @@
 
 void HttpFrontend::apply_limits(const CallerLimits& limits) {
   HttpListenerLimits applied;
+  applied.max_total_body_bytes = max_total_body_bytes(memory_bytes_);
   if (limits.head_bytes)
     applied.max_head_bytes = limits.head_bytes;
   if (limits.body_bytes)
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -83,6 +83,8 @@
   AttemptMap attempts_;
   /// The upstream request whose response was just found to be malformed; 0 for none.
   uint64_t malformed_request_ = 0;
+  /// What the process may use; 0 if that is unknown.
+  const size_t memory_bytes_;
   /// Revision of the configuration whose limits were last applied to the listener.
   Revision limits_revision_{};
 };
--- a/tests/unit/net/http_listener_test.cpp
+++ b/tests/unit/net/http_listener_test.cpp
@@ -389,3 +389,33 @@
   REQUIRE(run_until(server.loop, [&] { return third.receive(); }));
   CHECK(server.listener->connections() == 2);
 }
+
+TEST_CASE("HttpListener refuses bodies that exceed its limit together, and accepts others once those are answered") {
+  TestServer server;
+  server.respond = nullptr;
+  HttpListenerLimits limits;
+  limits.max_total_body_bytes = 10000;
+  server.listener->set_limits(limits);
+  const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n" + std::string(6000, 'x');
+  SocketPeer first(server.address());
+  first.send(request);
+  REQUIRE(server.run_until_requests(1));
+  CHECK(server.listener->body_bytes() == 6000);
+
+  auto refused = server.exchange(request);
+  CHECK(refused.starts_with("HTTP/1.1 503"));
+  CHECK(refused.find("Retry-After: 1") != std::string::npos);
+  CHECK(server.listener->body_bytes() == 6000);
+
+  SocketPeer unfinished(server.address());
+  unfinished.send(request.substr(0, 2000));
+  REQUIRE(run_until(server.loop, [&] { return server.listener->body_bytes() > 6000; }));
+  unfinished.close();
+  REQUIRE(run_until(server.loop, [&] { return server.listener->body_bytes() == 6000; }));
+
+  server.listener->send_response(server.requests[0].exchange, 200, {}, "");
+  CHECK(server.listener->body_bytes() == 0);
+  SocketPeer second(server.address());
+  second.send(request);
+  CHECK(server.run_until_requests(2));
+}
