--- a/src/net/http_response_reader.cpp
+++ b/src/net/http_response_reader.cpp
@@ -5,6 +5,8 @@
 namespace mosskeel {
 namespace {
 
+/// Parsing a head costs far more than its bytes.
+constexpr size_t kMaxInterimResponses = 16;
 /// With the interim responses before it. As many heads may be incomplete at once as there are connections.
 constexpr size_t kMaxResponseHeadBytes = 32 << 10;
 
@@ -14,6 +16,7 @@
   to_head_method_ = to_head_method;
   in_body_ = false;
   interim_bytes_ = 0;
+  interim_responses_ = 0;
 }
 
 void HttpResponseReader::discard() {
@@ -52,9 +55,13 @@
     if (!interim) {
       break;
     }
+    if (++interim_responses_ > kMaxInterimResponses) {
+      return fail("too many interim responses");
+    }
   }
   in_body_ = true;
   interim_bytes_ = 0;
+  interim_responses_ = 0;
   without_body_ = to_head_method_ || head_.status == 204 || head_.status == 304;
   chunked_ = head_.chunked;
   body_remaining_ = head_.content_length;
--- a/src/net/http_response_reader.hpp
+++ b/src/net/http_response_reader.hpp
@@ -52,6 +52,7 @@
   size_t scanned_ = 0;
   /// Bytes of the interim responses before the current response.
   size_t interim_bytes_ = 0;
+  size_t interim_responses_ = 0;
   bool to_head_method_ = false;
   bool in_body_ = false;
   bool without_body_ = false;
