Tests: room for the turns of the test that cuts off the largest

The fixture's replicas take 18 turns at once and the test sends 20, so it failed on its first run; it ran into no limit of what is held either.

--- a/tests/unit/routing/turn_request_test.cpp
+++ b/tests/unit/routing/turn_request_test.cpp
@@ -148,6 +148,10 @@
 
 TEST_CASE("Many turns with outputs without end are held within one limit, the largest of them cut off first") {
   RouterFixture fixture;
+  for (auto& [name, replica] : fixture.metadata.replicas)
+    replica.capacity = 1000;
+  fixture.metadata.epoch = Epoch{6};
+  fixture.publish();
   auto limits = ResponseLimits::for_memory(0);
   std::vector<SendToReplica> turns;
   for (int turn = 0; turn < 20; ++turn) {
