--- a/src/daemons/gateway/main.cpp
+++ b/src/daemons/gateway/main.cpp
@@ -43,6 +43,17 @@
   return sizeof(Envelope) + text_bytes;
 }
 
+void post_from_replica(Host& host, Message message) {
+  auto bytes = memory_bytes_of(message);
+  host.post(envelope_from_replica(std::move(message)), bytes);
+}
+
+std::unique_ptr<ReplicaClient> open_replica_client(Host& host, const Settings& settings) {
+  auto limits = ReplicaCallLimits::for_memory(process_memory(settings.memory_limit).total);
+  return std::make_unique<ReplicaClient>([&host](Message message) { post_from_replica(host, std::move(message)); },
+                                         limits, [&host] { return host.inbox_bytes(); });
+}
+
 void send_to_replica(ReplicaClient& replicas, const Message& message) {
   if (const auto* call = std::get_if<ReplicaCall>(&message))
     replicas.send(*call);
@@ -83,12 +94,7 @@
   if (auto errors = listen(startup, host); !errors.empty())
     return report_start_failure("gateway", errors);
   LocalMailboxes mailboxes;
-  auto post_to_machine = [&](Message message) {
-    auto bytes = memory_bytes_of(message);
-    host.post(envelope_from_replica(std::move(message)), bytes);
-  };
-  ReplicaClient replicas(post_to_machine, ReplicaCallLimits::for_memory(process_memory(settings.memory_limit).total),
-                         [&] { return host.inbox_bytes(); });
+  auto replicas = open_replica_client(host, settings);
 
   // With a protocol codec configured, clients use the platform's protocol; otherwise Mosskeel's own API.
   std::unique_ptr<RoutingThread> routing_thread;
@@ -99,7 +105,7 @@
   }
 
   host.route("local", [&](const Envelope& envelope) { mailboxes.deliver(envelope); });
-  host.route("replica", [&](const Envelope& envelope) { send_to_replica(replicas, envelope.body); });
+  host.route("replica", [&](const Envelope& envelope) { send_to_replica(*replicas, envelope.body); });
   auto make_machine = [&](const Recovered&, TimePoint now) {
     return std::make_unique<GatewayMachine>(identity, now);
   };
--- a/src/gateway/routing_thread.cpp
+++ b/src/gateway/routing_thread.cpp
@@ -136,7 +136,8 @@
                                     kibibytes(held.chains) + "; outputs of turns " + kibibytes(held.turn_outputs) +
                                     ", buffered responses " + kibibytes(held.buffered_responses) +
                                     ", unsent to callers " + kibibytes(frontend_->unsent_bytes()) +
-                                    ", waiting for peers " + kibibytes(host_.bytes_waiting_for_peers()));
+                                    ", waiting for peers " + kibibytes(host_.bytes_waiting_for_peers()) + "; " +
+                                    std::to_string(frontend_->ejections()) + " ejections of replicas so far");
 }
 
 }  // namespace mosskeel
--- a/src/routing/http_frontend.cpp
+++ b/src/routing/http_frontend.cpp
@@ -189,6 +189,7 @@
 }
 
 void HttpFrontend::perform(const routing::ReportEjection& action) {
+  ++ejections_;
   log_event(Event::replica_ejected,
             action.replica + " for " + std::to_string(action.time.count()) + " ms: " + action.reason);
 }
--- a/src/routing/http_frontend.hpp
+++ b/src/routing/http_frontend.hpp
@@ -40,6 +40,8 @@
   const routing::RequestRouter& router() const { return router_; }
   /// Bytes of responses that callers have not taken yet.
   size_t unsent_bytes() const { return callers_->unsent_bytes(); }
+  /// Number of times that a replica was ejected.
+  uint64_t ejections() const { return ejections_; }
 
  private:
   /// Bidirectional map between the upstream client's request ids and the router's attempt numbers. 0 stands for none.
@@ -72,7 +74,7 @@
   void perform(routing::CancelAttempt& action);
   void perform(routing::SkipStaleResponse& action);
   void perform(routing::SendToOwner& action);
-  static void perform(const routing::ReportEjection& action);
+  void perform(const routing::ReportEjection& action);
 
   Snapshot snapshot_;
   SendToOwner send_to_owner_;
@@ -83,6 +85,7 @@
   AttemptMap attempts_;
   /// The upstream request whose response was just found to be malformed; 0 for none.
   uint64_t malformed_request_ = 0;
+  uint64_t ejections_ = 0;
   /// What the process may use; 0 if that is unknown.
   const size_t memory_bytes_;
   /// Revision of the configuration whose limits were last applied to the listener.
