--- a/tests/unit/routing/turn_request_test.cpp
+++ b/tests/unit/routing/turn_request_test.cpp
@@ -116,6 +116,7 @@
   return streamed;
 }
 
+// Guards against gateways that ended for their memory: a replica chose how much of a turn they kept.
 TEST_CASE("A turn whose output has no end is cut off, which took all of a gateway's memory, and does not run again") {
   RouterFixture fixture;
   auto limits = ResponseLimits::for_memory(0);
@@ -146,6 +147,7 @@
   CHECK(fixture.outcome().output == data + "\n");
 }
 
+// Guards against the same with many turns at once, each within a bound of its own.
 TEST_CASE("Many turns with outputs without end are held within one limit, the largest of them cut off first") {
   RouterFixture fixture;
   for (auto& [name, replica] : fixture.metadata.replicas)
