--- a/tests/unit/net/http_listener_test.cpp
+++ b/tests/unit/net/http_listener_test.cpp
@@ -390,6 +390,7 @@
   CHECK(server.listener->connections() == 2);
 }
 
+// Guards against callers that together choose how much a gateway holds.
 TEST_CASE("HttpListener refuses bodies that exceed its limit together, and accepts others once those are answered") {
   TestServer server;
   server.respond = nullptr;
--- a/tests/unit/net/upstream_client_test.cpp
+++ b/tests/unit/net/upstream_client_test.cpp
@@ -332,6 +332,7 @@
   CHECK(fixture.client.idle_connections() == 0);
 }
 
+// Guards against interim responses that were read and parsed until the deadline.
 TEST_CASE("UpstreamClient fails a response whose head, chunk size or trailers have no end, within a few kilobytes") {
   struct Endless {
     std::string begin, repeated;
--- a/tests/unit/routing/load_balancer_test.cpp
+++ b/tests/unit/routing/load_balancer_test.cpp
@@ -124,6 +124,7 @@
   CHECK(fixture.start_attempt().starts_with("app"));
 }
 
+// Guards against a replica that sends without end and goes on to be asked.
 TEST_CASE(
     "LoadBalancer ejects a replica for longer each time that it breaks the protocol, and for less after responses") {
   BalancerFixture fixture;
